Core library: agreement, storage, configuration, leases, ledger, distribution, routing, admission

Cause: nothing stood yet. Each coordination part is a pure state machine or function with its clock and random numbers passed in, so that it can be embedded, and driven by tests without a simulator. No daemon yet; nothing is measured here.

--- /dev/null
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -0,0 +1,608 @@
+package org.bankturn.agreement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.bankturn.agreement.AgreementMessage.AppendReply;
+import org.bankturn.agreement.AgreementMessage.AppendRequest;
+import org.bankturn.agreement.AgreementMessage.ElectNow;
+import org.bankturn.agreement.AgreementMessage.JoinRequest;
+import org.bankturn.agreement.AgreementMessage.SnapshotRequest;
+import org.bankturn.agreement.AgreementMessage.VoteReply;
+import org.bankturn.agreement.AgreementMessage.VoteRequest;
+import org.bankturn.agreement.Ready.Outbound;
+import org.bankturn.time.Clock;
+
+/**
+ * One member of an agreement group: an ordered log of commands that a majority has synced.
+ *
+ * <p>Use it to keep state on a few boxes with disks. Call {@link #tick}, {@link #receive} or {@link #propose}, then take
+ * {@link #ready} and do what it says in its order; there is no I/O in here. Members change one at a time: a box that
+ * lost its disk asks to join as a new member, copies the log without a vote, then takes the place of the member it was.
+ *
+ * <p>Agreement is mutable and not thread-safe; one thread owns it.
+ */
+public final class Agreement {
+    private final Member self;
+    private final Clock clock;
+    private final UniformRandomProvider random;
+    private final AgreementSettings settings;
+    private final Predicate<Member> admissible;
+    private final AgreementLog log;
+
+    private Role role = Role.FOLLOWER;
+    private long term;
+    private Member votedFor;
+    private Member leader;
+    private long commitIndex;
+    private long electionDeadlineMillis;
+    private long leaderHeardMillis = Long.MIN_VALUE / 2;
+    private long heartbeatDueMillis;
+    private final Set<Member> votes = new HashSet<>();
+    private final Map<Member, Replication> replications = new HashMap<>();
+    private Member joiner;
+
+    private boolean voteChanged;
+    private Snapshot installed;
+    private final List<LogEntry> unstored = new ArrayList<>();
+    private final List<Outbound> messages = new ArrayList<>();
+    private long handedOutIndex;
+
+    /**
+     * Creates a member from what its storage holds.
+     *
+     * @param self this member, not null
+     * @param stored what storage recovered, not null
+     * @param settings timing and sizes, not null
+     * @param clock the time, not null
+     * @param random spreads election timeouts, not null
+     * @param admissible which boxes a leader may admit when they ask to join, not null
+     * @return a follower, not null
+     */
+    public static Agreement recover(
+            Member self,
+            StoredAgreement stored,
+            AgreementSettings settings,
+            Clock clock,
+            UniformRandomProvider random,
+            Predicate<Member> admissible) {
+        return new Agreement(self, stored, settings, clock, random, admissible);
+    }
+
+    private Agreement(
+            Member self,
+            StoredAgreement stored,
+            AgreementSettings settings,
+            Clock clock,
+            UniformRandomProvider random,
+            Predicate<Member> admissible) {
+        this.self = self;
+        this.settings = settings;
+        this.clock = clock;
+        this.random = random;
+        this.admissible = admissible;
+        this.log = new AgreementLog(stored.snapshot(), stored.entries());
+        this.term = stored.vote().term();
+        this.votedFor = stored.vote().votedFor();
+        this.commitIndex = log.snapshot().index();
+        this.handedOutIndex = commitIndex;
+        restartElectionTimer();
+    }
+
+    // ---- queries
+
+    /** Returns this member, not null. */
+    public Member self() {
+        return self;
+    }
+
+    /** Returns this member's role, not null. */
+    public Role role() {
+        return role;
+    }
+
+    /** Returns the newest term this member has seen. */
+    public long term() {
+        return term;
+    }
+
+    /** Returns the leader of this term as far as known, not null. */
+    public Optional<Member> leader() {
+        return Optional.ofNullable(leader);
+    }
+
+    /** Returns the members as of the last entry of the log, not null. */
+    public List<Member> members() {
+        return log.membersAt(log.lastIndex());
+    }
+
+    /** Returns the index up to which entries are committed, as far as known here. */
+    public long commitIndex() {
+        return commitIndex;
+    }
+
+    /** Returns the index of the last entry of the log. */
+    public long lastIndex() {
+        return log.lastIndex();
+    }
+
+    /** Returns the snapshot that the log starts from, not null. */
+    public Snapshot snapshot() {
+        return log.snapshot();
+    }
+
+    /** Returns true if this member leads and has committed an entry of its own term, so that its state is current. */
+    public boolean isEstablishedLeader() {
+        return role == Role.LEADER && log.termAt(commitIndex) == term;
+    }
+
+    // ---- steps
+
+    /** Lets time pass: starts elections, sends heartbeats, steps down without a majority. */
+    public void tick() {
+        long now = clock.millis();
+        if (role == Role.LEADER) {
+            tickLeader(now);
+        } else if (now >= electionDeadlineMillis) {
+            if (isVoter(self)) {
+                startElection(true);
+            } else {
+                restartElectionTimer();
+            }
+        }
+    }
+
+    /**
+     * Asks the given members to admit this one, which has an empty disk.
+     *
+     * @param contacts where to ask; incarnations are ignored, not null
+     */
+    public void askToJoin(List<Member> contacts) {
+        for (Member contact : contacts) {
+            send(contact, new JoinRequest(self, 0));
+        }
+    }
+
+    /**
+     * Puts a command into the log.
+     *
+     * @param command the encoded command, not null
+     * @return the index it was given, empty if this member does not lead; it is accepted only when {@link Ready}
+     *     hands it out as committed with the same term
+     */
+    public OptionalLong propose(byte[] command) {
+        if (role != Role.LEADER) {
+            return OptionalLong.empty();
+        }
+        appendAsLeader(command, null);
+        return OptionalLong.of(log.lastIndex());
+    }
+
+    /** Hands leadership to the member that is furthest, ahead of a planned stop; does nothing if not leading. */
+    public void transferLeadership() {
+        if (role != Role.LEADER) {
+            return;
+        }
+        Member furthest = null;
+        for (Member member : peers()) {
+            if (furthest == null || matchOf(member) > matchOf(furthest)) {
+                furthest = member;
+            }
+        }
+        if (furthest != null) {
+            sendAppend(furthest);
+            send(furthest, new ElectNow(self, term));
+        }
+    }
+
+    /**
+     * Replaces the entries up to an applied index by a snapshot.
+     *
+     * @param index the index, committed and handed out
+     * @param state the encoded state at that index, not null
+     * @return the snapshot to store, not null
+     */
+    public Snapshot compact(long index, byte[] state) {
+        if (index > handedOutIndex || index <= log.snapshot().index()) {
+            throw new IllegalArgumentException("cannot compact to " + index + ", handed out " + handedOutIndex);
+        }
+        Snapshot newer = new Snapshot(index, log.termAt(index), List.copyOf(log.membersAt(index)), state);
+        log.compactTo(newer);
+        return newer;
+    }
+
+    /**
+     * Takes in a message.
+     *
+     * @param message the message, not null
+     */
+    public void receive(AgreementMessage message) {
+        if (message instanceof JoinRequest request) {
+            onJoinRequest(request);
+            return;
+        }
+        boolean trial = (message instanceof VoteRequest request && request.trial())
+                || (message instanceof VoteReply reply && reply.trial());
+        if (message.term() > term && !trial) {
+            becomeFollower(message.term(), null);
+        }
+        if (message instanceof VoteRequest request) {
+            onVoteRequest(request);
+        } else if (message instanceof VoteReply reply) {
+            onVoteReply(reply);
+        } else if (message instanceof AppendRequest request) {
+            onAppendRequest(request);
+        } else if (message instanceof AppendReply reply) {
+            onAppendReply(reply);
+        } else if (message instanceof SnapshotRequest request) {
+            onSnapshotRequest(request);
+        } else if (message instanceof ElectNow request && request.term() == term && isVoter(self)) {
+            startElection(false);
+        }
+    }
+
+    /**
+     * Takes what must be done after the steps since the last call.
+     *
+     * @return what to store, send and apply, not null
+     */
+    public Ready ready() {
+        List<LogEntry> committed = log.between(handedOutIndex + 1, commitIndex);
+        Ready ready = new Ready(
+                voteChanged ? new Vote(term, votedFor) : null,
+                installed,
+                List.copyOf(unstored),
+                List.copyOf(messages),
+                committed);
+        voteChanged = false;
+        installed = null;
+        unstored.clear();
+        messages.clear();
+        handedOutIndex = commitIndex;
+        return ready;
+    }
+
+    // ---- elections
+
+    private void startElection(boolean trial) {
+        restartElectionTimer();
+        leader = null;
+        votes.clear();
+        votes.add(self);
+        if (trial) {
+            role = Role.PRE_CANDIDATE;
+        } else {
+            role = Role.CANDIDATE;
+            term++;
+            votedFor = self;
+            voteChanged = true;
+        }
+        long asked = trial ? term + 1 : term;
+        for (Member peer : peers()) {
+            send(peer, new VoteRequest(self, asked, trial, log.lastIndex(), log.lastTerm()));
+        }
+        countVotes();
+    }
+
+    private void onVoteRequest(VoteRequest request) {
+        boolean upToDate = request.lastTerm() > log.lastTerm()
+                || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex());
+        if (request.trial()) {
+            boolean leaderSilent = clock.millis() - leaderHeardMillis >= settings.electionTimeoutMillis();
+            boolean granted = upToDate && request.term() > term && leaderSilent && role != Role.LEADER;
+            send(request.from(), new VoteReply(self, granted ? request.term() : term, true, granted));
+            return;
+        }
+        boolean free = votedFor == null || votedFor.isSameLife(request.from());
+        boolean granted = request.term() == term && free && upToDate;
+        if (granted && votedFor == null) {
+            votedFor = request.from();
+            voteChanged = true;
+        }
+        if (granted) {
+            restartElectionTimer();
+        }
+        send(request.from(), new VoteReply(self, term, false, granted));
+    }
+
+    private void onVoteReply(VoteReply reply) {
+        if (reply.trial() && !reply.granted() && reply.term() > term) {
+            becomeFollower(reply.term(), null);
+            return;
+        }
+        boolean awaited = reply.trial()
+                ? role == Role.PRE_CANDIDATE && reply.term() == term + 1
+                : role == Role.CANDIDATE && reply.term() == term;
+        if (awaited && reply.granted()) {
+            votes.add(reply.from());
+            countVotes();
+        }
+    }
+
+    private void countVotes() {
+        if (!isMajority(votes)) {
+            return;
+        }
+        if (role == Role.PRE_CANDIDATE) {
+            startElection(false);
+        } else if (role == Role.CANDIDATE) {
+            becomeLeader();
+        }
+    }
+
+    private void becomeLeader() {
+        role = Role.LEADER;
+        leader = self;
+        joiner = null;
+        replications.clear();
+        long now = clock.millis();
+        for (Member peer : peers()) {
+            replications.put(peer, new Replication(log.lastIndex() + 1, now));
+        }
+        heartbeatDueMillis = now + settings.heartbeatMillis();
+        appendAsLeader(new byte[0], null);
+    }
+
+    private void becomeFollower(long newTerm, Member newLeader) {
+        if (newTerm > term) {
+            term = newTerm;
+            votedFor = null;
+            voteChanged = true;
+        }
+        if (role != Role.FOLLOWER) {
+            restartElectionTimer();
+        }
+        role = Role.FOLLOWER;
+        leader = newLeader;
+        joiner = null;
+    }
+
+    private void restartElectionTimer() {
+        long spread = random.nextLong(settings.electionTimeoutMillis());
+        electionDeadlineMillis = clock.millis() + settings.electionTimeoutMillis() + spread;
+    }
+
+    // ---- replication, on the leader
+
+    private void tickLeader(long now) {
+        if (!heardFromMajority(now)) {
+            becomeFollower(term, null);
+            return;
+        }
+        if (now >= heartbeatDueMillis) {
+            heartbeatDueMillis = now + settings.heartbeatMillis();
+            replicateToAll();
+            admitJoiner();
+        }
+    }
+
+    private boolean heardFromMajority(long now) {
+        Set<Member> heard = new HashSet<>();
+        heard.add(self);
+        replications.forEach((member, replication) -> {
+            if (now - replication.heardMillis() < settings.electionTimeoutMillis()) {
+                heard.add(member);
+            }
+        });
+        return isMajority(heard);
+    }
+
+    private void appendAsLeader(byte[] command, List<Member> members) {
+        LogEntry entry = new LogEntry(log.lastIndex() + 1, term, command, members);
+        log.append(entry);
+        unstored.add(entry);
+        replicateToAll();
+        advanceCommit();
+    }
+
+    private void replicateToAll() {
+        for (Member peer : peers()) {
+            sendAppend(peer);
+        }
+        if (joiner != null) {
+            sendAppend(joiner);
+        }
+    }
+
+    private void sendAppend(Member to) {
+        Replication replication =
+                replications.computeIfAbsent(to, key -> new Replication(log.lastIndex() + 1, clock.millis()));
+        if (replication.nextIndex() <= log.snapshot().index()) {
+            sendSnapshot(to, replication);
+            return;
+        }
+        long previous = replication.nextIndex() - 1;
+        long last = previous + settings.batchEntries();
+        List<LogEntry> entries = log.between(replication.nextIndex(), last);
+        send(to, new AppendRequest(self, term, previous, log.termAt(previous), entries, commitIndex));
+        replication.sentUpTo(previous + entries.size());
+    }
+
+    private void sendSnapshot(Member to, Replication replication) {
+        long now = clock.millis();
+        if (now - replication.snapshotSentMillis() >= settings.electionTimeoutMillis()
+                || replication.snapshotSentMillis() == Long.MIN_VALUE) {
+            replication.snapshotSent(now);
+            send(to, new SnapshotRequest(self, term, log.snapshot()));
+        }
+    }
+
+    private void onAppendReply(AppendReply reply) {
+        Replication replication = replications.get(reply.from());
+        if (role != Role.LEADER || reply.term() != term || replication == null) {
+            return;
+        }
+        replication.heard(clock.millis());
+        if (!reply.accepted()) {
+            replication.backTo(reply.matchIndex() + 1);
+            sendAppend(reply.from());
+            return;
+        }
+        replication.matched(reply.matchIndex());
+        advanceCommit();
+        if (replication.nextIndex() <= log.lastIndex()) {
+            sendAppend(reply.from());
+        }
+    }
+
+    private void advanceCommit() {
+        for (long index = log.lastIndex(); index > commitIndex && log.termAt(index) == term; index--) {
+            if (isMajority(holdersOf(index))) {
+                commitIndex = index;
+                stepDownIfRemoved();
+                return;
+            }
+        }
+    }
+
+    private Set<Member> holdersOf(long index) {
+        Set<Member> holders = new HashSet<>();
+        holders.add(self);
+        replications.forEach((member, replication) -> {
+            if (replication.matchIndex() >= index) {
+                holders.add(member);
+            }
+        });
+        return holders;
+    }
+
+    private void stepDownIfRemoved() {
+        boolean removed = !isVoter(self) && log.membersAt(commitIndex).equals(members());
+        if (removed) {
+            becomeFollower(term, null);
+        }
+    }
+
+    // ---- replication, on a follower
+
+    private void onAppendRequest(AppendRequest request) {
+        if (request.term() < term) {
+            send(request.from(), new AppendReply(self, term, false, log.lastIndex()));
+            return;
+        }
+        followLeader(request.from());
+        long previous = request.previousIndex();
+        boolean agrees = previous <= commitIndex || log.termAt(previous) == request.previousTerm();
+        if (!agrees) {
+            long hint = Math.min(log.lastIndex(), previous - 1);
+            send(request.from(), new AppendReply(self, term, false, Math.max(hint, commitIndex)));
+            return;
+        }
+        request.entries().forEach(this::storeAsFollower);
+        long matched = Math.max(previous + request.entries().size(), commitIndex);
+        commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), matched));
+        send(request.from(), new AppendReply(self, term, true, matched));
+    }
+
+    private void storeAsFollower(LogEntry entry) {
+        if (entry.index() <= commitIndex || log.termAt(entry.index()) == entry.term()) {
+            return;
+        }
+        if (log.holds(entry.index())) {
+            log.cutFrom(entry.index());
+            unstored.removeIf(waiting -> waiting.index() >= entry.index());
+        }
+        log.append(entry);
+        unstored.add(entry);
+    }
+
+    private void onSnapshotRequest(SnapshotRequest request) {
+        if (request.term() < term) {
+            send(request.from(), new AppendReply(self, term, false, log.lastIndex()));
+            return;
+        }
+        followLeader(request.from());
+        Snapshot snapshot = request.snapshot();
+        if (snapshot.index() > commitIndex) {
+            log.replaceBy(snapshot);
+            unstored.clear();
+            installed = snapshot;
+            commitIndex = snapshot.index();
+            handedOutIndex = snapshot.index();
+        }
+        send(request.from(), new AppendReply(self, term, true, commitIndex));
+    }
+
+    private void followLeader(Member from) {
+        becomeFollower(term, from);
+        leaderHeardMillis = clock.millis();
+        restartElectionTimer();
+    }
+
+    // ---- members
+
+    private void onJoinRequest(JoinRequest request) {
+        boolean known = isVoter(request.from()) || request.from().isSameLife(joiner);
+        if (role != Role.LEADER || known || joiner != null || !admissible.test(request.from())) {
+            return;
+        }
+        joiner = request.from();
+        replications.put(joiner, new Replication(log.lastIndex() + 1, clock.millis()));
+        sendAppend(joiner);
+    }
+
+    /** Takes the next of two steps: removes the member that the joiner was, then adds the joiner. */
+    private void admitJoiner() {
+        if (joiner == null) {
+            return;
+        }
+        if (isVoter(joiner)) {
+            joiner = null;
+            return;
+        }
+        Replication replication = replications.get(joiner);
+        if (clock.millis() - replication.heardMillis() > settings.electionTimeoutMillis()) {
+            replications.remove(joiner);
+            joiner = null;
+            return;
+        }
+        boolean caughtUp = replication.matchIndex() >= commitIndex;
+        boolean changing = !log.membersAt(commitIndex).equals(members());
+        if (!caughtUp || changing || !isEstablishedLeader()) {
+            return;
+        }
+        List<Member> changed = new ArrayList<>(members());
+        boolean hadFormerLife = changed.removeIf(member -> member.box().equals(joiner.box()));
+        if (!hadFormerLife) {
+            changed.add(joiner);
+        }
+        appendAsLeader(new byte[0], List.copyOf(changed));
+    }
+
+    private boolean isVoter(Member member) {
+        return members().stream().anyMatch(voter -> voter.isSameLife(member));
+    }
+
+    private boolean isMajority(Set<Member> supporters) {
+        List<Member> members = members();
+        long count = members.stream()
+                .filter(voter -> supporters.stream().anyMatch(voter::isSameLife))
+                .count();
+        return count > members.size() / 2;
+    }
+
+    private List<Member> peers() {
+        return members().stream().filter(member -> !member.isSameLife(self)).toList();
+    }
+
+    private long matchOf(Member member) {
+        Replication replication = replications.get(member);
+        return replication == null ? 0 : replication.matchIndex();
+    }
+
+    private void send(Member to, AgreementMessage message) {
+        messages.add(new Outbound(to, message));
+    }
+
+    @Override
+    public String toString() {
+        return "Agreement[" + self.box() + " " + role + " term " + term + " committed " + commitIndex + "]";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/agreement/AgreementLog.java
@@ -0,0 +1,86 @@
+package org.bankturn.agreement;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The log of one member in memory: a snapshot and the entries after it.
+ *
+ * <p>AgreementLog is mutable and not thread-safe.
+ */
+final class AgreementLog {
+    private Snapshot snapshot;
+    private final List<LogEntry> entries = new ArrayList<>();
+
+    AgreementLog(Snapshot snapshot, List<LogEntry> entries) {
+        this.snapshot = snapshot;
+        this.entries.addAll(entries);
+    }
+
+    Snapshot snapshot() {
+        return snapshot;
+    }
+
+    long lastIndex() {
+        return snapshot.index() + entries.size();
+    }
+
+    long lastTerm() {
+        return termAt(lastIndex());
+    }
+
+    boolean holds(long index) {
+        return index > snapshot.index() && index <= lastIndex();
+    }
+
+    LogEntry entryAt(long index) {
+        return entries.get((int) (index - snapshot.index() - 1));
+    }
+
+    /** Returns the term at an index, or -1 if the index is beyond the log or under the snapshot. */
+    long termAt(long index) {
+        if (index == snapshot.index()) {
+            return snapshot.term();
+        }
+        return holds(index) ? entryAt(index).term() : -1;
+    }
+
+    List<LogEntry> between(long firstIndex, long lastIndex) {
+        List<LogEntry> found = new ArrayList<>();
+        for (long index = firstIndex; index <= Math.min(lastIndex, lastIndex()); index++) {
+            found.add(entryAt(index));
+        }
+        return found;
+    }
+
+    List<Member> membersAt(long index) {
+        for (long at = Math.min(index, lastIndex()); at > snapshot.index(); at--) {
+            if (entryAt(at).changesMembers()) {
+                return entryAt(at).members();
+            }
+        }
+        return snapshot.members();
+    }
+
+    void append(LogEntry entry) {
+        if (entry.index() != lastIndex() + 1) {
+            throw new IllegalArgumentException("entry " + entry.index() + " does not follow " + lastIndex());
+        }
+        entries.add(entry);
+    }
+
+    void cutFrom(long index) {
+        entries.subList((int) (index - snapshot.index() - 1), entries.size()).clear();
+    }
+
+    void compactTo(Snapshot newer) {
+        long dropped = Math.min(newer.index() - snapshot.index(), entries.size());
+        entries.subList(0, (int) dropped).clear();
+        snapshot = newer;
+    }
+
+    void replaceBy(Snapshot newer) {
+        entries.clear();
+        snapshot = newer;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/agreement/Replication.java
@@ -0,0 +1,55 @@
+package org.bankturn.agreement;
+
+/**
+ * What a leader knows of one follower.
+ *
+ * <p>Replication is mutable and not thread-safe.
+ */
+final class Replication {
+    private long nextIndex;
+    private long matchIndex;
+    private long heardMillis;
+    private long snapshotSentMillis = Long.MIN_VALUE;
+
+    Replication(long nextIndex, long heardMillis) {
+        this.nextIndex = nextIndex;
+        this.heardMillis = heardMillis;
+    }
+
+    long nextIndex() {
+        return nextIndex;
+    }
+
+    long matchIndex() {
+        return matchIndex;
+    }
+
+    long heardMillis() {
+        return heardMillis;
+    }
+
+    long snapshotSentMillis() {
+        return snapshotSentMillis;
+    }
+
+    void heard(long nowMillis) {
+        heardMillis = nowMillis;
+    }
+
+    void sentUpTo(long index) {
+        nextIndex = Math.max(nextIndex, index + 1);
+    }
+
+    void snapshotSent(long nowMillis) {
+        snapshotSentMillis = nowMillis;
+    }
+
+    void matched(long index) {
+        matchIndex = Math.max(matchIndex, index);
+        nextIndex = Math.max(nextIndex, matchIndex + 1);
+    }
+
+    void backTo(long index) {
+        nextIndex = Math.max(matchIndex + 1, index);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/agreement/StoredAgreement.java
@@ -0,0 +1,12 @@
+package org.bankturn.agreement;
+
+import java.util.List;
+
+/**
+ * What a member's storage holds when it starts.
+ *
+ * @param vote the vote, not null
+ * @param snapshot the snapshot, not null
+ * @param entries the entries after the snapshot, in order, not null
+ */
+public record StoredAgreement(Vote vote, Snapshot snapshot, List<LogEntry> entries) {}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/configuration/Configuration.java
@@ -0,0 +1,301 @@
+package org.bankturn.configuration;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.bankturn.document.DocumentError;
+import org.bankturn.result.ResultCode;
+
+/**
+ * Everything that is in force: the newest accepted files, and which version of each model is in service.
+ *
+ * <p>Two configurations with the same index have the same digest. A process keeps the one with the highest index that it
+ * has seen and never goes below it.
+ *
+ * <p>Configuration is thread-safe and immutable.
+ */
+public final class Configuration {
+    private static final Configuration EMPTY = new Configuration(0, new TreeMap<>(), new TreeMap<>());
+
+    private final long index;
+    private final Map<String, FileRecord> files;
+    private final Map<String, String> inService;
+    private final String digest;
+    private final Map<String, DataHall> dataHalls;
+    private final Map<String, Box> boxes;
+    private final Map<String, Model> models;
+    private final Map<String, ModelVersion> versions;
+    private final Map<String, Service> services;
+    private final Map<String, ClientAccount> clientAccounts;
+
+    /** Returns the configuration before any file, index 0, not null. */
+    public static Configuration empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Puts a configuration together from accepted parts.
+     *
+     * @param index the configuration index
+     * @param files the newest accepted files, not null
+     * @param inService the manifest in service by model name, not null
+     * @return the configuration, not null
+     */
+    public static Configuration of(long index, List<FileRecord> files, Map<String, String> inService) {
+        TreeMap<String, FileRecord> byName = new TreeMap<>();
+        files.forEach(file -> byName.put(file.name(), file));
+        return new Configuration(index, byName, new TreeMap<>(inService));
+    }
+
+    private Configuration(long index, Map<String, FileRecord> files, Map<String, String> inService) {
+        this.index = index;
+        this.files = files;
+        this.inService = inService;
+        List<OperatorFile> contents = files.values().stream()
+                .map(file -> OperatorFileReader.read(file.name(), file.text()).content())
+                .toList();
+        this.dataHalls = collect(contents, OperatorFile::dataHalls, DataHall::name);
+        this.boxes = collect(contents, OperatorFile::boxes, Box::name);
+        this.models = collect(contents, OperatorFile::models, Model::name);
+        this.versions = collect(contents, OperatorFile::versions, version -> version.model() + "/" + version.name());
+        this.services = collect(contents, OperatorFile::services, Service::name);
+        this.clientAccounts = collect(contents, OperatorFile::clientAccounts, ClientAccount::name);
+        this.digest = computeDigest();
+    }
+
+    // ---- queries
+
+    /** Returns the index, 0 before any file; it only grows. */
+    public long index() {
+        return index;
+    }
+
+    /** Returns the SHA-256 over the index, the files and what is in service, not null. */
+    public String digest() {
+        return digest;
+    }
+
+    /** Returns the newest accepted files by name, not null. */
+    public List<FileRecord> files() {
+        return List.copyOf(files.values());
+    }
+
+    /** Returns the manifest in service by model name, not null. */
+    public Map<String, String> inService() {
+        return Map.copyOf(inService);
+    }
+
+    /** Returns every hall, not null. */
+    public List<DataHall> dataHalls() {
+        return List.copyOf(dataHalls.values());
+    }
+
+    /** Returns every box, not null. */
+    public List<Box> boxes() {
+        return List.copyOf(boxes.values());
+    }
+
+    /** Returns every model, not null. */
+    public List<Model> models() {
+        return List.copyOf(models.values());
+    }
+
+    /** Returns every account, not null. */
+    public List<ClientAccount> clientAccounts() {
+        return List.copyOf(clientAccounts.values());
+    }
+
+    /**
+     * Finds a box.
+     *
+     * @param name its name, not null
+     * @return the box, empty if no file describes it
+     */
+    public Optional<Box> box(String name) {
+        return Optional.ofNullable(boxes.get(name));
+    }
+
+    /**
+     * Finds a model.
+     *
+     * @param name its name, not null
+     * @return the model, empty if no file describes it
+     */
+    public Optional<Model> model(String name) {
+        return Optional.ofNullable(models.get(name));
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name, not null
+     * @return the service, empty if no file describes it
+     */
+    public Optional<Service> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Finds an account.
+     *
+     * @param name its name, not null
+     * @return the account, empty if no file describes it
+     */
+    public Optional<ClientAccount> clientAccount(String name) {
+        return Optional.ofNullable(clientAccounts.get(name));
+    }
+
+    /**
+     * Finds the version that the operators want of a model.
+     *
+     * @param model the model, not null
+     * @return the version, empty if no file describes it
+     */
+    public Optional<ModelVersion> wantedVersion(Model model) {
+        return Optional.ofNullable(versions.get(model.name() + "/" + model.version()));
+    }
+
+    /**
+     * Finds the model that a box serves and that may live in its hall.
+     *
+     * @param box the box, not null
+     * @return the model, empty if the box serves a plain service or its hall is not allowed
+     */
+    public Optional<Model> modelOn(Box box) {
+        return service(box.service())
+                .filter(Service::hasModel)
+                .flatMap(service -> model(service.model()))
+                .filter(model -> model.mayLiveIn(box.dataHall()));
+    }
+
+    /**
+     * Lists the boxes whose weights may come from each other: same model, halls that the model allows.
+     *
+     * @param model the model, not null
+     * @return the boxes by name, not null
+     */
+    public List<Box> boxesOf(Model model) {
+        return boxes.values().stream()
+                .filter(box -> modelOn(box).filter(model::equals).isPresent())
+                .toList();
+    }
+
+    /**
+     * Checks a text as the next content of its file, against all other files in force.
+     *
+     * @param source the name to use in errors, not null
+     * @param text the YAML text, not null
+     * @return every error, empty if the file may be applied, not null
+     */
+    public List<DocumentError> check(String source, String text) {
+        ParsedFile candidate = OperatorFileReader.read(source, text);
+        if (!candidate.errors().isEmpty()) {
+            return candidate.errors();
+        }
+        List<ParsedFile> all = new ArrayList<>();
+        files.values().stream()
+                .filter(file -> !file.name().equals(candidate.content().name()))
+                .forEach(file -> all.add(OperatorFileReader.read(file.name(), file.text())));
+        all.add(candidate);
+        List<NamedThing> described =
+                all.stream().flatMap(file -> file.described().stream()).toList();
+        return Stream.concat(
+                        duplicates(candidate, described),
+                        all.stream()
+                                .flatMap(file -> file.referred().stream())
+                                .flatMap(name -> unknown(name, described)))
+                .toList();
+    }
+
+    /**
+     * Reads the name and number that a text gives for itself.
+     *
+     * @param text the YAML text, without errors by itself, not null
+     * @return the content, not null
+     */
+    public static OperatorFile contentOf(String text) {
+        return OperatorFileReader.read("", text).content();
+    }
+
+    // ---- derived copies
+
+    /**
+     * Returns this configuration with a file accepted.
+     *
+     * @param file the file, checked, not null
+     * @return the next configuration, at the file's index, not null
+     */
+    public Configuration withFile(FileRecord file) {
+        TreeMap<String, FileRecord> changed = new TreeMap<>(files);
+        changed.put(file.name(), file);
+        return new Configuration(file.index(), changed, inService);
+    }
+
+    /**
+     * Returns this configuration with a version in service.
+     *
+     * @param atIndex the index of the change
+     * @param model the model's name, not null
+     * @param manifest the manifest that enters service, not null
+     * @return the next configuration, not null
+     */
+    public Configuration withInService(long atIndex, String model, String manifest) {
+        TreeMap<String, String> changed = new TreeMap<>(inService);
+        changed.put(model, manifest);
+        return new Configuration(atIndex, files, changed);
+    }
+
+    // ---- helpers
+
+    private static <T> Map<String, T> collect(
+            List<OperatorFile> contents, Function<OperatorFile, List<T>> part, Function<T, String> name) {
+        return contents.stream()
+                .flatMap(content -> part.apply(content).stream())
+                .collect(Collectors.toMap(name, thing -> thing, (first, second) -> first, TreeMap::new));
+    }
+
+    private static Stream<DocumentError> duplicates(ParsedFile candidate, List<NamedThing> described) {
+        return candidate.described().stream()
+                .filter(name -> described.stream().filter(name::isSameThing).count() > 1)
+                .map(name -> new DocumentError(
+                        ResultCode.NAME_DUPLICATE,
+                        name.location(),
+                        name.kind().words() + " " + name.name() + " is described twice"));
+    }
+
+    private static Stream<DocumentError> unknown(NamedThing name, List<NamedThing> described) {
+        if (described.stream().anyMatch(name::isSameThing)) {
+            return Stream.empty();
+        }
+        String message = "no file describes the " + name.kind().words() + " " + name.name();
+        return Stream.of(new DocumentError(ResultCode.REFERENCE_UNKNOWN, name.location(), message));
+    }
+
+    private String computeDigest() {
+        StringBuilder text = new StringBuilder().append(index);
+        files.values().stream()
+                .sorted(Comparator.comparing(FileRecord::name))
+                .forEach(file -> text.append('\n')
+                        .append(file.name())
+                        .append(' ')
+                        .append(file.number())
+                        .append(' ')
+                        .append(file.index())
+                        .append(' ')
+                        .append(file.digest()));
+        inService.forEach(
+                (model, manifest) -> text.append('\n').append(model).append('=').append(manifest));
+        return Digest.of(text.toString());
+    }
+
+    @Override
+    public String toString() {
+        return "Configuration[" + index + " " + digest.substring(0, 12) + "]";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/distribution/LinkLimit.java
@@ -0,0 +1,59 @@
+package org.bankturn.distribution;
+
+import org.bankturn.time.Clock;
+
+/**
+ * Paces transfers over a link so that they take no more than their share of it.
+ *
+ * <p>Ask {@link #delayMillis} before each transfer and wait that long. A limit lower than the link's rate leaves room for
+ * the regulated traffic that shares it.
+ *
+ * <p>LinkLimit is thread-safe: its methods exclude each other.
+ */
+public final class LinkLimit {
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    private final Clock clock;
+    private final double bytesPerMilli;
+    private final double burstMillis;
+    private double freeAtMillis;
+
+    /**
+     * Creates a limit.
+     *
+     * @param bytesPerSecond the rate, from 1
+     * @param burstMillis how much unused time may be caught up on
+     * @param clock the time, not null
+     * @return the limit, not null
+     */
+    public static LinkLimit of(long bytesPerSecond, long burstMillis, Clock clock) {
+        return new LinkLimit(bytesPerSecond, burstMillis, clock);
+    }
+
+    private LinkLimit(long bytesPerSecond, long burstMillis, Clock clock) {
+        if (bytesPerSecond < 1) {
+            throw new IllegalArgumentException("bytesPerSecond must be positive: " + bytesPerSecond);
+        }
+        this.bytesPerMilli = bytesPerSecond / MILLIS_PER_SECOND;
+        this.burstMillis = burstMillis;
+        this.clock = clock;
+        this.freeAtMillis = clock.millis();
+    }
+
+    /**
+     * Takes room for a transfer.
+     *
+     * @param bytes its size
+     * @return milliseconds until the transfer would be through at this rate, 0 or more
+     */
+    public synchronized long delayMillis(long bytes) {
+        double now = clock.millis();
+        freeAtMillis = Math.max(freeAtMillis, now - burstMillis) + bytes / bytesPerMilli;
+        return Math.max(0, Math.round(freeAtMillis - now));
+    }
+
+    /** Returns milliseconds of transfers already waiting, 0 or more. */
+    public synchronized long backlogMillis() {
+        return Math.max(0, Math.round(freeAtMillis - clock.millis()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/routing/TargetSelector.java
@@ -0,0 +1,86 @@
+package org.bankturn.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.bankturn.configuration.Box;
+import org.bankturn.configuration.ClientAccount;
+import org.bankturn.configuration.Configuration;
+import org.bankturn.configuration.Service;
+import org.bankturn.membership.TargetView;
+
+/**
+ * Finds the targets that may take a request: allowed by the files, not leaving, serving the version in service.
+ *
+ * <p>Targets of the entry process's own hall come first; other halls are a second choice, only where the client account
+ * and the model both allow. Nothing that fails makes this wider.
+ *
+ * <p>TargetSelector is thread-safe and immutable.
+ */
+public final class TargetSelector {
+    private final Configuration configuration;
+    private final TargetView view;
+    private final String ownDataHall;
+
+    /**
+     * Creates a selector for one moment's configuration.
+     *
+     * @param configuration what is in force, not null
+     * @param view what is known of targets, not null
+     * @param ownDataHall the entry process's hall, not null
+     * @return the selector, not null
+     */
+    public static TargetSelector of(Configuration configuration, TargetView view, String ownDataHall) {
+        return new TargetSelector(configuration, view, ownDataHall);
+    }
+
+    private TargetSelector(Configuration configuration, TargetView view, String ownDataHall) {
+        this.configuration = configuration;
+        this.view = view;
+        this.ownDataHall = ownDataHall;
+    }
+
+    /**
+     * Returns the version that requests to a service are for.
+     *
+     * @param service the service, not null
+     * @return the manifest in service, empty for a plain service or while no version is in service
+     */
+    public Optional<String> versionOf(Service service) {
+        return service.hasModel()
+                ? Optional.ofNullable(configuration.inService().get(service.model()))
+                : Optional.empty();
+    }
+
+    /**
+     * Lists the targets that may take a request now.
+     *
+     * @param service the service, not null
+     * @param account the client account, not null
+     * @param tried boxes to leave out, not null
+     * @return the targets of the own hall if there are any, else those of other allowed halls, not null
+     */
+    public List<Box> candidates(Service service, ClientAccount account, Set<String> tried) {
+        List<Box> allowed = configuration.boxes().stream()
+                .filter(box -> box.service().equals(service.name()) && !box.leaving())
+                .filter(box -> account.mayLiveIn(box.dataHall()))
+                .filter(box -> !tried.contains(box.name()) && view.mayTakeWork(box.name()))
+                .filter(box -> servesNow(service, box))
+                .toList();
+        List<Box> own = allowed.stream()
+                .filter(box -> box.dataHall().equals(ownDataHall))
+                .toList();
+        return own.isEmpty() ? allowed : own;
+    }
+
+    private boolean servesNow(Service service, Box box) {
+        if (!service.hasModel()) {
+            return true;
+        }
+        boolean allowed = configuration.modelOn(box).isPresent();
+        return allowed
+                && versionOf(service)
+                        .filter(version -> view.serves(box.name(), version))
+                        .isPresent();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/state/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Commands: what may be put into the agreement log.
+ */
+package org.bankturn.state.command;
--- /dev/null
+++ b/core/src/main/java/org/bankturn/state/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The state that the agreement log leads to, put together from its parts.
+ */
+package org.bankturn.state;
