--- /dev/null
+++ b/cli/src/main/java/org/bankturn/cli/StatusCommand.java
@@ -0,0 +1,19 @@
+package org.bankturn.cli;
+
+import com.github.rvesse.airline.annotations.Command;
+import java.io.IOException;
+
+/** {@code bankturn status}: shows how every process is, who lags, and for how long. */
+@Command(name = "status", description = "Shows the leader, versions, and every process.")
+public final class StatusCommand extends OperatorCommand {
+    /** Created by the command-line parser. */
+    public StatusCommand() {}
+
+    @Override
+    ExitCode run() throws IOException {
+        OperatorClient.Answer answer = client().get("/operator/status");
+        boolean noQuorum = answer.body().has("outcome");
+        print(answer.body(), noQuorum ? Texts::applied : Texts::status);
+        return noQuorum ? ExitCode.UNKNOWN : ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bankturn/cli/Texts.java
@@ -0,0 +1,115 @@
+package org.bankturn.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Locale;
+
+/** Renders answers for people. */
+final class Texts {
+    private static final int SHORT_DIGEST = 12;
+
+    private Texts() {}
+
+    static String applied(JsonNode answer) {
+        if (answer.path("outcome").asText().equals("fileAccepted")) {
+            return "accepted: " + answer.path("name").asText() + " number " + answer.path("number")
+                    + " in force from index " + answer.path("index");
+        }
+        if (answer.path("outcome").asText().equals("fileRefused")) {
+            StringBuilder text = new StringBuilder("refused, nothing applied:\n");
+            answer.path("errors")
+                    .forEach(error -> text.append("  ").append(error.asText()).append('\n'));
+            return text.toString();
+        }
+        return "not known whether it was applied (" + answer.path("code").asText() + "); send it again";
+    }
+
+    static String shown(JsonNode answer) {
+        StringBuilder text = new StringBuilder();
+        text.append("index ")
+                .append(answer.path("index"))
+                .append(" digest ")
+                .append(answer.path("digest").asText());
+        text.append('\n');
+        appendInService(text, answer);
+        answer.path("files").forEach(file -> {
+            text.append("--- ")
+                    .append(file.path("name").asText())
+                    .append(" number ")
+                    .append(file.path("number"));
+            text.append(" by ").append(file.path("submittedBy").asText()).append('\n');
+            text.append(file.path("text").asText());
+        });
+        return text.toString();
+    }
+
+    static String history(JsonNode answer) {
+        StringBuilder text = new StringBuilder();
+        answer.path("files")
+                .forEach(file -> text.append(String.format(
+                        Locale.ROOT,
+                        "index %d  %s number %d  by %s  %s%n",
+                        file.path("index").asLong(),
+                        file.path("name").asText(),
+                        file.path("number").asLong(),
+                        file.path("submittedBy").asText(),
+                        shorten(file.path("digest").asText()))));
+        return text.toString();
+    }
+
+    static String status(JsonNode answer) {
+        StringBuilder text = new StringBuilder();
+        text.append("leader ").append(answer.path("leader").asText("none"));
+        text.append("  term ").append(answer.path("term"));
+        text.append("  index ").append(answer.path("configurationIndex"));
+        text.append("  keyed requests ").append(answer.path("claims")).append('\n');
+        appendInService(text, answer);
+        answer.path("originCopies")
+                .properties()
+                .forEach(entry -> text.append("origin copies granted  ")
+                        .append(shorten(entry.getKey()))
+                        .append("  ")
+                        .append(String.format(
+                                Locale.ROOT, "%.2f", entry.getValue().asDouble()))
+                        .append('\n'));
+        answer.path("processes").forEach(line -> appendProcess(text, line));
+        return text.toString();
+    }
+
+    private static void appendProcess(StringBuilder text, JsonNode line) {
+        text.append(String.format(
+                Locale.ROOT,
+                "%-24s %-14s %-12s index %-6d heard %d ms ago",
+                line.path("process").asText(),
+                line.path("role").asText(),
+                line.path("dataHall").asText(),
+                line.path("configurationIndex").asLong(),
+                line.path("reportAgeMillis").asLong()));
+        if (line.path("behindMillis").asLong() > 0) {
+            text.append("  BEHIND for ")
+                    .append(line.path("behindMillis").asLong())
+                    .append(" ms");
+        }
+        line.path("loaded").forEach(manifest -> text.append("  ").append(shorten(manifest.asText())));
+        if (line.path("leaving").asBoolean()) {
+            text.append("  leaving");
+        }
+        if (!line.path("note").asText().isEmpty()) {
+            text.append("  NOTE ").append(line.path("note").asText());
+        }
+        text.append('\n');
+    }
+
+    private static void appendInService(StringBuilder text, JsonNode answer) {
+        answer.path("inService")
+                .properties()
+                .forEach(entry -> text.append("in service  ")
+                        .append(entry.getKey())
+                        .append("  ")
+                        .append(shorten(entry.getValue().asText()))
+                        .append('\n'));
+    }
+
+    private static String shorten(String digest) {
+        return digest.substring(0, Math.min(SHORT_DIGEST, digest.length()));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/bankturn/cli/ValidateCommand.java
@@ -0,0 +1,68 @@
+package org.bankturn.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.bankturn.configuration.Configuration;
+import org.bankturn.configuration.FileRecord;
+import org.bankturn.document.DocumentError;
+
+/** {@code bankturn validate}: checks a file without applying it, against what is in force if addresses are given. */
+@Command(name = "validate", description = "Checks a file and lists every error in it; applies nothing.")
+public final class ValidateCommand extends OperatorCommand {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    @Arguments(title = "FILE", description = "The operators' file.")
+    @Required
+    private String file;
+
+    /** Created by the command-line parser. */
+    public ValidateCommand() {}
+
+    @Override
+    ExitCode run() throws IOException {
+        Configuration base = hasAddresses() ? inForce() : Configuration.empty();
+        List<DocumentError> errors = base.check(file, Files.readString(Path.of(file)));
+        ObjectNode answer = JSON.createObjectNode().put("valid", errors.isEmpty());
+        errors.forEach(error -> answer.withArray("errors").add(error.toString()));
+        print(answer, ValidateCommand::text);
+        return errors.isEmpty() ? ExitCode.DONE : ExitCode.REFUSED;
+    }
+
+    private Configuration inForce() throws IOException {
+        JsonNode shown = client().get("/operator/show").body();
+        List<FileRecord> files = new ArrayList<>();
+        shown.path("files")
+                .forEach(each -> files.add(new FileRecord(
+                        each.path("name").asText(),
+                        each.path("number").asLong(),
+                        each.path("index").asLong(),
+                        each.path("submittedBy").asText(),
+                        each.path("digest").asText(),
+                        each.path("text").asText())));
+        Map<String, String> inService = new LinkedHashMap<>();
+        shown.path("inService")
+                .properties()
+                .forEach(entry -> inService.put(entry.getKey(), entry.getValue().asText()));
+        return Configuration.of(shown.path("index").asLong(), files, inService);
+    }
+
+    private static String text(JsonNode answer) {
+        if (answer.path("valid").asBoolean()) {
+            return "valid";
+        }
+        StringBuilder text = new StringBuilder();
+        answer.path("errors").forEach(error -> text.append(error.asText()).append('\n'));
+        return text.toString();
+    }
+}
--- a/core/src/main/java/org/bankturn/document/Fields.java
+++ b/core/src/main/java/org/bankturn/document/Fields.java
@@ -1,6 +1,7 @@
 package org.bankturn.document;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -187,6 +188,23 @@
         return List.copyOf(texts);
     }
 
+    /**
+     * Reads a mapping that must be there.
+     *
+     * @param name the field's name, not null
+     * @return its fields, none if it was reported, not null
+     */
+    public Fields object(String name) {
+        JsonNode value = required(name);
+        if (value instanceof ObjectNode object) {
+            return new Fields(reader, object, pathOf(name));
+        }
+        if (value != null) {
+            invalid(name, value, "a mapping of fields", "");
+        }
+        return new Fields(reader, JsonNodeFactory.instance.objectNode(), pathOf(name));
+    }
+
     /**
      * Reads a list of mappings that may be missing.
      *
--- /dev/null
+++ b/core/src/main/java/org/bankturn/lease/OrderGuard.java
@@ -0,0 +1,29 @@
+package org.bankturn.lease;
+
+/**
+ * Refuses orders whose fence is older than one already seen.
+ *
+ * <p>It stands before an engine, or in a target process before an engine that does not check for itself.
+ *
+ * <p>OrderGuard is thread-safe: its methods exclude each other.
+ */
+public final class OrderGuard {
+    private long highestFence;
+
+    /** Creates a guard that has seen no order. */
+    public OrderGuard() {}
+
+    /**
+     * Decides on an order.
+     *
+     * @param fence the order's fence
+     * @return false if a newer one was seen, and the order must not be carried out
+     */
+    public synchronized boolean admits(long fence) {
+        if (fence < highestFence) {
+            return false;
+        }
+        highestFence = fence;
+        return true;
+    }
+}
--- a/core/src/main/java/org/bankturn/result/ResultCode.java
+++ b/core/src/main/java/org/bankturn/result/ResultCode.java
@@ -34,7 +34,7 @@
     NOT_RUN_LEAVING(2010, 503, "Refused, not run: the process is stopping as planned."),
     NOT_RUN_UNKNOWN_SERVICE(2011, 404, "Refused, not run: no file in force describes the service."),
     NOT_RUN_BAD_REQUEST(2012, 400, "Refused, not run: a header has an invalid value."),
-    NOT_RUN_DUPLICATE(2013, 409, "Refused, not run again: the target process has seen this request already."),
+    ATTEMPT_DOUBLED(2013, 409, "The target process has seen this attempt already and did not run it a second time."),
     NOT_RUN_OLD_CONFIGURATION(
             2014, 503, "Refused, not run: the process has not learned the configuration in force yet."),
     CHUNK_CORRUPT(3001, 502, "A chunk did not match its digest and was dropped."),
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/control/CommandStamp.java
@@ -0,0 +1,34 @@
+package org.bankturn.daemon.control;
+
+import org.bankturn.state.command.Command;
+
+/** Turns the relative times of a submitted command into the leader's absolute ones. */
+final class CommandStamp {
+    private CommandStamp() {}
+
+    static Command stamp(Command command, long nowMillis, long expiredFence) {
+        if (command instanceof Command.ClaimRequest claim) {
+            return new Command.ClaimRequest(
+                    claim.account(),
+                    claim.key(),
+                    claim.fingerprint(),
+                    claim.attempt(),
+                    nowMillis,
+                    nowMillis + claim.deadlineMillis(),
+                    nowMillis + claim.expiresMillis());
+        }
+        if (command instanceof Command.GrantOrigin grant) {
+            return new Command.GrantOrigin(
+                    grant.manifest(),
+                    grant.chunkCount(),
+                    grant.unreachable(),
+                    grant.wanted(),
+                    grant.policy(),
+                    nowMillis);
+        }
+        if (command instanceof Command.AcquireLease acquire) {
+            return new Command.AcquireLease(acquire.name(), acquire.holder(), acquire.durationMillis(), expiredFence);
+        }
+        return command;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/control/ControlRole.java
@@ -0,0 +1,238 @@
+package org.bankturn.daemon.control;
+
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.agreement.Agreement;
+import org.bankturn.agreement.AgreementMessage;
+import org.bankturn.agreement.AgreementSettings;
+import org.bankturn.agreement.Member;
+import org.bankturn.agreement.Snapshot;
+import org.bankturn.configuration.Box;
+import org.bankturn.configuration.Configuration;
+import org.bankturn.configuration.ConfigurationHolder;
+import org.bankturn.configuration.Model;
+import org.bankturn.configuration.ModelVersion;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.DaemonSettings;
+import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.membership.ReportTable;
+import org.bankturn.result.ResultCode;
+import org.bankturn.state.command.Command;
+import org.bankturn.state.command.CommandResult;
+import org.bankturn.storage.AgreementStorage;
+import org.bankturn.storage.FolderDevice;
+import org.bankturn.time.Clock;
+
+/**
+ * The control role of a process: its member of the agreement group, and the leader's decisions.
+ *
+ * <p>ControlRole is thread-safe.
+ */
+public final class ControlRole {
+    private static final Logger LOG = System.getLogger(ControlRole.class.getName());
+    private static final long FIRST_LIFE = 1;
+    private static final int BATCH_ENTRIES = 64;
+    private static final long DECISION_MILLIS = 200;
+
+    private final DaemonSettings settings;
+    private final NodeClients clients;
+    private final ReportTable reports;
+    private final ConfigurationHolder holder;
+    private final ControlMember member;
+    private final StatusQuery statusQuery;
+    private ScheduledFuture<?> decisionTask;
+    private final ScheduledExecutorService decisions =
+            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control-decisions"));
+
+    /**
+     * Opens the data folder and prepares the member.
+     *
+     * @param settings the process's settings, with the control role, not null
+     * @param formsGroup true if this is the first start of all control boxes ever
+     * @param clients connections to other processes, not null
+     * @param holder takes the configuration, not null
+     * @param reports the reports of processes, not null
+     * @param clock the time, not null
+     * @return the role, not started, not null
+     * @throws IOException if the data folder cannot be used; the message carries the numbered code
+     */
+    public static ControlRole open(
+            DaemonSettings settings,
+            boolean formsGroup,
+            NodeClients clients,
+            ConfigurationHolder holder,
+            ReportTable reports,
+            Clock clock)
+            throws IOException {
+        return new ControlRole(settings, formsGroup, clients, holder, reports, clock);
+    }
+
+    private ControlRole(
+            DaemonSettings settings,
+            boolean formsGroup,
+            NodeClients clients,
+            ConfigurationHolder holder,
+            ReportTable reports,
+            Clock clock)
+            throws IOException {
+        this.settings = settings;
+        this.clients = clients;
+        this.reports = reports;
+        this.holder = holder;
+        FolderDevice device = FolderDevice.open(settings.control().dataFolder());
+        Optional<Long> storedLife = AgreementStorage.readIncarnation(device);
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        long life = storedLife.orElseGet(() -> formsGroup ? FIRST_LIFE : newLife(random));
+        AgreementStorage storage = storedLife.isPresent()
+                ? AgreementStorage.recover(device)
+                : AgreementStorage.create(device, life, Snapshot.initial(formsGroup ? firstMembers() : List.of()));
+        AgreementSettings timing = new AgreementSettings(
+                settings.control().electionTimeoutMillis(), settings.control().heartbeatMillis(), BATCH_ENTRIES);
+        Member self =
+                new Member(settings.process(), life, settings.nodeAddress().toString());
+        Agreement agreement =
+                Agreement.recover(self, storage.stored(), timing, clock, random, this::isListedControlBox);
+        this.member = ControlMember.of(
+                agreement,
+                storage,
+                holder,
+                clock,
+                new ControlMember.ControlWiring(
+                        this::send, otherBoxes(), settings.control().snapshotEvery(), this::stopProcess));
+        this.statusQuery = new StatusQuery(settings.process(), member, reports, clock);
+    }
+
+    /** Starts the member and the leader's decisions. */
+    public void start() {
+        member.start();
+        decisionTask =
+                decisions.scheduleWithFixedDelay(this::decide, DECISION_MILLIS, DECISION_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Hands leadership over and stops. */
+    public void stop() {
+        decisionTask.cancel(false);
+        decisions.shutdown();
+        member.stop();
+    }
+
+    /** Returns what is known of the member, not null. */
+    public ControlMember.View view() {
+        return member.view();
+    }
+
+    /**
+     * Answers a request that concerns this role.
+     *
+     * @param request the request, not null
+     * @return the reply, or empty if the request is for another role
+     */
+    public Optional<Promise<NodeReply>> handle(NodeRequest request) {
+        if (request instanceof NodeRequest.Agree agree) {
+            member.receive(agree.message());
+            return Optional.of(Promise.of(new NodeReply.Received()));
+        }
+        if (request instanceof NodeRequest.Submit submit) {
+            return Optional.of(Promise.<CommandResult>ofFuture(member.submit(submit.command()))
+                    .map(NodeReply.Submitted::new));
+        }
+        if (request instanceof NodeRequest.ForwardReports forward) {
+            reports.receive(forward.reports());
+            return Optional.of(Promise.of(new NodeReply.Received()));
+        }
+        if (request instanceof NodeRequest.GetStatus || request instanceof NodeRequest.GetHistory) {
+            return Optional.of(answerQuery(request));
+        }
+        return Optional.empty();
+    }
+
+    private Promise<NodeReply> answerQuery(NodeRequest request) {
+        ControlMember.View view = member.view();
+        if (!view.established()) {
+            String leader = view.leader() == null ? null : view.leader().address();
+            CommandResult elsewhere = new CommandResult.NotDone(ResultCode.NOT_LEADER, leader);
+            return Promise.of(new NodeReply.Submitted(elsewhere));
+        }
+        return request instanceof NodeRequest.GetStatus
+                ? Promise.ofFuture(member.query(statusQuery::status)).map(NodeReply.Status::new)
+                : Promise.ofFuture(member.query(statusQuery::history)).map(NodeReply.History::new);
+    }
+
+    /** On the leader: puts versions into service. On the others: passes reports on to it. */
+    private void decide() {
+        try {
+            ControlMember.View view = member.view();
+            if (view.established()) {
+                holder.get().models().forEach(this::putIntoServiceIfReady);
+            } else if (view.leader() != null) {
+                Address leader = Address.parse(view.leader().address());
+                NodeRequest request = new NodeRequest.ForwardReports(reports.receivedWithin(2 * DECISION_MILLIS));
+                clients.tell(leader, request);
+            }
+        } catch (RuntimeException e) {
+            LOG.log(Level.WARNING, "decision failed", e);
+        }
+    }
+
+    private void putIntoServiceIfReady(Model model) {
+        Configuration configuration = holder.get();
+        Optional<ModelVersion> wanted = configuration.wantedVersion(model);
+        if (wanted.isEmpty()) {
+            return;
+        }
+        String manifest = wanted.get().manifest();
+        if (manifest.equals(configuration.inService().get(model.name()))) {
+            return;
+        }
+        Collection<String> boxes =
+                configuration.boxesOf(model).stream().map(Box::name).toList();
+        if (reports.countLoaded(manifest, boxes) >= model.entersServiceAt()) {
+            LOG.log(Level.INFO, "version enters service: " + model.name() + " " + manifest);
+            member.submit(new Command.EnterService(model.name(), manifest)).join();
+        }
+    }
+
+    private void send(Member to, AgreementMessage message) {
+        clients.tell(Address.parse(to.address()), new NodeRequest.Agree(message));
+    }
+
+    private List<Member> firstMembers() {
+        return settings.controlBoxes().stream()
+                .map(box -> new Member(box.name(), FIRST_LIFE, box.nodeAddress().toString()))
+                .toList();
+    }
+
+    private List<Member> otherBoxes() {
+        return firstMembers().stream()
+                .filter(box -> !box.box().equals(settings.process()))
+                .toList();
+    }
+
+    private boolean isListedControlBox(Member asking) {
+        return firstMembers().stream()
+                .anyMatch(box -> box.box().equals(asking.box()) && box.address().equals(asking.address()));
+    }
+
+    private static long newLife(UniformRandomProvider random) {
+        return FIRST_LIFE + 1 + random.nextLong(Long.MAX_VALUE - 2);
+    }
+
+    private Void stopProcess(IOException reason) {
+        LOG.log(Level.ERROR, "stopping: " + reason.getMessage());
+        Runtime.getRuntime().halt(ResultCode.SYNC_FAILED.number() % 100);
+        return null;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The control role: a member of the agreement group, and the client that finds its leader.
+ */
+package org.bankturn.daemon.control;
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/entry/BoxListPoller.java
@@ -0,0 +1,68 @@
+package org.bankturn.daemon.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promises;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
+import org.bankturn.daemon.BackendClient;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.membership.TargetView;
+
+/**
+ * Reads the platform's list of boxes, which lags: {@code GET /boxes} gives a JSON list of name and state.
+ *
+ * <p>BoxListPoller is confined to its reactor's thread.
+ */
+final class BoxListPoller {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long PAUSE_MILLIS = 1_000;
+    private static final int MAXIMUM_LIST_BYTES = 16 << 20;
+    private static final int OK = 200;
+
+    private final Address boxList;
+    private final BackendClient client;
+    private final TargetView targets;
+    private boolean stopped;
+
+    BoxListPoller(Address boxList, BackendClient client, TargetView targets) {
+        this.boxList = boxList;
+        this.client = client;
+        this.targets = targets;
+    }
+
+    void start() {
+        poll();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    private void poll() {
+        if (stopped) {
+            return;
+        }
+        client.send(HttpRequest.get("http://" + boxList + "/boxes").build())
+                .response()
+                .then(response -> response.loadBody(MAXIMUM_LIST_BYTES).map(body -> {
+                    if (response.getCode() == OK) {
+                        targets.listedLeaving(leavingIn(body.asArray()));
+                    }
+                    return null;
+                }))
+                .whenComplete(() -> Promises.delay(PAUSE_MILLIS).whenResult(this::poll));
+    }
+
+    private static Set<String> leavingIn(byte[] list) throws IOException {
+        Set<String> leaving = new HashSet<>();
+        for (JsonNode box : JSON.readTree(list)) {
+            if (box.path("state").asText().equals("leaving")) {
+                leaving.add(box.path("name").asText());
+            }
+        }
+        return leaving;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry role: callers' HTTP in, admission, claims, dispatch to targets, answers streamed back.
+ */
+package org.bankturn.daemon.entry;
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics, traces and logs.
+ */
+package org.bankturn.daemon.observe;
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/settings/DaemonSettingsReader.java
@@ -0,0 +1,182 @@
+package org.bankturn.daemon.settings;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.bankturn.daemon.settings.DaemonSettings.ControlBox;
+import org.bankturn.daemon.settings.DaemonSettings.ControlSettings;
+import org.bankturn.daemon.settings.DaemonSettings.EntrySettings;
+import org.bankturn.daemon.settings.DaemonSettings.TargetSettings;
+import org.bankturn.document.DocumentError;
+import org.bankturn.document.DocumentReader;
+import org.bankturn.document.Fields;
+
+/**
+ * Reads a process's settings and lists every error in them.
+ *
+ * <p>DaemonSettingsReader is used for one document.
+ */
+public final class DaemonSettingsReader {
+    private static final String NAME_PATTERN = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
+    private static final String NAME_WORDS = "a name of letters, digits, dots and hyphens";
+    private static final String ADDRESS_PATTERN = "[0-9A-Fa-f.:\\[\\]]+:[1-9][0-9]{0,4}";
+    private static final String ADDRESS_WORDS = "an IP number and port, such as 10.0.0.1:7000";
+    private static final Address NO_ADDRESS = new Address("0.0.0.0", 1);
+    private static final long DAY_MILLIS = 86_400_000L;
+    private static final long GIGABYTE = 1_000_000_000L;
+
+    /**
+     * What came of reading.
+     *
+     * @param settings the settings, null if there are errors
+     * @param errors every error, empty if the settings are good, not null
+     */
+    public record Result(DaemonSettings settings, List<DocumentError> errors) {}
+
+    private DaemonSettingsReader() {}
+
+    /**
+     * Reads settings.
+     *
+     * @param file the name to use in errors, not null
+     * @param text the YAML text, not null
+     * @return the settings or what is wrong with them, not null
+     */
+    public static Result read(String file, String text) {
+        DocumentReader reader = DocumentReader.of(file);
+        Fields fields = reader.read(text);
+        if (!reader.errors().isEmpty()) {
+            return new Result(null, reader.errors());
+        }
+        DaemonSettings settings = readAll(fields);
+        fields.finish();
+        return reader.errors().isEmpty() ? new Result(settings, List.of()) : new Result(null, reader.errors());
+    }
+
+    private static DaemonSettings readAll(Fields fields) {
+        Set<ProcessRole> roles = readRoles(fields);
+        return new DaemonSettings(
+                fields.text("process", NAME_PATTERN, NAME_WORDS),
+                fields.text("dataHall", NAME_PATTERN, NAME_WORDS),
+                roles,
+                readAddress(fields, "httpAddress"),
+                readAddress(fields, "nodeAddress"),
+                readControlBoxes(fields),
+                readAddresses(fields, "configurationSources"),
+                readSection(fields, "control", roles.contains(ProcessRole.CONTROL), DaemonSettingsReader::readControl),
+                readSection(fields, "entry", roles.contains(ProcessRole.ENTRY), DaemonSettingsReader::readEntry),
+                readSection(fields, "target", roles.contains(ProcessRole.TARGET), DaemonSettingsReader::readTarget),
+                fields.flag("traces", false));
+    }
+
+    private static Set<ProcessRole> readRoles(Fields fields) {
+        Set<ProcessRole> roles = EnumSet.noneOf(ProcessRole.class);
+        for (String text : fields.texts("roles")) {
+            try {
+                roles.add(ProcessRole.valueOf(text.toUpperCase(Locale.ROOT)));
+            } catch (IllegalArgumentException e) {
+                fields.contradictory("roles", "roles are entry, control and target, not " + text);
+            }
+        }
+        if (roles.isEmpty()) {
+            fields.contradictory("roles", "roles must list at least one of entry, control and target");
+        }
+        if (roles.contains(ProcessRole.TARGET) && roles.size() > 1) {
+            fields.contradictory("roles", "a target process has no other role");
+        }
+        return roles;
+    }
+
+    private static List<ControlBox> readControlBoxes(Fields fields) {
+        List<ControlBox> boxes = new ArrayList<>();
+        for (Fields box : fields.objects("controlBoxes")) {
+            boxes.add(new ControlBox(box.text("name", NAME_PATTERN, NAME_WORDS), readAddress(box, "nodeAddress")));
+            box.finish();
+        }
+        if (boxes.isEmpty()) {
+            fields.contradictory("controlBoxes", "controlBoxes must list at least one box");
+        }
+        return List.copyOf(boxes);
+    }
+
+    private static ControlSettings readControl(Fields fields) {
+        ControlSettings settings = new ControlSettings(
+                Path.of(fields.text("dataFolder")),
+                fields.number("electionTimeoutMillis", 100, 60_000, 1_000),
+                fields.number("heartbeatMillis", 10, 20_000, 150),
+                (int) fields.number("snapshotEvery", 16, 1_000_000, 4_096));
+        if (settings.electionTimeoutMillis() < 3 * settings.heartbeatMillis()) {
+            fields.contradictory(
+                    "electionTimeoutMillis", "electionTimeoutMillis must be three times heartbeatMillis or more");
+        }
+        return settings;
+    }
+
+    private static EntrySettings readEntry(Fields fields) {
+        return new EntrySettings(
+                (int) fields.number("workerThreads", 1, 64, 2),
+                fields.number("defaultDeadlineMillis", 100, DAY_MILLIS, 30_000),
+                fields.number("keyLifetimeMillis", 1_000, 7 * DAY_MILLIS, DAY_MILLIS),
+                (int) fields.number("retryPercent", 1, 100, 10),
+                fields.has("boxList") ? readAddress(fields, "boxList") : null,
+                fields.number("stopGraceMillis", 0, 600_000, 1_000));
+    }
+
+    private static TargetSettings readTarget(Fields fields) {
+        return new TargetSettings(
+                Path.of(fields.text("chunkFolder")),
+                readAddress(fields, "backend"),
+                fields.flag("backendChecksFence", false),
+                fields.number("uploadBytesPerSecond", 1_000, 1_000 * GIGABYTE, GIGABYTE),
+                fields.number("downloadBytesPerSecond", 1_000, 1_000 * GIGABYTE, GIGABYTE),
+                fields.number("leaseMillis", 500, 600_000, 10_000));
+    }
+
+    private interface SectionReader<T> {
+        T read(Fields section);
+    }
+
+    /** Reads a mapping that must be there exactly if the process has the role. */
+    private static <T> T readSection(Fields fields, String name, boolean wanted, SectionReader<T> reader) {
+        boolean present = fields.has(name);
+        if (present != wanted) {
+            fields.contradictory(
+                    name, wanted ? "the role " + name + " needs a section " + name : "there is no role " + name);
+        }
+        if (!present || !wanted) {
+            return null;
+        }
+        Fields section = fields.object(name);
+        T read = reader.read(section);
+        section.finish();
+        return read;
+    }
+
+    private static Address readAddress(Fields fields, String name) {
+        String text = fields.text(name, ADDRESS_PATTERN, ADDRESS_WORDS);
+        return toAddress(fields, name, text);
+    }
+
+    private static List<Address> readAddresses(Fields fields, String name) {
+        List<Address> addresses = new ArrayList<>();
+        for (String text : fields.texts(name)) {
+            addresses.add(toAddress(fields, name, text));
+        }
+        return List.copyOf(addresses);
+    }
+
+    private static Address toAddress(Fields fields, String name, String text) {
+        if (text.isEmpty()) {
+            return NO_ADDRESS;
+        }
+        try {
+            return Address.parse(text);
+        } catch (IllegalArgumentException e) {
+            fields.contradictory(name, "must be " + ADDRESS_WORDS + ", not " + text);
+            return NO_ADDRESS;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
@@ -0,0 +1,123 @@
+package org.bankturn.daemon.wire;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.bytebuf.ByteBufs;
+import io.activej.net.socket.tcp.ITcpSocket;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import org.bankturn.codec.MessagePackCodec;
+
+/**
+ * Frames over one TCP connection: a length in four big-endian bytes, then MessagePack.
+ *
+ * <p>FrameChannel is confined to its reactor's thread.
+ */
+final class FrameChannel {
+    private static final int MAXIMUM_FRAME_BYTES = 128 << 20;
+
+    private final ITcpSocket socket;
+    private final Consumer<Frame> receiver;
+    private final Consumer<Exception> closed;
+    private final ByteBufs received = new ByteBufs();
+    private final Deque<ByteBuf> unsent = new ArrayDeque<>();
+    private boolean sending;
+    private boolean ended;
+
+    FrameChannel(ITcpSocket socket, Consumer<Frame> receiver, Consumer<Exception> closed) {
+        this.socket = socket;
+        this.receiver = receiver;
+        this.closed = closed;
+    }
+
+    void start() {
+        readMore();
+    }
+
+    void send(Frame frame) {
+        if (ended) {
+            return;
+        }
+        byte[] payload = MessagePackCodec.instance().encode(frame);
+        byte[] framed = ByteBuffer.allocate(Integer.BYTES + payload.length)
+                .putInt(payload.length)
+                .put(payload)
+                .array();
+        unsent.add(ByteBuf.wrapForReading(framed));
+        sendMore();
+    }
+
+    void close(Exception reason) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        socket.closeEx(reason);
+        received.recycle();
+        unsent.clear();
+        closed.accept(reason);
+    }
+
+    private void sendMore() {
+        if (sending || ended || unsent.isEmpty()) {
+            return;
+        }
+        sending = true;
+        socket.write(unsent.poll()).whenComplete((nothing, failure) -> {
+            sending = false;
+            if (failure != null) {
+                close(failure);
+            } else {
+                sendMore();
+            }
+        });
+    }
+
+    private void readMore() {
+        socket.read().whenComplete((bytes, failure) -> {
+            if (failure != null || bytes == null) {
+                close(failure != null ? failure : new IOException("the other side closed the connection"));
+                return;
+            }
+            if (ended) {
+                bytes.recycle();
+                return;
+            }
+            received.add(bytes);
+            takeFrames();
+            if (!ended) {
+                readMore();
+            }
+        });
+    }
+
+    private void takeFrames() {
+        while (!ended && received.hasRemainingBytes(Integer.BYTES)) {
+            byte[] prefix = new byte[Integer.BYTES];
+            received.peekTo(prefix, 0, Integer.BYTES);
+            int length = ByteBuffer.wrap(prefix).getInt();
+            if (length < 0 || length > MAXIMUM_FRAME_BYTES) {
+                close(new IOException("frame of " + length + " bytes"));
+                return;
+            }
+            if (!received.hasRemainingBytes(Integer.BYTES + length)) {
+                return;
+            }
+            received.skip(Integer.BYTES);
+            deliver(received.takeExactSize(length).asArray());
+        }
+    }
+
+    private void deliver(byte[] payload) {
+        Frame frame;
+        try {
+            frame = MessagePackCodec.instance().decode(payload, Frame.class);
+        } catch (RuntimeException e) {
+            close(e);
+            return;
+        }
+        receiver.accept(frame);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
@@ -0,0 +1,99 @@
+package org.bankturn.daemon.wire;
+
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bankturn.daemon.settings.Address;
+
+/**
+ * Asks one other process, over one connection that is made when needed.
+ *
+ * <p>Replies are matched to requests by correlation, whatever order they come in; a lost connection fails everything
+ * that waits on it.
+ *
+ * <p>NodeClient is confined to its reactor's thread.
+ */
+public final class NodeClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final NioReactor reactor;
+    private final Address address;
+    private final Map<Long, SettablePromise<NodeReply>> waiting = new HashMap<>();
+    private FrameChannel channel;
+    private Promise<FrameChannel> connecting;
+    private long lastCorrelation;
+
+    NodeClient(NioReactor reactor, Address address) {
+        this.reactor = reactor;
+        this.address = address;
+    }
+
+    /**
+     * Asks.
+     *
+     * @param request the request, not null
+     * @param timeoutMillis how long to wait for the reply
+     * @return the reply; fails if there was no connection, it was lost, or time ran out
+     */
+    public Promise<NodeReply> ask(NodeRequest request, long timeoutMillis) {
+        long correlation = ++lastCorrelation;
+        SettablePromise<NodeReply> reply = new SettablePromise<>();
+        connected().whenComplete((open, failure) -> {
+            if (failure != null) {
+                reply.trySetException(failure);
+                return;
+            }
+            waiting.put(correlation, reply);
+            open.send(new Frame(correlation, request, null));
+        });
+        return Promises.timeout(timeoutMillis, reply).whenComplete(() -> waiting.remove(correlation));
+    }
+
+    /** Closes the connection; what waits on it fails. */
+    public void close() {
+        if (channel != null) {
+            channel.close(new IOException("closed here"));
+        }
+    }
+
+    private Promise<FrameChannel> connected() {
+        if (channel != null) {
+            return Promise.of(channel);
+        }
+        if (connecting == null) {
+            connecting = TcpSocket.connect(reactor, address.toSocketAddress(), CONNECT_TIMEOUT, null)
+                    .map(this::open)
+                    .whenComplete(() -> connecting = null);
+        }
+        return connecting;
+    }
+
+    private FrameChannel open(TcpSocket socket) {
+        channel = new FrameChannel(socket, this::received, this::lost);
+        channel.start();
+        return channel;
+    }
+
+    private void received(Frame frame) {
+        SettablePromise<NodeReply> reply = waiting.remove(frame.correlation());
+        if (reply != null && frame.reply() != null) {
+            reply.trySet(frame.reply());
+        }
+    }
+
+    private void lost(Exception reason) {
+        channel = null;
+        List<SettablePromise<NodeReply>> failed = new ArrayList<>(waiting.values());
+        waiting.clear();
+        IOException wrapped = new IOException("lost the connection to " + address, reason);
+        failed.forEach(reply -> reply.trySetException(wrapped));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
@@ -0,0 +1,55 @@
+package org.bankturn.daemon.wire;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.bankturn.configuration.ConfigurationUpdate;
+import org.bankturn.membership.TargetStatus;
+import org.bankturn.state.command.CommandResult;
+import org.bankturn.state.query.ShowReply;
+import org.bankturn.state.query.StatusReply;
+
+/** What a process answers to a {@link NodeRequest}. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "answer")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = NodeReply.Received.class, name = "received"),
+    @JsonSubTypes.Type(value = NodeReply.Failed.class, name = "failed"),
+    @JsonSubTypes.Type(value = NodeReply.Submitted.class, name = "submitted"),
+    @JsonSubTypes.Type(value = NodeReply.Fetched.class, name = "fetched"),
+    @JsonSubTypes.Type(value = NodeReply.Status.class, name = "status"),
+    @JsonSubTypes.Type(value = NodeReply.History.class, name = "history"),
+    @JsonSubTypes.Type(value = NodeReply.Target.class, name = "target"),
+    @JsonSubTypes.Type(value = NodeReply.ManifestText.class, name = "manifestText"),
+    @JsonSubTypes.Type(value = NodeReply.Holds.class, name = "holds"),
+    @JsonSubTypes.Type(value = NodeReply.Chunk.class, name = "chunk")
+})
+public sealed interface NodeReply {
+    /** The message was taken in. */
+    record Received() implements NodeReply {}
+
+    /** The request could not be answered; nothing is known of its effect. */
+    record Failed(String reason) implements NodeReply {}
+
+    /** What came of a command. */
+    record Submitted(CommandResult result) implements NodeReply {}
+
+    /** The newest configuration index here, with the step to it if the asker's is older. */
+    record Fetched(long index, ConfigurationUpdate update) implements NodeReply {}
+
+    /** How all processes are. */
+    record Status(StatusReply status) implements NodeReply {}
+
+    /** Every accepted file. */
+    record History(ShowReply history) implements NodeReply {}
+
+    /** How a target process is. */
+    record Target(TargetStatus status) implements NodeReply {}
+
+    /** A manifest's text, null if it is not known here. */
+    record ManifestText(String text) implements NodeReply {}
+
+    /** The chunks held here, as a bit set of little-endian longs. */
+    record Holds(long[] chunks, int count) implements NodeReply {}
+
+    /** A chunk, null if it is not held here or {@code busy} tells that the link is taken. */
+    record Chunk(byte[] bytes, boolean busy) implements NodeReply {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
@@ -0,0 +1,54 @@
+package org.bankturn.daemon.wire;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import org.bankturn.agreement.AgreementMessage;
+import org.bankturn.membership.ProcessReport;
+import org.bankturn.state.command.Command;
+
+/** What one process asks of another. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "ask")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = NodeRequest.Agree.class, name = "agree"),
+    @JsonSubTypes.Type(value = NodeRequest.Submit.class, name = "submit"),
+    @JsonSubTypes.Type(value = NodeRequest.FetchConfiguration.class, name = "fetchConfiguration"),
+    @JsonSubTypes.Type(value = NodeRequest.ForwardReports.class, name = "forwardReports"),
+    @JsonSubTypes.Type(value = NodeRequest.GetStatus.class, name = "getStatus"),
+    @JsonSubTypes.Type(value = NodeRequest.GetHistory.class, name = "getHistory"),
+    @JsonSubTypes.Type(value = NodeRequest.GetTargetStatus.class, name = "getTargetStatus"),
+    @JsonSubTypes.Type(value = NodeRequest.GetManifest.class, name = "getManifest"),
+    @JsonSubTypes.Type(value = NodeRequest.GetHolds.class, name = "getHolds"),
+    @JsonSubTypes.Type(value = NodeRequest.GetChunk.class, name = "getChunk")
+})
+public sealed interface NodeRequest {
+    /** Carries a message of the agreement group; the reply says nothing. */
+    record Agree(AgreementMessage message) implements NodeRequest {}
+
+    /** Submits a command to the leader; times in it are relative, the leader makes them absolute. */
+    record Submit(Command command) implements NodeRequest {}
+
+    /** Asks for a newer configuration than the one held, waiting for one if need be, and passes reports up. */
+    record FetchConfiguration(long haveIndex, long waitMillis, List<ProcessReport> reports) implements NodeRequest {}
+
+    /** Passes reports on to the leader. */
+    record ForwardReports(List<ProcessReport> reports) implements NodeRequest {}
+
+    /** Asks the leader how all processes are. */
+    record GetStatus() implements NodeRequest {}
+
+    /** Asks the leader for every accepted file. */
+    record GetHistory() implements NodeRequest {}
+
+    /** Asks a target process how it is. */
+    record GetTargetStatus() implements NodeRequest {}
+
+    /** Asks for the text of a manifest. */
+    record GetManifest(String manifest) implements NodeRequest {}
+
+    /** Asks which chunks a box holds, waiting until there are more than {@code knownCount}. */
+    record GetHolds(String manifest, int knownCount, long waitMillis) implements NodeRequest {}
+
+    /** Asks for a chunk. */
+    record GetChunk(String manifest, int chunk) implements NodeRequest {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
@@ -0,0 +1,84 @@
+package org.bankturn.daemon.wire;
+
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Function;
+import org.bankturn.daemon.settings.Address;
+
+/**
+ * Takes requests of other processes and answers each with its own correlation.
+ *
+ * <p>NodeServer is confined to its reactor's thread.
+ */
+public final class NodeServer {
+    private final SimpleServer server;
+    private final Function<NodeRequest, Promise<NodeReply>> handler;
+    private final Set<FrameChannel> channels = new HashSet<>();
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param reactor the reactor whose thread serves, not null
+     * @param address where to listen, not null
+     * @param handler answers a request, not null
+     * @return the server, not null
+     */
+    public static NodeServer create(
+            NioReactor reactor, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
+        return new NodeServer(reactor, address, handler);
+    }
+
+    private NodeServer(NioReactor reactor, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
+        this.handler = handler;
+        this.server = SimpleServer.builder(reactor, this::serve)
+                .withListenAddress(address.toSocketAddress())
+                .build();
+    }
+
+    /**
+     * Begins to listen. The port is this process's alone, so a second process for the same box cannot start.
+     *
+     * @throws IOException if the port is taken
+     */
+    public void listen() throws IOException {
+        server.listen();
+    }
+
+    /** Stops listening and closes every connection. */
+    public void close() {
+        server.close();
+        for (FrameChannel channel : Set.copyOf(channels)) {
+            channel.close(new IOException("stopping"));
+        }
+    }
+
+    private void serve(ITcpSocket socket) {
+        FrameChannel[] own = new FrameChannel[1];
+        own[0] = new FrameChannel(socket, frame -> answer(own[0], frame), reason -> channels.remove(own[0]));
+        channels.add(own[0]);
+        own[0].start();
+    }
+
+    private void answer(FrameChannel channel, Frame frame) {
+        if (frame.request() == null) {
+            return;
+        }
+        handle(frame.request()).whenComplete((reply, failure) -> {
+            NodeReply answer = failure == null ? reply : new NodeReply.Failed(String.valueOf(failure.getMessage()));
+            channel.send(new Frame(frame.correlation(), null, answer));
+        });
+    }
+
+    private Promise<NodeReply> handle(NodeRequest request) {
+        try {
+            return handler.apply(request);
+        } catch (RuntimeException e) {
+            return Promise.ofException(e);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/bankturn/harness/Caller.java
@@ -0,0 +1,163 @@
+package org.bankturn.harness;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Set;
+import java.util.UUID;
+import org.bankturn.result.ResultCode;
+
+/**
+ * Calls entry processes as applications do, with the Java platform's own HTTP client, and checks each answer.
+ *
+ * <p>Caller is thread-safe.
+ */
+public final class Caller {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String DONE = "[DONE]";
+    private static final int OK = 200;
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final CallerTally tally;
+    private final Set<String> knownWeights;
+    private final int tokens;
+
+    /**
+     * Creates a caller.
+     *
+     * @param tally counts what it sees, not null
+     * @param knownWeights the SHA-256 of every whole version's weights, not null
+     * @param tokens the tokens of a whole answer
+     */
+    public Caller(CallerTally tally, Set<String> knownWeights, int tokens) {
+        this.tally = tally;
+        this.knownWeights = Set.copyOf(knownWeights);
+        this.tokens = tokens;
+    }
+
+    /**
+     * Asks the assistant and checks that the answer is whole, this request's own, and of one version's weights.
+     *
+     * @param address the entry process, not null
+     * @param account the client account, not null
+     * @return the numbered result, 2000 if answered whole
+     */
+    public int chat(String address, String account) {
+        String id = UUID.randomUUID().toString();
+        String body = "{\"model\":\"" + DeploymentPlan.ASSISTANT + "\",\"stream\":true,\"user\":\"" + id
+                + "\",\"messages\":[{\"role\":\"user\",\"content\":\"Which slots are free?\"}]}";
+        return exchange(post(address, "/v1/chat/completions", account, body).build(), null, id);
+    }
+
+    /**
+     * Calls a plain service that must not be repeated, under a key.
+     *
+     * @param address the entry process, not null
+     * @param account the client account, not null
+     * @param service the service's name, not null
+     * @param id the call's id, which is its key as well, not null
+     * @return the numbered result, 2000 if answered whole
+     */
+    public int callOnce(String address, String account, String service, String id) {
+        HttpRequest request = post(address, "/services/" + service + "/calls", account, "{\"id\":\"" + id + "\"}")
+                .header("Idempotency-Key", id)
+                .build();
+        return exchange(request, id, null);
+    }
+
+    /**
+     * Calls a plain service that must not be repeated, without a key.
+     *
+     * @param address the entry process, not null
+     * @param account the client account, not null
+     * @param service the service's name, not null
+     * @param id the call's id, not null
+     * @return the numbered result, 2000 if answered whole
+     */
+    public int callWithoutKey(String address, String account, String service, String id) {
+        HttpRequest request = post(address, "/services/" + service + "/calls", account, "{\"id\":\"" + id + "\"}")
+                .build();
+        return exchange(request, id, null);
+    }
+
+    private static HttpRequest.Builder post(String address, String path, String account, String body) {
+        return HttpRequest.newBuilder(URI.create("http://" + address + path))
+                .timeout(Duration.ofSeconds(40))
+                .header("Content-Type", "application/json")
+                .header("X-Bankturn-Account", account)
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    private int exchange(HttpRequest request, String unsafeId, String chatId) {
+        tally.sent();
+        try {
+            HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            String text = new String(response.body(), StandardCharsets.UTF_8);
+            if (response.statusCode() != OK) {
+                return countRefusal(text, unsafeId);
+            }
+            String fault = chatId == null ? faultInCall(text, unsafeId) : faultInChat(text, chatId);
+            if (fault == null) {
+                tally.answeredWhole(unsafeId);
+            } else {
+                tally.wrong(fault);
+            }
+            return ResultCode.REQUEST_ANSWERED.number();
+        } catch (IOException e) {
+            tally.unknown("cut: " + e);
+            return ResultCode.OUTCOME_UNKNOWN.number();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ResultCode.OUTCOME_UNKNOWN.number();
+        }
+    }
+
+    private int countRefusal(String text, String unsafeId) throws IOException {
+        JsonNode answer = JSON.readTree(text);
+        int code = answer.path("code").asInt();
+        if (answer.path("notRun").asBoolean()) {
+            tally.refused(unsafeId);
+        } else {
+            tally.unknown(text.strip());
+        }
+        return code;
+    }
+
+    private static String faultInCall(String text, String id) throws IOException {
+        return JSON.readTree(text).path("confirmed").asText().equals(id) ? null : "another's answer: " + text;
+    }
+
+    private String faultInChat(String text, String id) throws IOException {
+        int seen = 0;
+        String weights = null;
+        boolean done = false;
+        for (String line :
+                text.lines().filter(each -> each.startsWith("data: ")).toList()) {
+            String data = line.substring("data: ".length());
+            if (data.equals(DONE)) {
+                done = true;
+                continue;
+            }
+            JsonNode event = JSON.readTree(data);
+            String content =
+                    event.path("choices").path(0).path("delta").path("content").asText();
+            if (!content.equals(id + ":" + seen + " ")) {
+                return "token " + seen + " is " + content;
+            }
+            String named = event.path("system_fingerprint").asText();
+            if (!knownWeights.contains(named) || (weights != null && !weights.equals(named))) {
+                return "weights " + named;
+            }
+            weights = named;
+            seen++;
+        }
+        return done && seen == tokens ? null : "short answer with a good status: " + seen + " tokens";
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/bankturn/harness/DaemonHandle.java
@@ -0,0 +1,164 @@
+package org.bankturn.harness;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** One daemon as a process of its own: started, stopped, killed, frozen by its process id. */
+public final class DaemonHandle {
+    private static final long STOP_SECONDS = 60;
+    private static final String READY = "bankturnd ready";
+
+    private final String name;
+    private final Path settings;
+    private final Path log;
+    private final List<String> extraArguments = new ArrayList<>();
+    private Process process;
+    private CompletableFuture<Void> ready = new CompletableFuture<>();
+
+    DaemonHandle(String name, Path settings, Path log) {
+        this.name = name;
+        this.settings = settings;
+        this.log = log;
+    }
+
+    /** Returns the process's name, not null. */
+    public String name() {
+        return name;
+    }
+
+    /** Returns the process id of the running daemon. */
+    public long pid() {
+        return process.pid();
+    }
+
+    /**
+     * Starts the daemon; {@link #awaitReady()} waits until it serves.
+     *
+     * @param arguments more arguments for this start, not null
+     * @throws IOException if it cannot be started
+     */
+    public void start(String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-Xmx96m",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:ReservedCodeCacheSize=32m",
+                "-XX:MaxDirectMemorySize=64m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.bankturn.daemon.BankturnDaemon",
+                "--settings",
+                settings.toString()));
+        command.addAll(List.of(arguments));
+        command.addAll(extraArguments);
+        ready = new CompletableFuture<>();
+        process = new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+        Process started = process;
+        CompletableFuture<Void> becomesReady = ready;
+        Thread reader = new Thread(() -> readOutput(started, becomesReady), "output-" + name);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Waits until the daemon has said that it is ready. */
+    public void awaitReady() {
+        ready.orTimeout(STOP_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    /** Stops the daemon as planned (SIGTERM) and waits for its end. */
+    public void stop() {
+        process.destroy();
+        awaitEnd();
+    }
+
+    /** Asks the daemon to stop as planned, without waiting. */
+    public void beginStop() {
+        process.destroy();
+    }
+
+    /** Kills the daemon (SIGKILL) and waits for its end. */
+    public void kill() {
+        process.destroyForcibly();
+        awaitEnd();
+    }
+
+    /** Stops the daemon's threads (SIGSTOP). */
+    public void freeze() {
+        signal("-STOP");
+    }
+
+    /** Lets the daemon's threads go on (SIGCONT). */
+    public void thaw() {
+        signal("-CONT");
+    }
+
+    /** Returns true if the daemon runs. */
+    public boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+
+    /**
+     * Returns the daemon's exit code, once it has ended.
+     *
+     * @return the code
+     */
+    public int awaitEnd() {
+        try {
+            if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+                throw new IllegalStateException(name + " did not end");
+            }
+            return process.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns what the daemon wrote to its log so far, not null. */
+    public String logText() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void signal(String which) {
+        try {
+            new ProcessBuilder("kill", which, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void readOutput(Process started, CompletableFuture<Void> becomesReady) {
+        try (BufferedReader lines =
+                new BufferedReader(new InputStreamReader(started.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                if (line.startsWith(READY)) {
+                    becomesReady.complete(null);
+                }
+            }
+        } catch (IOException e) {
+            becomesReady.completeExceptionally(e);
+        }
+        becomesReady.completeExceptionally(new IllegalStateException(name + " ended before it was ready; see " + log));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/bankturn/harness/DeploymentPlan.java
@@ -0,0 +1,106 @@
+package org.bankturn.harness;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The boxes of a deployment and who calls it.
+ *
+ * @param name the deployment's name, not null
+ * @param dataHalls its halls, not empty
+ * @param region the region that they lie in, not null
+ * @param entries the entry boxes, the first of each hall a control box as well, not null
+ * @param targets the target boxes, not null
+ * @param accounts the client accounts, not null
+ * @param plainServices the services without a model, the one that must not be repeated first, not null
+ */
+public record DeploymentPlan(
+        String name,
+        List<String> dataHalls,
+        String region,
+        List<Place> entries,
+        List<TargetPlace> targets,
+        List<Account> accounts,
+        List<String> plainServices) {
+    /** The service that a model answers, and the model's name. */
+    public static final String ASSISTANT = "assistant";
+
+    private static final int LARGE_WEIGHT = 4;
+
+    /** A process and its hall. */
+    public record Place(String name, String dataHall, boolean control) {}
+
+    /** A target box, its hall and its service. */
+    public record TargetPlace(String name, String dataHall, String service) {}
+
+    /** A client account, its weight and its halls. */
+    public record Account(String name, int weight, List<String> dataHalls) {}
+
+    /** Returns the donor line at the sizes of today, not null. */
+    public static DeploymentPlan donor() {
+        List<String> halls = List.of("puget", "willamette", "inland");
+        return of("donor", halls, "northwest", "booking", "other");
+    }
+
+    /** Returns the signing franchise at the sizes of today, not null. */
+    public static DeploymentPlan signing() {
+        List<String> halls = List.of("amman", "irbid", "aqaba");
+        return of("signing", halls, "jordan", "envelopes", "ledger");
+    }
+
+    /**
+     * Returns a deployment with one entry box and many assistant boxes in one hall.
+     *
+     * @param boxes the number of target boxes
+     * @return the plan, not null
+     */
+    public static DeploymentPlan burst(int boxes) {
+        List<String> halls = List.of("hall");
+        List<TargetPlace> targets = new ArrayList<>();
+        for (int number = 1; number <= boxes; number++) {
+            targets.add(new TargetPlace("box-" + number, "hall", ASSISTANT));
+        }
+        List<Place> entries = List.of(new Place("entry-1", "hall", true));
+        return new DeploymentPlan("burst", halls, "region", entries, targets, accounts(halls), List.of());
+    }
+
+    private static DeploymentPlan of(String name, List<String> halls, String region, String unsafe, String other) {
+        List<Place> entries = new ArrayList<>();
+        int[] entriesPerHall = {3, 2, 2};
+        int[] assistantsPerHall = {3, 3, 2};
+        List<TargetPlace> targets = new ArrayList<>();
+        for (int position = 0; position < halls.size(); position++) {
+            String hall = halls.get(position);
+            for (int number = 1; number <= entriesPerHall[position]; number++) {
+                entries.add(new Place(hall + "-entry-" + number, hall, number == 1));
+            }
+            for (int number = 1; number <= assistantsPerHall[position]; number++) {
+                targets.add(new TargetPlace(hall + "-assistant-" + number, hall, ASSISTANT));
+            }
+            targets.add(new TargetPlace(hall + "-" + unsafe, hall, unsafe));
+        }
+        targets.add(new TargetPlace(halls.get(0) + "-" + other, halls.get(0), other));
+        return new DeploymentPlan(name, halls, region, entries, targets, accounts(halls), List.of(unsafe, other));
+    }
+
+    private static List<Account> accounts(List<String> halls) {
+        List<Account> accounts = new ArrayList<>();
+        for (int number = 1; number <= 10; number++) {
+            boolean large = number <= 2;
+            List<String> allowed = number == 10 ? halls.subList(0, 1) : halls;
+            accounts.add(new Account("account-" + number, large ? LARGE_WEIGHT : 1, allowed));
+        }
+        return accounts;
+    }
+
+    /**
+     * Counts the boxes that serve the model.
+     *
+     * @return the number of assistant boxes
+     */
+    public int assistantCount() {
+        return (int) targets.stream()
+                .filter(target -> target.service().equals(ASSISTANT))
+                .count();
+    }
+}
