Whole answers: read bodies of HTTP messages without giving their buffers back

Cause: ByteBuf.asArray() gives a pooled buffer back, but the buffer of loadBody() belongs to the message, which gives it back as well; the pool then handed one buffer to two requests. Ruled out: the frame channel, which owns what it takes, and correlation, since wrong answers also came over connections that carry one request. Change: getArray() and getString(), which only read.

--- a/cli/src/main/java/org/bankturn/cli/OperatorClient.java
+++ b/cli/src/main/java/org/bankturn/cli/OperatorClient.java
@@ -86,7 +86,7 @@
                 client.request(maker.make(address))
                         .then(response -> response.loadBody(MAXIMUM_ANSWER_BYTES)
                                 .then(body -> Promise.of(new Answer(
-                                        response.getCode(), JSON.readTree(body.asString(StandardCharsets.UTF_8))))))));
+                                        response.getCode(), JSON.readTree(body.getString(StandardCharsets.UTF_8))))))));
         eventloop.run();
         return future.join();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/OperatorServlet.java
+++ b/daemon/src/main/java/org/bankturn/daemon/OperatorServlet.java
@@ -60,7 +60,7 @@
         String by = request.getQueryParameter("by");
         return request.loadBody(MAXIMUM_FILE_BYTES)
                 .then(body -> {
-                    String text = body.asString(StandardCharsets.UTF_8);
+                    String text = body.getString(StandardCharsets.UTF_8);
                     Command command = new Command.ApplyFile(text, by == null ? "unnamed" : by);
                     return Promise.ofFuture(control.submit(command, TIMEOUT_MILLIS));
                 })
--- a/daemon/src/main/java/org/bankturn/daemon/entry/EntryServlet.java
+++ b/daemon/src/main/java/org/bankturn/daemon/entry/EntryServlet.java
@@ -86,7 +86,7 @@
             try {
                 CallerRequest read = CallerRequestReader.read(
                         request,
-                        body.asArray(),
+                        body.getArray(),
                         configuration,
                         state.clock().millis(),
                         state.settings().defaultDeadlineMillis());
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
@@ -0,0 +1,347 @@
+package org.bankturn.daemon.target;
+
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import io.activej.promise.SettablePromise;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CancellationException;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.configuration.Box;
+import org.bankturn.configuration.Model;
+import org.bankturn.configuration.ModelVersion;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.distribution.ChunkFile;
+import org.bankturn.distribution.ChunkPlanner;
+import org.bankturn.distribution.ChunkPlanner.Ending;
+import org.bankturn.distribution.ChunkPlanner.Transfer;
+import org.bankturn.distribution.Manifest;
+import org.bankturn.result.ResultCode;
+import org.bankturn.state.command.Command;
+import org.bankturn.state.command.CommandResult;
+
+/**
+ * Brings one version's weights to this box, chunk by chunk, from peers and with grants from the origin.
+ *
+ * <p>VersionCopy is confined to its reactor's thread; files are written on the executor.
+ */
+final class VersionCopy {
+    private static final Logger LOG = System.getLogger(VersionCopy.class.getName());
+    private static final int TRANSFERS_AT_ONCE = 4;
+    private static final int TRANSFERS_PER_NEIGHBOUR = 2;
+    private static final int ORIGIN_CORRUPT_LIMIT = 3;
+    private static final long HOLDS_WAIT_MILLIS = 1_000;
+    private static final long HOLDS_TIMEOUT_MILLIS = 3_000;
+    private static final long RETRY_MILLIS = 100;
+    private static final long CHUNK_TIMEOUT_MILLIS = 8_000;
+    private static final long MANIFEST_TIMEOUT_MILLIS = 2_000;
+    private static final long GRANT_TIMEOUT_MILLIS = 3_000;
+    private static final long MANIFEST_PATIENCE_MILLIS = 600;
+
+    private final TargetContext context;
+    private final ChunkServer server;
+    private final Model model;
+    private final ModelVersion version;
+    private final List<Box> neighbours;
+    private final SettablePromise<ChunkFile> whole = new SettablePromise<>();
+    private ChunkFile file;
+    private ChunkPlanner planner;
+    private int transfers;
+    private int originTransfers;
+    private int originCorrupt;
+    private long originAskedMillis;
+    private long originPauseMillis = RETRY_MILLIS;
+    private boolean askingOrigin;
+    private boolean verifying;
+    private boolean stopped;
+
+    VersionCopy(TargetContext context, ChunkServer server, Model model, ModelVersion version, List<Box> neighbours) {
+        this.context = context;
+        this.server = server;
+        this.model = model;
+        this.version = version;
+        this.neighbours = neighbours;
+    }
+
+    /** Begins, and completes with the file once every chunk is kept and the whole was read back and verified. */
+    Promise<ChunkFile> start() {
+        long patientUntil = context.clock().millis() + MANIFEST_PATIENCE_MILLIS;
+        findManifest(patientUntil)
+                .then(manifest ->
+                        Promise.ofBlocking(context.files(), () -> ChunkFile.open(context.chunkFolder(), manifest)))
+                .whenComplete((opened, failure) -> {
+                    if (failure != null) {
+                        fail(failure);
+                    } else {
+                        begin(opened);
+                    }
+                });
+        return whole;
+    }
+
+    /** Stops; transfers under way are let go of. */
+    void stop() {
+        stopped = true;
+        whole.trySetException(new CancellationException("the copy is no longer wanted"));
+    }
+
+    // ---- the manifest
+
+    private Promise<Manifest> findManifest(long patientUntil) {
+        if (stopped) {
+            return Promise.ofException(new CancellationException("stopped"));
+        }
+        return askNeighboursForManifest().then(found -> {
+            if (found.isPresent()) {
+                return Promise.of(found.get());
+            }
+            if (mayAskOrigin(patientUntil)) {
+                return askOriginForManifest(patientUntil);
+            }
+            return Promises.delay(RETRY_MILLIS).then(nothing -> findManifest(patientUntil));
+        });
+    }
+
+    /** One box in each neighbourhood goes first; the others wait for it a little, then go themselves. */
+    private boolean mayAskOrigin(long patientUntil) {
+        int rank = (context.box() + version.manifest()).hashCode();
+        boolean first =
+                neighbours.stream().allMatch(neighbour -> (neighbour.name() + version.manifest()).hashCode() >= rank);
+        return first || context.clock().millis() >= patientUntil;
+    }
+
+    private Promise<Optional<Manifest>> askNeighboursForManifest() {
+        List<Promise<Optional<Manifest>>> asked = neighbours.stream()
+                .map(neighbour -> context.clients()
+                        .ask(
+                                nodeAddress(neighbour),
+                                new NodeRequest.GetManifest(version.manifest()),
+                                MANIFEST_TIMEOUT_MILLIS)
+                        .map(this::checkedManifest, failure -> Optional.<Manifest>empty()))
+                .toList();
+        return Promises.toList(asked)
+                .map(answers -> answers.stream().flatMap(Optional::stream).findFirst());
+    }
+
+    private Optional<Manifest> checkedManifest(NodeReply reply) {
+        return reply instanceof NodeReply.ManifestText manifest && manifest.text() != null
+                ? Manifest.parse(manifest.text(), version.manifest())
+                : Optional.empty();
+    }
+
+    private Promise<Manifest> askOriginForManifest(long patientUntil) {
+        return context.origin()
+                .manifest(version.origin(), version.manifest())
+                .then(
+                        manifest -> manifest.isPresent()
+                                ? Promise.of(manifest.get())
+                                : Promise.ofException(new CopyStoppedException(ResultCode.MANIFEST_CORRUPT)),
+                        failure -> Promises.delay(RETRY_MILLIS).then(nothing -> findManifest(patientUntil)));
+    }
+
+    // ---- the chunks
+
+    private void begin(ChunkFile opened) {
+        if (stopped) {
+            return;
+        }
+        file = opened;
+        planner = newPlanner();
+        server.serve(file);
+        neighbours.forEach(neighbour -> followHolds(neighbour, -1));
+        pump();
+    }
+
+    private ChunkPlanner newPlanner() {
+        return ChunkPlanner.of(
+                file.manifest().chunkCount(),
+                file.kept(),
+                TRANSFERS_PER_NEIGHBOUR,
+                RandomSource.XO_RO_SHI_RO_128_PP.create());
+    }
+
+    private void followHolds(Box neighbour, int knownCount) {
+        if (stopped || whole.isComplete()) {
+            return;
+        }
+        NodeRequest request = new NodeRequest.GetHolds(version.manifest(), knownCount, HOLDS_WAIT_MILLIS);
+        context.clients()
+                .ask(nodeAddress(neighbour), request, HOLDS_TIMEOUT_MILLIS)
+                .whenComplete((reply, failure) -> {
+                    if (reply instanceof NodeReply.Holds holds) {
+                        planner.neighbourHolds(neighbour.name(), BitSet.valueOf(holds.chunks()));
+                        pump();
+                        followHolds(neighbour, holds.count());
+                    } else {
+                        planner.neighbourLost(neighbour.name());
+                        Promises.delay(RETRY_MILLIS).whenResult(() -> followHolds(neighbour, -1));
+                    }
+                });
+    }
+
+    /** Starts whatever may be started now. */
+    private void pump() {
+        if (stopped || whole.isComplete()) {
+            return;
+        }
+        if (planner.isComplete()) {
+            verifyWhole();
+            return;
+        }
+        while (transfers < TRANSFERS_AT_ONCE) {
+            Optional<Transfer> next = planner.next();
+            if (next.isEmpty()) {
+                break;
+            }
+            startTransfer(next.get());
+        }
+        if (transfers < TRANSFERS_AT_ONCE) {
+            askForOriginGrant();
+        }
+    }
+
+    private void startTransfer(Transfer transfer) {
+        transfers++;
+        Box neighbour = neighbours.stream()
+                .filter(box -> box.name().equals(transfer.neighbour()))
+                .findFirst()
+                .orElseThrow();
+        NodeRequest request = new NodeRequest.GetChunk(version.manifest(), transfer.chunk());
+        context.clients()
+                .ask(nodeAddress(neighbour), request, CHUNK_TIMEOUT_MILLIS)
+                .then(reply -> receivedFromPeer(transfer.chunk(), reply), failure -> Promise.of(Ending.FAILED))
+                .whenComplete((ending, failure) -> {
+                    Ending known = failure == null ? ending : Ending.FAILED;
+                    planner.ended(transfer, known);
+                    Promises.delay(known == Ending.BUSY ? RETRY_MILLIS : 0).whenResult(() -> {
+                        transfers--;
+                        pump();
+                    });
+                });
+    }
+
+    private Promise<Ending> receivedFromPeer(int chunk, NodeReply reply) {
+        if (!(reply instanceof NodeReply.Chunk answer)) {
+            return Promise.of(Ending.FAILED);
+        }
+        if (answer.bytes() == null) {
+            return Promise.of(answer.busy() ? Ending.BUSY : Ending.FAILED);
+        }
+        return keep(chunk, answer.bytes(), "peer");
+    }
+
+    /** Waits until the own link would have let the bytes through, checks them and keeps them. */
+    private Promise<Ending> keep(int chunk, byte[] bytes, String source) {
+        long delay = context.download().delayMillis(bytes.length);
+        return Promises.delay(delay)
+                .then(nothing -> Promise.ofBlocking(context.files(), () -> file.keep(chunk, bytes)))
+                .map(kept -> {
+                    if (kept) {
+                        context.telemetry().chunkKept(source, bytes.length);
+                        server.chunkKept();
+                        return Ending.KEPT;
+                    }
+                    context.telemetry().chunkRejected(source);
+                    LOG.log(Level.WARNING, ResultCode.CHUNK_CORRUPT.number() + " chunk " + chunk + " from " + source);
+                    return Ending.CORRUPT;
+                })
+                .whenException(IOException.class, this::fail);
+    }
+
+    // ---- the origin
+
+    private void askForOriginGrant() {
+        BitSet unreachable = planner.unreachable();
+        long now = context.clock().millis();
+        boolean tooSoon = now - originAskedMillis < originPauseMillis;
+        if (askingOrigin || unreachable.isEmpty()) {
+            return;
+        }
+        if (tooSoon) {
+            Promises.delay(originPauseMillis).whenResult(this::pump);
+            return;
+        }
+        askingOrigin = true;
+        originAskedMillis = now;
+        Command command = new Command.GrantOrigin(
+                version.manifest(),
+                file.manifest().chunkCount(),
+                unreachable.toLongArray(),
+                TRANSFERS_AT_ONCE - transfers,
+                model.policy(),
+                0);
+        Promise.<CommandResult>ofFuture(context.control().submit(command, GRANT_TIMEOUT_MILLIS))
+                .whenComplete((result, failure) -> {
+                    askingOrigin = false;
+                    boolean granted = result instanceof CommandResult.OriginGranted grant
+                            && !grant.chunks().isEmpty();
+                    originPauseMillis = granted ? 0 : Math.min(2 * originPauseMillis + RETRY_MILLIS, 10 * RETRY_MILLIS);
+                    if (granted) {
+                        ((CommandResult.OriginGranted) result).chunks().forEach(this::drawFromOrigin);
+                    }
+                    pump();
+                });
+    }
+
+    private void drawFromOrigin(int chunk) {
+        if (stopped) {
+            return;
+        }
+        transfers++;
+        originTransfers++;
+        planner.originBegun(chunk);
+        context.origin()
+                .chunk(version.origin(), file.manifest(), chunk)
+                .then(bytes -> keep(chunk, bytes, "origin"), failure -> Promise.of(Ending.FAILED))
+                .whenComplete((ending, failure) -> {
+                    transfers--;
+                    originTransfers--;
+                    planner.originEnded(chunk, failure == null ? ending : Ending.FAILED);
+                    if (ending == Ending.CORRUPT && ++originCorrupt >= ORIGIN_CORRUPT_LIMIT) {
+                        fail(new CopyStoppedException(ResultCode.ORIGIN_CORRUPT));
+                        return;
+                    }
+                    pump();
+                });
+    }
+
+    // ---- the end
+
+    private void verifyWhole() {
+        if (verifying) {
+            return;
+        }
+        verifying = true;
+        Promise.ofBlocking(context.files(), file::verifyWhole).whenComplete((isWhole, failure) -> {
+            verifying = false;
+            if (failure != null) {
+                fail(failure);
+            } else if (isWhole) {
+                whole.trySet(file);
+            } else {
+                planner = newPlanner();
+                pump();
+            }
+        });
+    }
+
+    private void fail(Exception reason) {
+        stopped = true;
+        whole.trySetException(reason);
+    }
+
+    private static Address nodeAddress(Box box) {
+        return Address.parse(box.nodeAddress());
+    }
+
+    @Override
+    public String toString() {
+        return "VersionCopy[" + version.model() + " " + version.name() + " " + planner + "]";
+    }
+}
--- a/standins/src/main/java/org/bankturn/standin/EngineStandin.java
+++ b/standins/src/main/java/org/bankturn/standin/EngineStandin.java
@@ -103,7 +103,7 @@
 
     private Promise<HttpResponse> order(HttpRequest request, Order order) {
         return request.loadBody().then(body -> {
-            JsonNode read = JSON.readTree(body.asArray());
+            JsonNode read = JSON.readTree(body.getArray());
             long fence = read.path("fence").asLong();
             if (settings.checksFence() && !guard.admits(fence)) {
                 return HttpResponse.ofCode(CONFLICT)
@@ -141,7 +141,7 @@
                         .withBody("version not loaded")
                         .toPromise();
             }
-            JsonNode read = JSON.readTree(body.asArray());
+            JsonNode read = JSON.readTree(body.getArray());
             String id = read.path("user").asText();
             answered.incrementAndGet();
             running.incrementAndGet();
--- a/standins/src/main/java/org/bankturn/standin/PlainServiceStandin.java
+++ b/standins/src/main/java/org/bankturn/standin/PlainServiceStandin.java
@@ -61,7 +61,7 @@
 
     private Promise<HttpResponse> call(HttpRequest request) {
         return request.loadBody().then(body -> {
-            JsonNode read = JSON.readTree(body.asArray());
+            JsonNode read = JSON.readTree(body.getArray());
             String id = read.path("id").asText();
             runsById.merge(id, 1, Integer::sum);
             String answer = JSON.createObjectNode().put("confirmed", id).toString();
