Specifications of agreement, lease and ledger, and tests of the coordination parts

Cause: the promises had mechanisms but no proof. TLC on Lease.tla found three faults of the first design for an engine that does not check fences: an order frozen between check and sending lands after a successor's; an unanswered order lands after the next one; a lease released without an answer passes on too early. Change: a target process waits out an order's transit after its start, gives up a lease only once answered, and leaves room for the transit in the lease's validity. Ruled out: relying on the lease alone (Lease.fault-no-start-wait and Lease.fault-no-settle show the counterexamples).

--- a/core/src/main/java/org/bankturn/lease/HeldLease.java
+++ b/core/src/main/java/org/bankturn/lease/HeldLease.java
@@ -9,14 +9,28 @@
  * @param askedMillis the holder's time before it sent the request
  */
 public record HeldLease(Lease lease, long askedMillis) {
+    private static final long TRANSIT_DIVISOR = 4;
+
+    /**
+     * Returns how long an order may be on its way: an engine takes it up within this time of its being sent, or never.
+     *
+     * @param durationMillis the duration of leases
+     * @return milliseconds, a quarter of the duration
+     */
+    public static long transitMillis(long durationMillis) {
+        return durationMillis / TRANSIT_DIVISOR;
+    }
+
     /**
      * Tells whether an order may still be given.
      *
      * @param nowMillis the holder's time
-     * @return true until the duration, less the bound on drift, has passed since the request
+     * @return true while the duration, counted from before the request, less the bound on drift and less the time that
+     *     an order may be on its way, has not passed
      */
     public boolean isValidAt(long nowMillis) {
-        long usable = lease.durationMillis() - lease.durationMillis() / LeaseExpiry.DRIFT_DIVISOR;
+        long duration = lease.durationMillis();
+        long usable = duration - duration / LeaseExpiry.DRIFT_DIVISOR - transitMillis(duration);
         return nowMillis - askedMillis < usable;
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/bankturn/agreement/AgreementTest.java
@@ -0,0 +1,102 @@
+package org.bankturn.agreement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+class AgreementTest {
+    @Property(tries = 150, seed = "20261202")
+    void no_schedule_of_faults_reverts_an_accepted_entry(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
+        MemberGroup group = new MemberGroup(seed, "a", "b", "c");
+        List<String> boxes = List.of("a", "b", "c");
+        boolean diskLost = false;
+        for (int step = 0; step < 1_500; step++) {
+            int choice = group.random.nextInt(100);
+            String box = boxes.get(group.random.nextInt(boxes.size()));
+            if (choice < 15) {
+                group.tickAll();
+            } else if (choice < 22) {
+                group.propose(group.running.get(box), "command-" + step);
+            } else if (choice < 24) {
+                group.restart(box);
+            } else if (choice < 25) {
+                group.compact(box);
+            } else if (choice < 26 && !diskLost && step > 300) {
+                diskLost = true;
+                group.loseDisk(box);
+            } else {
+                group.deliverOne(true);
+            }
+        }
+        group.settle(150);
+        assertThat(group.leader().members()).hasSize(3);
+        long before = group.leader().commitIndex();
+        group.propose(group.leader(), "last");
+        group.settle(5);
+        assertThat(group.leader().commitIndex()).isGreaterThan(before);
+    }
+
+    @Test
+    void a_second_box_may_be_lost_right_after_the_first_was_repaired() {
+        MemberGroup group = new MemberGroup(7, "a", "b", "c");
+        group.settle(60);
+        group.propose(group.leader(), "kept");
+        group.settle(5);
+        long index = group.leader().commitIndex();
+        group.loseDisk("a");
+        group.settle(100);
+        assertThat(group.leader().members()).extracting(Member::incarnation).contains(2L);
+        group.loseDisk("b");
+        group.settle(100);
+        assertThat(group.leader().members()).extracting(Member::incarnation).contains(2L, 3L);
+        assertThat(group.leader().commitIndex()).isGreaterThan(index);
+        assertThat(group.accepted.get(index).command()).asString().isEqualTo("kept");
+    }
+
+    @Test
+    void a_leader_that_was_frozen_accepts_nothing_when_it_wakes() {
+        MemberGroup group = new MemberGroup(3, "a", "b", "c");
+        group.settle(60);
+        Agreement old = group.leader();
+        Agreement other = group.running.values().stream()
+                .filter(member -> member != old)
+                .findFirst()
+                .orElseThrow();
+        long before = group.accepted.size();
+        group.clock.advance(10 * MemberGroup.SETTINGS.electionTimeoutMillis());
+        old.propose("woken".getBytes(StandardCharsets.UTF_8));
+        old.tick();
+        assertThat(old.role()).isEqualTo(Role.FOLLOWER);
+        assertThat(group.accepted).hasSize((int) before);
+        assertThat(other.role()).isEqualTo(Role.FOLLOWER);
+    }
+
+    @Test
+    void a_box_with_an_empty_disk_gives_no_vote_before_it_is_admitted() {
+        MemberGroup group = new MemberGroup(5, "a", "b", "c");
+        group.settle(60);
+        group.loseDisk("c");
+        Agreement empty = group.running.get("c");
+        group.clock.advance(10 * MemberGroup.SETTINGS.electionTimeoutMillis());
+        empty.tick();
+        assertThat(empty.role()).isEqualTo(Role.FOLLOWER);
+        assertThat(empty.members()).isEmpty();
+    }
+
+    @Test
+    void a_planned_stop_hands_leadership_over_at_once() {
+        MemberGroup group = new MemberGroup(9, "a", "b", "c");
+        group.settle(60);
+        Agreement old = group.leader();
+        long term = old.term();
+        old.transferLeadership();
+        group.settle(3);
+        assertThat(group.leader().self()).isNotEqualTo(old.self());
+        assertThat(group.leader().term()).isEqualTo(term + 1);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bankturn/agreement/MemberGroup.java
@@ -0,0 +1,148 @@
+package org.bankturn.agreement;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.agreement.Ready.Outbound;
+import org.bankturn.time.ManualClock;
+
+/** Members of one group with a bag of messages between them, stepped by a test; checks the invariants of the spec. */
+final class MemberGroup {
+    static final AgreementSettings SETTINGS = new AgreementSettings(100, 20, 4);
+
+    final ManualClock clock = ManualClock.startingAt(0);
+    final UniformRandomProvider random;
+    final Map<String, Agreement> running = new TreeMap<>();
+    final Map<String, StoredAgreement> disks = new HashMap<>();
+    final Map<Long, LogEntry> accepted = new TreeMap<>();
+    final Map<Long, Member> leaders = new HashMap<>();
+    final List<Outbound> bag = new ArrayList<>();
+    private final List<Member> first;
+    private long lives = 1;
+
+    MemberGroup(long seed, String... boxes) {
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        first = List.of(boxes).stream().map(box -> new Member(box, 1, box)).toList();
+        for (Member member : first) {
+            disks.put(member.box(), new StoredAgreement(Vote.NONE, Snapshot.initial(first), List.of()));
+            start(member);
+        }
+    }
+
+    private void start(Member member) {
+        running.put(
+                member.box(),
+                Agreement.recover(member, disks.get(member.box()), SETTINGS, clock, random, asking -> true));
+    }
+
+    void restart(String box) {
+        start(running.get(box).self());
+    }
+
+    void loseDisk(String box) {
+        lives++;
+        disks.put(box, new StoredAgreement(Vote.NONE, Snapshot.initial(List.of()), List.of()));
+        start(new Member(box, lives, box));
+    }
+
+    void tickAll() {
+        clock.advance(10);
+        for (Agreement member : List.copyOf(running.values())) {
+            member.tick();
+            if (member.members().stream().noneMatch(member.self()::isSameLife)) {
+                member.askToJoin(first);
+            }
+            carryOut(member);
+        }
+    }
+
+    /** Delivers a message taken at random; it is doubled or lost one time in ten each. */
+    void deliverOne(boolean faulty) {
+        if (bag.isEmpty()) {
+            return;
+        }
+        int chosen = random.nextInt(bag.size());
+        int fate = faulty ? random.nextInt(10) : 9;
+        Outbound outbound = fate == 0 ? bag.get(chosen) : bag.remove(chosen);
+        Agreement member = running.get(outbound.to().box());
+        boolean sameLife =
+                member.self().isSameLife(outbound.to()) || outbound.message() instanceof AgreementMessage.JoinRequest;
+        if (fate != 1 && sameLife) {
+            member.receive(outbound.message());
+            carryOut(member);
+        }
+    }
+
+    void settle(int rounds) {
+        for (int round = 0; round < rounds; round++) {
+            tickAll();
+            for (int step = 0; step < 400 && !bag.isEmpty(); step++) {
+                deliverOne(false);
+            }
+        }
+    }
+
+    Agreement leader() {
+        return running.values().stream()
+                .filter(Agreement::isEstablishedLeader)
+                .max((one, other) -> Long.compare(one.term(), other.term()))
+                .orElseThrow();
+    }
+
+    void propose(Agreement member, String command) {
+        member.propose(command.getBytes(StandardCharsets.UTF_8));
+        carryOut(member);
+    }
+
+    void compact(String box) {
+        Agreement member = running.get(box);
+        if (member.commitIndex() > member.snapshot().index()) {
+            Snapshot snapshot = member.compact(member.commitIndex(), new byte[0]);
+            StoredAgreement disk = disks.get(box);
+            List<LogEntry> kept = disk.entries().stream()
+                    .filter(entry -> entry.index() > snapshot.index())
+                    .toList();
+            disks.put(box, new StoredAgreement(disk.vote(), snapshot, kept));
+        }
+    }
+
+    private void carryOut(Agreement member) {
+        Ready ready = member.ready();
+        store(member.self().box(), ready);
+        bag.addAll(ready.messages());
+        for (LogEntry entry : ready.committed()) {
+            LogEntry before = accepted.putIfAbsent(entry.index(), entry);
+            if (before != null && (before.term() != entry.term() || !sameCommand(before, entry))) {
+                throw new AssertionError("accepted entry reverted at " + entry.index());
+            }
+        }
+        if (member.role() == Role.LEADER) {
+            Member before = leaders.putIfAbsent(member.term(), member.self());
+            if (before != null && !before.isSameLife(member.self())) {
+                throw new AssertionError("two leaders in term " + member.term());
+            }
+        }
+    }
+
+    private static boolean sameCommand(LogEntry one, LogEntry other) {
+        return Arrays.equals(one.command(), other.command());
+    }
+
+    private void store(String box, Ready ready) {
+        StoredAgreement disk = disks.get(box);
+        Vote vote = ready.vote() != null ? ready.vote() : disk.vote();
+        Snapshot snapshot = ready.installed() != null ? ready.installed() : disk.snapshot();
+        List<LogEntry> entries = new ArrayList<>(ready.installed() != null ? List.of() : disk.entries());
+        for (LogEntry entry : ready.entries()) {
+            entries.removeIf(stored -> stored.index() >= entry.index());
+            entries.add(entry);
+        }
+        disks.put(box, new StoredAgreement(vote, snapshot, entries));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bankturn/distribution/DistributionTest.java
@@ -0,0 +1,160 @@
+package org.bankturn.distribution;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.configuration.Digest;
+import org.bankturn.distribution.ChunkPlanner.Ending;
+import org.bankturn.distribution.ChunkPlanner.Transfer;
+import org.bankturn.time.ManualClock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class DistributionTest {
+    @TempDir
+    Path folder;
+
+    private static final byte[] WEIGHTS = {1, 2, 3, 4, 5, 6, 7};
+
+    private static byte[] chunk(int number) {
+        int size = Math.min(3, WEIGHTS.length - 3 * number);
+        byte[] bytes = new byte[size];
+        System.arraycopy(WEIGHTS, 3 * number, bytes, 0, size);
+        return bytes;
+    }
+
+    private static Manifest manifest() {
+        return Manifest.of(7, 3, List.of(Digest.of(chunk(0)), Digest.of(chunk(1)), Digest.of(chunk(2))));
+    }
+
+    private static BitSet bits(int count) {
+        BitSet bits = new BitSet();
+        bits.set(0, count);
+        return bits;
+    }
+
+    @Test
+    void a_manifest_that_does_not_match_its_name_is_not_read() {
+        Manifest manifest = manifest();
+        assertThat(Manifest.parse(manifest.text(), manifest.digest())).isPresent();
+        assertThat(Manifest.parse(manifest.text().replace("7", "8"), manifest.digest()))
+                .isEmpty();
+    }
+
+    @Test
+    void a_corrupt_chunk_is_neither_kept_nor_handed_out() throws IOException {
+        try (ChunkFile file = ChunkFile.open(folder, manifest())) {
+            assertThat(file.keep(0, new byte[] {1, 2, 9})).isFalse();
+            assertThat(file.read(0)).isNull();
+            assertThat(file.keep(0, chunk(0))).isTrue();
+            assertThat(file.read(0)).containsExactly(1, 2, 3);
+            assertThat(file.isComplete()).isFalse();
+            assertThat(file.verifyWhole()).isFalse();
+        }
+    }
+
+    @Test
+    void what_is_on_the_disk_after_a_restart_is_checked_again() throws IOException {
+        Path path;
+        try (ChunkFile file = ChunkFile.open(folder, manifest())) {
+            for (int number = 0; number < 3; number++) {
+                file.keep(number, chunk(number));
+            }
+            assertThat(file.verifyWhole()).isTrue();
+            path = file.path();
+        }
+        byte[] damaged = Files.readAllBytes(path);
+        damaged[4] = 99;
+        Files.write(path, damaged);
+        try (ChunkFile reopened = ChunkFile.open(folder, manifest())) {
+            assertThat(reopened.kept()).isEqualTo(BitSet.valueOf(new long[] {0b101}));
+        }
+    }
+
+    @Test
+    void damage_after_the_chunks_were_kept_is_found_before_the_copy_counts_as_whole() throws IOException {
+        try (ChunkFile file = ChunkFile.open(folder, manifest())) {
+            for (int number = 0; number < 3; number++) {
+                file.keep(number, chunk(number));
+            }
+            byte[] damaged = Files.readAllBytes(file.path());
+            damaged[0] = 99;
+            Files.write(file.path(), damaged);
+            assertThat(file.verifyWhole()).isFalse();
+        }
+    }
+
+    @Test
+    void preferring_origin_bytes_grants_each_chunk_once_and_again_only_when_it_was_lost() {
+        OriginBudget budget = OriginBudget.ofChunks(8);
+        assertThat(budget.grant(bits(8), 5, BurstPolicy.ORIGIN_BYTES, 0)).hasSize(5);
+        assertThat(budget.grant(bits(8), 5, BurstPolicy.ORIGIN_BYTES, 1)).hasSize(3);
+        assertThat(budget.grant(bits(8), 5, BurstPolicy.ORIGIN_BYTES, 2)).isEmpty();
+        BitSet lost = new BitSet();
+        lost.set(4);
+        assertThat(budget.grant(lost, 5, BurstPolicy.ORIGIN_BYTES, OriginBudget.REPAIR_MILLIS + 1))
+                .containsExactly(4);
+        assertThat(budget.grantedCopies()).isEqualTo(9.0 / 8);
+    }
+
+    @Test
+    void no_policy_and_no_repair_grants_more_than_four_copies() {
+        for (BurstPolicy policy : BurstPolicy.values()) {
+            OriginBudget budget = OriginBudget.ofChunks(8);
+            for (int round = 0; round < 100; round++) {
+                budget.grant(bits(8), 8, policy, round * OriginBudget.REPAIR_MILLIS);
+                budget = OriginBudget.restore(budget.save());
+            }
+            assertThat(budget.grantedCopies()).isEqualTo(BurstPolicy.MAXIMUM_ORIGIN_COPIES);
+        }
+    }
+
+    @Test
+    void the_rarest_chunk_goes_first_and_no_neighbour_is_asked_for_too_much() {
+        ChunkPlanner planner = planner(4);
+        planner.neighbourHolds("one", bits(4));
+        planner.neighbourHolds("two", bits(3));
+        Transfer first = planner.next().orElseThrow();
+        assertThat(first).isEqualTo(new Transfer(3, "one"));
+        List<Transfer> rest = new ArrayList<>();
+        planner.next().ifPresent(rest::add);
+        planner.next().ifPresent(rest::add);
+        planner.next().ifPresent(rest::add);
+        assertThat(rest).hasSize(3);
+        assertThat(rest.stream().filter(transfer -> transfer.neighbour().equals("one")))
+                .hasSize(1);
+        assertThat(planner.next()).isEmpty();
+    }
+
+    @Test
+    void a_neighbour_that_sends_corrupt_chunks_is_not_asked_again() {
+        ChunkPlanner planner = planner(8);
+        planner.neighbourHolds("bad", bits(8));
+        for (int time = 0; time < ChunkPlanner.CORRUPT_LIMIT; time++) {
+            planner.ended(planner.next().orElseThrow(), Ending.CORRUPT);
+        }
+        planner.neighbourHolds("bad", bits(8));
+        assertThat(planner.next()).isEmpty();
+        assertThat(planner.unreachable()).isEqualTo(bits(8));
+    }
+
+    private static ChunkPlanner planner(int chunks) {
+        return ChunkPlanner.of(chunks, new BitSet(), 2, RandomSource.XO_RO_SHI_RO_128_PP.create(1));
+    }
+
+    @Test
+    void a_link_is_never_filled_beyond_its_rate() {
+        ManualClock clock = ManualClock.startingAt(0);
+        LinkLimit link = LinkLimit.of(1_000, 0, clock);
+        assertThat(link.delayMillis(500)).isEqualTo(500);
+        assertThat(link.delayMillis(500)).isEqualTo(1_000);
+        clock.advance(2_000);
+        assertThat(link.delayMillis(500)).isEqualTo(500);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bankturn/result/ResultCodeTest.java
@@ -0,0 +1,28 @@
+package org.bankturn.result;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+class ResultCodeTest {
+    private static final Path TABLE = Path.of("..", "docs", "RESULT-CODES.md");
+
+    @Test
+    void the_table_in_the_docs_is_that_of_the_code() throws IOException {
+        String expected = Arrays.stream(ResultCode.values())
+                .map(code -> "| " + code.number() + " | " + code.name() + " | " + code.httpStatus() + " | "
+                        + (code.saysNotRun() ? "yes" : "") + " | " + code.description() + " |")
+                .collect(Collectors.joining("\n"));
+        assertThat(Files.readString(TABLE)).contains(expected);
+    }
+
+    @Test
+    void numbers_are_unique() {
+        assertThat(Arrays.stream(ResultCode.values()).map(ResultCode::number)).doesNotHaveDuplicates();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -0,0 +1,73 @@
+package org.bankturn.specs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import tlc2.TLC;
+
+/** Runs TLC on the specifications under specs/, each in a JVM of its own. */
+class SpecificationTest {
+    private static final Path SPECS = Path.of("..", "specs");
+
+    @TempDir
+    Path scratch;
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Agreement", "Agreement.rejoin", "Lease", "Lease.unchecking", "Ledger"})
+    void the_design_keeps_its_invariants(String configuration) throws Exception {
+        assertThat(check(configuration)).contains("No error has been found");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Agreement.fault",
+                "Lease.fault-no-port-guard",
+                "Lease.fault-no-start-wait",
+                "Lease.fault-no-settle",
+                "Ledger.fault-claim",
+                "Ledger.fault-proof"
+            })
+    void a_removed_guard_is_found(String configuration) throws Exception {
+        assertThat(check(configuration)).containsPattern("Invariant \\w+ is violated");
+    }
+
+    private String check(String configuration) throws IOException, InterruptedException {
+        String module = configuration.replaceAll("\\..*", "");
+        Path output = scratch.resolve("output");
+        String tlc = Path.of(TLC.class
+                        .getProtectionDomain()
+                        .getCodeSource()
+                        .getLocation()
+                        .getPath())
+                .toString();
+        List<String> command = List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseParallelGC",
+                "-Xmx2g",
+                "-cp",
+                tlc,
+                "tlc2.TLC",
+                "-workers",
+                "4",
+                "-metadir",
+                scratch.toString(),
+                "-config",
+                configuration + ".cfg",
+                module + ".tla");
+        Process process = new ProcessBuilder(command)
+                .directory(SPECS.toFile())
+                .redirectErrorStream(true)
+                .redirectOutput(output.toFile())
+                .start();
+        process.waitFor();
+        return Files.readString(output, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bankturn/storage/CrashingDevice.java
@@ -0,0 +1,76 @@
+package org.bankturn.storage;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Files in memory that forget what was not synced, and that stop at a chosen operation. */
+final class CrashingDevice implements StorageDevice {
+    private final Map<String, byte[]> synced = new HashMap<>();
+    private final Map<String, byte[]> written = new HashMap<>();
+    private final int tornBytes;
+    private int operationsLeft;
+
+    /** Stops at the operation after {@code operations} more; of unsynced bytes {@code tornBytes} survive. */
+    CrashingDevice(int operations, int tornBytes) {
+        this.operationsLeft = operations;
+        this.tornBytes = tornBytes;
+    }
+
+    /** Returns what a restart finds. */
+    CrashingDevice afterCrash() {
+        CrashingDevice found = new CrashingDevice(Integer.MAX_VALUE, 0);
+        written.forEach((name, bytes) -> {
+            byte[] lasting = synced.getOrDefault(name, new byte[0]);
+            int length = Math.min(bytes.length, lasting.length + tornBytes);
+            byte[] kept = new byte[length];
+            System.arraycopy(bytes, 0, kept, 0, length);
+            found.synced.put(name, kept);
+            found.written.put(name, kept);
+        });
+        return found;
+    }
+
+    void damage(String name, int position) {
+        written.get(name)[position] ^= 0x40;
+    }
+
+    int sizeOf(String name) {
+        return written.get(name).length;
+    }
+
+    @Override
+    public Optional<byte[]> read(String name) {
+        return Optional.ofNullable(written.get(name));
+    }
+
+    @Override
+    public void append(String name, byte[] bytes) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes(written.getOrDefault(name, new byte[0]));
+        all.writeBytes(bytes);
+        written.put(name, all.toByteArray());
+        countOperation();
+    }
+
+    @Override
+    public void sync(String name) throws IOException {
+        countOperation();
+        synced.put(name, written.get(name).clone());
+    }
+
+    @Override
+    public void replace(String name, byte[] bytes) throws IOException {
+        countOperation();
+        written.put(name, bytes.clone());
+        synced.put(name, bytes.clone());
+    }
+
+    private void countOperation() throws IOException {
+        if (operationsLeft-- <= 0) {
+            throw new IOException("stopped here");
+        }
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/target/EngineOrders.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/EngineOrders.java
@@ -46,13 +46,21 @@
     private final String holder;
     private final long leaseMillis;
     private final OrderGuard guard = new OrderGuard();
+    private long settledMillis;
 
-    EngineOrders(TargetContext context, BackendClient client, String backend, String holder, long leaseMillis) {
+    EngineOrders(
+            TargetContext context,
+            BackendClient client,
+            String backend,
+            String holder,
+            long leaseMillis,
+            long firstOrderMillis) {
         this.context = context;
         this.client = client;
         this.backend = backend;
         this.holder = holder;
         this.leaseMillis = leaseMillis;
+        this.settledMillis = firstOrderMillis;
     }
 
     /** Asks the engine which versions it serves; the engine knows best, also after this process has restarted. */
@@ -72,8 +80,21 @@
         return order("unload", Map.of("manifest", manifest));
     }
 
+    /**
+     * Gives one order under a lease of its own. The lease is given up only once the engine has answered: an order without
+     * an answer may still be taken up, so until that is over there is no release and no next order.
+     */
     private Promise<List<String>> order(String name, Map<String, String> fields) {
-        return acquireLease().then(held -> give(name, fields, held).whenComplete(() -> release(held)));
+        long wait = Math.max(0, settledMillis - context.clock().millis());
+        return Promises.delay(wait)
+                .then(nothing -> acquireLease())
+                .then(held -> give(name, fields, held).whenComplete((manifests, failure) -> {
+                    if (failure == null || failure instanceof OrderAnsweredException) {
+                        release(held);
+                    } else {
+                        settledMillis = context.clock().millis() + HeldLease.transitMillis(leaseMillis);
+                    }
+                }));
     }
 
     private void release(HeldLease held) {
@@ -122,15 +143,25 @@
                 .then(response -> response.loadBody(MAXIMUM_ANSWER_BYTES).then(body -> {
                     String text = body.getString(StandardCharsets.UTF_8);
                     if (response.getCode() == CONFLICT) {
-                        return Promise.ofException(new IOException(ResultCode.FENCE_STALE.number() + " " + text));
+                        return Promise.ofException(
+                                new OrderAnsweredException(ResultCode.FENCE_STALE.number() + " " + text));
                     }
                     return response.getCode() == OK
                             ? Promise.of(JSON.readTree(text))
-                            : Promise.ofException(new IOException("the engine answered " + response.getCode()));
+                            : Promise.ofException(new OrderAnsweredException("the engine answered " + response.getCode()));
                 }));
         return Promises.timeout(ORDER_TIMEOUT_MILLIS, answer);
     }
 
+    /** The engine answered the order, so it will not be taken up any more, but did not carry it out. */
+    private static final class OrderAnsweredException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        OrderAnsweredException(String message) {
+            super(message);
+        }
+    }
+
     private static List<String> manifestsOf(JsonNode answer) {
         List<String> manifests = new ArrayList<>();
         answer.path("loaded").forEach(manifest -> manifests.add(manifest.asText()));
--- a/daemon/src/main/java/org/bankturn/daemon/target/TargetRole.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/TargetRole.java
@@ -19,6 +19,7 @@
 import org.bankturn.daemon.wire.NodeReply;
 import org.bankturn.daemon.wire.NodeRequest;
 import org.bankturn.distribution.LinkLimit;
+import org.bankturn.lease.HeldLease;
 import org.bankturn.membership.TargetStatus;
 import org.bankturn.time.Clock;
 
@@ -88,7 +89,8 @@
                 wiring.clock());
         String backend = target.backend().toString();
         String leaseHolder = settings.process() + "@" + startMillis;
-        EngineOrders orders = new EngineOrders(context, client, backend, leaseHolder, target.leaseMillis());
+        EngineOrders orders = new EngineOrders(
+                context, client, backend, leaseHolder, target.leaseMillis(), firstOrderMillis(target, startMillis));
         this.chunkServer =
                 new ChunkServer(files, LinkLimit.of(target.uploadBytesPerSecond(), LINK_BURST_MILLIS, wiring.clock()));
         this.keeper = new VersionKeeper(context, chunkServer, orders, holder, this::runningOn);
@@ -96,6 +98,13 @@
                 client, backend, wiring.telemetry(), keeper::loaded, () -> leaving, this::requestsAtOnce);
     }
 
+    /** Before an engine that does not check fences, an order of an earlier start of this process must be over first. */
+    private static long firstOrderMillis(TargetSettings target, long startMillis) {
+        return target.backendChecksFence()
+                ? startMillis
+                : startMillis + HeldLease.transitMillis(target.leaseMillis());
+    }
+
     /** Begins to keep versions as the configuration wants them. */
     public void start() {
         keeper.start();
