--- a/daemon/src/main/java/org/bankturn/daemon/target/EngineOrders.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/EngineOrders.java
@@ -148,7 +148,8 @@
                     }
                     return response.getCode() == OK
                             ? Promise.of(JSON.readTree(text))
-                            : Promise.ofException(new OrderAnsweredException("the engine answered " + response.getCode()));
+                            : Promise.ofException(
+                                    new OrderAnsweredException("the engine answered " + response.getCode()));
                 }));
         return Promises.timeout(ORDER_TIMEOUT_MILLIS, answer);
     }
--- a/standins/src/main/java/org/bankturn/harness/DaemonHandle.java
+++ b/standins/src/main/java/org/bankturn/harness/DaemonHandle.java
@@ -20,7 +20,6 @@
     private final String name;
     private final Path settings;
     private final Path log;
-    private final List<String> extraArguments = new ArrayList<>();
     private Process process;
     private CompletableFuture<Void> ready = new CompletableFuture<>();
 
@@ -35,6 +34,11 @@
         return name;
     }
 
+    /** Returns another daemon with the same settings, not started, not null. */
+    public DaemonHandle twin() {
+        return new DaemonHandle(name, settings, log);
+    }
+
     /** Returns the process id of the running daemon. */
     public long pid() {
         return process.pid();
@@ -59,7 +63,6 @@
                 "--settings",
                 settings.toString()));
         command.addAll(List.of(arguments));
-        command.addAll(extraArguments);
         ready = new CompletableFuture<>();
         process = new ProcessBuilder(command)
                 .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
--- a/standins/src/main/java/org/bankturn/harness/DeploymentPlan.java
+++ b/standins/src/main/java/org/bankturn/harness/DeploymentPlan.java
@@ -64,6 +64,24 @@
         return new DeploymentPlan("burst", halls, "region", entries, targets, accounts(halls), List.of());
     }
 
+    /**
+     * Returns a deployment for tests of failures: three halls with one entry and control box and one assistant each, and
+     * a plain service in the first hall.
+     *
+     * @return the plan, not null
+     */
+    public static DeploymentPlan small() {
+        List<String> halls = List.of("one", "two", "three");
+        List<Place> entries = new ArrayList<>();
+        List<TargetPlace> targets = new ArrayList<>();
+        for (String hall : halls) {
+            entries.add(new Place(hall + "-entry", hall, true));
+            targets.add(new TargetPlace(hall + "-assistant", hall, ASSISTANT));
+        }
+        targets.add(new TargetPlace("one-booking", "one", "booking"));
+        return new DeploymentPlan("small", halls, "region", entries, targets, accounts(halls), List.of("booking"));
+    }
+
     private static DeploymentPlan of(String name, List<String> halls, String region, String unsafe, String other) {
         List<Place> entries = new ArrayList<>();
         int[] entriesPerHall = {3, 2, 2};
--- /dev/null
+++ b/standins/src/test/java/org/bankturn/harness/SmallDeployment.java
@@ -0,0 +1,114 @@
+package org.bankturn.harness;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Set;
+import org.bankturn.cli.BankturnTool;
+import org.bankturn.distribution.BurstPolicy;
+import org.bankturn.standin.EngineStandin;
+import org.bankturn.standin.Weights;
+
+/** A small deployment for one test, with what tests ask of it. */
+final class SmallDeployment implements AutoCloseable {
+    static final long PATIENCE = 60_000;
+    static final EngineStandin.Settings ENGINE = new EngineStandin.Settings(true, 10, 60, 20);
+    static final Weights FIRST = Weights.make(1, 4 << 20, 256 << 10);
+    static final Weights SECOND = Weights.make(2, 4 << 20, 256 << 10);
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    final LocalDeployment running;
+    final CallerTally tally = new CallerTally();
+    final Caller caller = new Caller(tally, Set.of(FIRST.digest(), SECOND.digest()), ENGINE.tokens());
+
+    private SmallDeployment(LocalDeployment running) {
+        this.running = running;
+    }
+
+    static SmallDeployment start(EngineStandin.Settings engine) throws IOException {
+        LocalDeployment.Options options =
+                new LocalDeployment.Options(32 << 20, 16 << 20, BurstPolicy.ORIGIN_BYTES, 3, 32, engine, false);
+        SmallDeployment deployment = new SmallDeployment(LocalDeployment.prepare(DeploymentPlan.small(), options));
+        deployment.running.origin().offer(FIRST);
+        deployment.running.origin().offer(SECOND);
+        deployment.running.startAll();
+        return deployment;
+    }
+
+    /** Starts with the first version in service at every entry process. */
+    static SmallDeployment serving() throws IOException {
+        SmallDeployment deployment = start(ENGINE);
+        deployment.apply(1, "v1");
+        deployment.awaitServing();
+        return deployment;
+    }
+
+    int apply(long number, String wanted) throws IOException {
+        return applyThrough(running.operatorAddresses(), number, wanted, "tester");
+    }
+
+    int applyThrough(String addresses, long number, String wanted, String by) throws IOException {
+        Path file = running.writeOperatorFile(number, Map.of("v1", FIRST, "v2", SECOND), wanted);
+        return tool("apply", "--addresses", addresses, "--by", by, file.toString());
+    }
+
+    static int tool(String... arguments) {
+        return BankturnTool.run(arguments);
+    }
+
+    /** Runs a read command of the tool through one process and parses what it printed. */
+    JsonNode read(String command, String process) throws IOException {
+        PrintStream before = System.out;
+        ByteArrayOutputStream printed = new ByteArrayOutputStream();
+        System.setOut(new PrintStream(printed, true, StandardCharsets.UTF_8));
+        try {
+            tool(command, "--addresses", running.httpAddress(process), "--output", "json");
+        } finally {
+            System.setOut(before);
+        }
+        return JSON.readTree(printed.toString(StandardCharsets.UTF_8));
+    }
+
+    long indexAt(String process) throws IOException {
+        return read("show", process).path("index").asLong();
+    }
+
+    String leader() throws IOException {
+        return read("status", "one-entry").path("leader").asText();
+    }
+
+    void awaitServing() {
+        for (DeploymentPlan.Place entry : running.plan().entries()) {
+            Await.until("answers at " + entry.name(), PATIENCE, () -> chat(entry.name()) == 2000);
+        }
+    }
+
+    int chat(String entry) {
+        return caller.chat(running.httpAddress(entry), "account-1");
+    }
+
+    void awaitIndex(String process, long index) {
+        Await.until(process + " at " + index, PATIENCE, () -> {
+            try {
+                return indexAt(process) >= index;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    boolean hasFile(Path path) {
+        return Files.exists(path);
+    }
+
+    @Override
+    public void close() throws IOException {
+        running.close();
+    }
+}
