Burst: origin draws in turn and apart from peer transfers; a busy neighbour is passed over

Ruled out: rarest-first itself, and what a neighbour holds being known late (30 ms). Change: at most 12 grants under way; a chunk is granted again only if its draw failed, is overdue, or its holder fell silent; origin draws have slots of their own; a busy neighbour is left alone for 60 ms and another asked at once; a request that would change nothing is answered without a log entry.

--- a/core/src/main/java/org/bankturn/distribution/ChunkPlanner.java
+++ b/core/src/main/java/org/bankturn/distribution/ChunkPlanner.java
@@ -11,7 +11,7 @@
 /**
  * Decides which chunk a box takes next and from which neighbour: the rarest it can get, from the least busy holder.
  *
- * <p>One planner serves one copy of one version. Tell it what neighbours hold, ask {@link #next()} while there is room
+ * <p>One planner serves one copy of one version. Tell it what neighbours hold, ask {@link #next} while there is room
  * for more transfers, and say how each ended. It does no I/O.
  *
  * <p>ChunkPlanner is mutable and not thread-safe.
@@ -20,6 +20,9 @@
     /** Corrupt chunks from one neighbour after which nothing more is asked of it. */
     public static final int CORRUPT_LIMIT = 3;
 
+    /** A neighbour whose link is taken is left alone for this long, and others are asked instead. */
+    public static final long BUSY_MILLIS = 60;
+
     private final int chunkCount;
     private final UniformRandomProvider random;
     private final int transfersPerNeighbour;
@@ -51,6 +54,7 @@
         private BitSet holds = new BitSet();
         private int transfers;
         private int corrupt;
+        private long busyUntilMillis;
     }
 
     /**
@@ -123,9 +127,10 @@
     /**
      * Chooses the next transfer and counts it as begun.
      *
+     * @param nowMillis the box's time
      * @return the transfer, empty if no usable neighbour holds a missing chunk
      */
-    public Optional<Transfer> next() {
+    public Optional<Transfer> next(long nowMillis) {
         BitSet missing = missing();
         int start = missing.isEmpty() ? 0 : random.nextInt(chunkCount);
         int rarest = -1;
@@ -136,7 +141,7 @@
                 int holders = holdersOf(chunk);
                 if (holders > 0
                         && holders < rarestHolders
-                        && leastBusyHolder(chunk).isPresent()) {
+                        && leastBusyHolder(chunk, nowMillis).isPresent()) {
                     rarest = chunk;
                     rarestHolders = holders;
                 }
@@ -145,7 +150,7 @@
         if (rarest < 0) {
             return Optional.empty();
         }
-        String neighbour = leastBusyHolder(rarest).orElseThrow();
+        String neighbour = leastBusyHolder(rarest, nowMillis).orElseThrow();
         neighbours.get(neighbour).transfers++;
         underway.set(rarest);
         return Optional.of(new Transfer(rarest, neighbour));
@@ -175,13 +180,16 @@
      *
      * @param transfer the transfer, not null
      * @param ending how it ended, not null
+     * @param nowMillis the box's time
      */
-    public void ended(Transfer transfer, Ending ending) {
+    public void ended(Transfer transfer, Ending ending, long nowMillis) {
         Neighbour neighbour = neighbours.get(transfer.neighbour());
         neighbour.transfers--;
         if (ending == Ending.CORRUPT) {
             neighbour.corrupt++;
             neighbour.holds.clear(transfer.chunk());
+        } else if (ending == Ending.BUSY) {
+            neighbour.busyUntilMillis = nowMillis + BUSY_MILLIS;
         } else if (ending == Ending.FAILED) {
             neighbour.holds.clear(transfer.chunk());
         }
@@ -205,12 +213,13 @@
         return holders;
     }
 
-    private Optional<String> leastBusyHolder(int chunk) {
+    private Optional<String> leastBusyHolder(int chunk, long nowMillis) {
         List<String> least = new ArrayList<>();
         int transfers = transfersPerNeighbour;
         for (Map.Entry<String, Neighbour> entry : neighbours.entrySet()) {
             Neighbour neighbour = entry.getValue();
-            if (!isUsable(neighbour) || !neighbour.holds.get(chunk) || neighbour.transfers > transfers) {
+            boolean busy = nowMillis < neighbour.busyUntilMillis || neighbour.transfers > transfers;
+            if (!isUsable(neighbour) || !neighbour.holds.get(chunk) || busy) {
                 continue;
             }
             if (neighbour.transfers < transfers) {
--- a/core/src/main/java/org/bankturn/distribution/OriginBudget.java
+++ b/core/src/main/java/org/bankturn/distribution/OriginBudget.java
@@ -4,6 +4,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * How often each chunk of one version was granted for drawing from the origin; part of the agreed state.
@@ -14,11 +15,20 @@
  * <p>OriginBudget is mutable and not thread-safe.
  */
 public final class OriginBudget {
-    /** A chunk that nobody near the asking box holds this long after its last grant is granted again. */
+    /** Grants under way at a time: enough to fill the origin's link, few enough that none waits long in its queue. */
+    public static final int MOST_UNDER_WAY = 12;
+
+    /** A grant counts as lost after this long at least, or after several times as long as grants take. */
     public static final long REPAIR_MILLIS = 4_000;
 
+    private static final int REPAIR_FACTOR = 4;
+    private static final int SMOOTHING = 8;
+
     private final int[] grants;
     private final long[] grantedMillis;
+    private final String[] holders;
+    private final BitSet underWay;
+    private long usualMillis;
     private int total;
 
     /**
@@ -26,8 +36,24 @@
      *
      * @param grants the grants by chunk, not null
      * @param grantedMillis the leader's time of each chunk's last grant, not null
+     * @param holders the box that was last granted each chunk, null if none was, not null
+     * @param underWay the chunks whose last grant has not ended, as a bit set of little-endian longs, not null
+     * @param usualMillis how long grants have taken of late
+     */
+    public record Saved(int[] grants, long[] grantedMillis, String[] holders, long[] underWay, long usualMillis) {}
+
+    /**
+     * What a box asks for.
+     *
+     * @param box the box, not null
+     * @param unreachable the chunks that neither it nor any box it knows holds, not null
+     * @param wanted how many at most
+     * @param policy how many boxes may draw the same chunk, not null
+     * @param silentBoxes boxes that the leader no longer hears from, not null
+     * @param nowMillis the leader's time
      */
-    public record Saved(int[] grants, long[] grantedMillis) {}
+    public record Request(
+            String box, BitSet unreachable, int wanted, BurstPolicy policy, Set<String> silentBoxes, long nowMillis) {}
 
     /**
      * Creates a budget with nothing granted.
@@ -36,7 +62,7 @@
      * @return the budget, not null
      */
     public static OriginBudget ofChunks(int chunkCount) {
-        return new OriginBudget(new int[chunkCount], new long[chunkCount]);
+        return new OriginBudget(new int[chunkCount], new long[chunkCount], new String[chunkCount], new BitSet(), 0);
     }
 
     /**
@@ -46,20 +72,30 @@
      * @return the budget, not null
      */
     public static OriginBudget restore(Saved saved) {
-        return new OriginBudget(saved.grants().clone(), saved.grantedMillis().clone());
+        return new OriginBudget(
+                saved.grants().clone(),
+                saved.grantedMillis().clone(),
+                saved.holders().clone(),
+                BitSet.valueOf(saved.underWay()),
+                saved.usualMillis());
     }
 
-    private OriginBudget(int[] grants, long[] grantedMillis) {
+    private OriginBudget(int[] grants, long[] grantedMillis, String[] holders, BitSet underWay, long usualMillis) {
         this.grants = grants;
         this.grantedMillis = grantedMillis;
+        this.holders = holders;
+        this.underWay = underWay;
+        this.usualMillis = usualMillis;
         for (int count : grants) {
             total += count;
         }
     }
 
+    // ---- queries
+
     /** Returns what a snapshot keeps, not null. */
     public Saved save() {
-        return new Saved(grants.clone(), grantedMillis.clone());
+        return new Saved(grants.clone(), grantedMillis.clone(), holders.clone(), underWay.toLongArray(), usualMillis);
     }
 
     /** Returns the grants given, in copies of the whole version. */
@@ -68,38 +104,88 @@
     }
 
     /**
-     * Grants chunks, least granted first.
+     * Tells whether {@link #grant} would grant anything, without doing so.
      *
-     * @param unreachable the chunks that neither the asking box nor any box it knows holds, not null
-     * @param wanted how many at most
-     * @param policy how many boxes may draw the same chunk, not null
+     * @param request what is asked for, not null
+     * @return true if at least one chunk would be granted
+     */
+    public boolean hasGrantFor(Request request) {
+        return hasRoom(request.nowMillis()) && next(request, List.of()).isPresent();
+    }
+
+    // ---- commands
+
+    /**
+     * Takes in that draws have ended, which makes room for others.
+     *
+     * @param kept the chunks that the box now holds, not null
+     * @param failed the chunks that did not arrive or did not match, which may be granted again, not null
      * @param nowMillis the leader's time
+     */
+    public void ended(BitSet kept, BitSet failed, long nowMillis) {
+        kept.stream().filter(underWay::get).forEach(chunk -> {
+            long took = nowMillis - grantedMillis[chunk];
+            usualMillis += (took - usualMillis) / SMOOTHING;
+            underWay.clear(chunk);
+        });
+        failed.stream().filter(underWay::get).forEach(chunk -> {
+            underWay.clear(chunk);
+            holders[chunk] = null;
+        });
+    }
+
+    /**
+     * Grants chunks, least granted first.
+     *
+     * @param request what is asked for, not null
      * @return the chunks granted, maybe none, not null
      */
-    public List<Integer> grant(BitSet unreachable, int wanted, BurstPolicy policy, long nowMillis) {
+    public List<Integer> grant(Request request) {
         List<Integer> granted = new ArrayList<>();
-        while (granted.size() < wanted && total < grants.length * BurstPolicy.MAXIMUM_ORIGIN_COPIES) {
-            Optional<Integer> next = next(unreachable, policy, nowMillis, granted);
+        while (granted.size() < request.wanted() && hasRoom(request.nowMillis())) {
+            Optional<Integer> next = next(request, granted);
             if (next.isEmpty()) {
                 break;
             }
             int chunk = next.get();
             grants[chunk]++;
-            grantedMillis[chunk] = nowMillis;
+            grantedMillis[chunk] = request.nowMillis();
+            holders[chunk] = request.box();
+            underWay.set(chunk);
             total++;
             granted.add(chunk);
         }
         return granted;
     }
 
-    private Optional<Integer> next(BitSet unreachable, BurstPolicy policy, long nowMillis, List<Integer> taken) {
+    private boolean hasRoom(long nowMillis) {
+        long live =
+                underWay.stream().filter(chunk -> !isOverdue(chunk, nowMillis)).count();
+        return live < MOST_UNDER_WAY && total < grants.length * BurstPolicy.MAXIMUM_ORIGIN_COPIES;
+    }
+
+    private boolean isOverdue(int chunk, long nowMillis) {
+        long limit = Math.max(REPAIR_MILLIS, REPAIR_FACTOR * usualMillis);
+        return nowMillis - grantedMillis[chunk] >= limit;
+    }
+
+    /** A chunk is lost if its draw failed or takes too long, or if the box that drew it last fell silent. */
+    private boolean isLost(int chunk, Request request) {
+        if (holders[chunk] == null) {
+            return true;
+        }
+        boolean late = isOverdue(chunk, request.nowMillis());
+        return late && (underWay.get(chunk) || request.silentBoxes().contains(holders[chunk]));
+    }
+
+    private Optional<Integer> next(Request request, List<Integer> taken) {
         int best = -1;
+        BitSet unreachable = request.unreachable();
         for (int chunk = unreachable.nextSetBit(0);
                 chunk >= 0 && chunk < grants.length;
                 chunk = unreachable.nextSetBit(chunk + 1)) {
-            boolean firstPass = grants[chunk] < policy.copiesOfChunk();
-            boolean lost = nowMillis - grantedMillis[chunk] >= REPAIR_MILLIS;
-            boolean open = (firstPass || lost) && !taken.contains(chunk);
+            boolean firstPass = grants[chunk] < request.policy().copiesOfChunk();
+            boolean open = (firstPass || isLost(chunk, request)) && !taken.contains(chunk);
             if (open && (best < 0 || grants[chunk] < grants[best])) {
                 best = chunk;
             }
--- a/core/src/main/java/org/bankturn/membership/ReportTable.java
+++ b/core/src/main/java/org/bankturn/membership/ReportTable.java
@@ -4,7 +4,9 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
 import org.bankturn.time.Clock;
 
 /**
@@ -75,6 +77,15 @@
                 .toList();
     }
 
+    /** Returns the processes that were heard from once but not of late, not null. */
+    public Set<String> silentProcesses() {
+        long since = clock.millis() - STALE_MILLIS;
+        return newest.values().stream()
+                .filter(received -> received.receivedMillis() < since)
+                .map(received -> received.report().process())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Counts the processes that serve a version and are not leaving.
      *
--- a/core/src/main/java/org/bankturn/state/ReplicatedState.java
+++ b/core/src/main/java/org/bankturn/state/ReplicatedState.java
@@ -117,6 +117,17 @@
         return copies;
     }
 
+    /**
+     * Tells whether a request for origin grants would change anything; if not, it need not be put into the log.
+     *
+     * @param grant the request, stamped with the leader's time, not null
+     * @return false if nothing would be granted and no draw has ended
+     */
+    public boolean wouldChange(Command.GrantOrigin grant) {
+        OriginBudget budget = originBudgets.get(grant.manifest());
+        return budget == null || grant.tellsOfEnds() || budget.hasGrantFor(grant.request());
+    }
+
     /** Returns the whole state, encoded, not null. */
     public byte[] snapshot() {
         Map<String, OriginBudget.Saved> budgets = new HashMap<>();
@@ -248,8 +259,7 @@
     private CommandResult grantOrigin(Command.GrantOrigin grant) {
         OriginBudget budget =
                 originBudgets.computeIfAbsent(grant.manifest(), manifest -> OriginBudget.ofChunks(grant.chunkCount()));
-        BitSet unreachable = BitSet.valueOf(grant.unreachable());
-        return new CommandResult.OriginGranted(
-                budget.grant(unreachable, grant.wanted(), grant.policy(), grant.nowMillis()));
+        budget.ended(BitSet.valueOf(grant.kept()), BitSet.valueOf(grant.failed()), grant.nowMillis());
+        return new CommandResult.OriginGranted(budget.grant(grant.request()));
     }
 }
--- a/core/src/main/java/org/bankturn/state/command/Command.java
+++ b/core/src/main/java/org/bankturn/state/command/Command.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.BitSet;
+import java.util.Set;
 import org.bankturn.distribution.BurstPolicy;
+import org.bankturn.distribution.OriginBudget;
 import org.bankturn.ledger.RecordedAnswer;
 
 /**
@@ -51,8 +54,31 @@
     /** Takes back a claim whose request was proven not to have run. */
     record ReleaseClaim(String account, String key, String attempt) implements Command {}
 
-    /** Asks to draw chunks from the origin; {@code unreachable} is a bit set of chunks as little-endian longs. */
+    /**
+     * Says which draws from the origin have ended and asks for more; {@code kept}, {@code failed} and
+     * {@code unreachable} are bit sets of chunks as little-endian longs. The leader fills in the time and the boxes that
+     * it no longer hears from.
+     */
     record GrantOrigin(
-            String manifest, int chunkCount, long[] unreachable, int wanted, BurstPolicy policy, long nowMillis)
-            implements Command {}
+            String manifest,
+            int chunkCount,
+            String box,
+            long[] kept,
+            long[] failed,
+            long[] unreachable,
+            int wanted,
+            BurstPolicy policy,
+            Set<String> silentBoxes,
+            long nowMillis)
+            implements Command {
+        /** Returns what the box asks for, as the budget takes it, not null. */
+        public OriginBudget.Request request() {
+            return new OriginBudget.Request(box, BitSet.valueOf(unreachable), wanted, policy, silentBoxes, nowMillis);
+        }
+
+        /** Returns true if a draw has ended since the box last asked. */
+        public boolean tellsOfEnds() {
+            return kept.length + failed.length > 0;
+        }
+    }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/control/CommandStamp.java
+++ b/daemon/src/main/java/org/bankturn/daemon/control/CommandStamp.java
@@ -1,12 +1,13 @@
 package org.bankturn.daemon.control;
 
+import java.util.Set;
 import org.bankturn.state.command.Command;
 
 /** Turns the relative times of a submitted command into the leader's absolute ones. */
 final class CommandStamp {
     private CommandStamp() {}
 
-    static Command stamp(Command command, long nowMillis, long expiredFence) {
+    static Command stamp(Command command, long nowMillis, long expiredFence, Set<String> silentBoxes) {
         if (command instanceof Command.ClaimRequest claim) {
             return new Command.ClaimRequest(
                     claim.account(),
@@ -21,9 +22,13 @@
             return new Command.GrantOrigin(
                     grant.manifest(),
                     grant.chunkCount(),
+                    grant.box(),
+                    grant.kept(),
+                    grant.failed(),
                     grant.unreachable(),
                     grant.wanted(),
                     grant.policy(),
+                    silentBoxes,
                     nowMillis);
         }
         if (command instanceof Command.AcquireLease acquire) {
--- a/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
@@ -8,12 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.bankturn.agreement.Agreement;
 import org.bankturn.agreement.AgreementMessage;
 import org.bankturn.agreement.LogEntry;
@@ -68,12 +70,14 @@
      * @param send sends a message to a member; may lose it, not null
      * @param contacts the boxes to ask when this one must join, not null
      * @param snapshotEvery log entries between snapshots
+     * @param silentBoxes the boxes that this process no longer hears from, not null
      * @param fatal called when the data folder failed and the process must stop, not null
      */
     public record ControlWiring(
             BiConsumer<Member, AgreementMessage> send,
             List<Member> contacts,
             int snapshotEvery,
+            Supplier<Set<String>> silentBoxes,
             Function<IOException, Void> fatal) {}
 
     /**
@@ -262,7 +266,18 @@
         if (command instanceof Command.AcquireLease acquire && mustWait(acquire, result)) {
             return;
         }
-        Command stamped = CommandStamp.stamp(command, clock.millis(), expiredFence(command));
+        Command stamped = CommandStamp.stamp(
+                command,
+                clock.millis(),
+                expiredFence(command),
+                wiring.silentBoxes().get());
+        boolean idle = stamped instanceof Command.GrantOrigin grant
+                && agreement.isEstablishedLeader()
+                && !state.wouldChange(grant);
+        if (idle) {
+            result.complete(new CommandResult.OriginGranted(List.of()));
+            return;
+        }
         OptionalLong index = agreement.propose(MessagePackCodec.instance().encode(stamped));
         if (index.isEmpty()) {
             result.complete(notDone(ResultCode.NOT_LEADER));
--- a/daemon/src/main/java/org/bankturn/daemon/control/ControlRole.java
+++ b/daemon/src/main/java/org/bankturn/daemon/control/ControlRole.java
@@ -111,7 +111,11 @@
                 holder,
                 clock,
                 new ControlMember.ControlWiring(
-                        this::send, otherBoxes(), settings.control().snapshotEvery(), this::stopProcess));
+                        this::send,
+                        otherBoxes(),
+                        settings.control().snapshotEvery(),
+                        reports::silentProcesses,
+                        this::stopProcess));
         this.statusQuery = new StatusQuery(settings.process(), member, reports, clock);
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
@@ -9,6 +9,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CancellationException;
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.configuration.Box;
@@ -33,7 +34,8 @@
  */
 final class VersionCopy {
     private static final Logger LOG = System.getLogger(VersionCopy.class.getName());
-    private static final int TRANSFERS_AT_ONCE = 4;
+    private static final int TRANSFERS_AT_ONCE = 6;
+    private static final int ORIGIN_DRAWS_AT_ONCE = 4;
     private static final int TRANSFERS_PER_NEIGHBOUR = 2;
     private static final int ORIGIN_CORRUPT_LIMIT = 3;
     private static final long HOLDS_WAIT_MILLIS = 1_000;
@@ -53,7 +55,9 @@
     private ChunkFile file;
     private ChunkPlanner planner;
     private int transfers;
-    private int originTransfers;
+    private int originDraws;
+    private final BitSet originKept = new BitSet();
+    private final BitSet originFailed = new BitSet();
     private int originCorrupt;
     private long originAskedMillis;
     private long originPauseMillis = RETRY_MILLIS;
@@ -195,13 +199,13 @@
             return;
         }
         while (transfers < TRANSFERS_AT_ONCE) {
-            Optional<Transfer> next = planner.next();
+            Optional<Transfer> next = planner.next(context.clock().millis());
             if (next.isEmpty()) {
                 break;
             }
             startTransfer(next.get());
         }
-        if (transfers < TRANSFERS_AT_ONCE) {
+        if (originDraws < ORIGIN_DRAWS_AT_ONCE || hasEndsToTell()) {
             askForOriginGrant();
         }
     }
@@ -218,11 +222,12 @@
                 .then(reply -> receivedFromPeer(transfer.chunk(), reply), failure -> Promise.of(Ending.FAILED))
                 .whenComplete((ending, failure) -> {
                     Ending known = failure == null ? ending : Ending.FAILED;
-                    planner.ended(transfer, known);
-                    Promises.delay(known == Ending.BUSY ? RETRY_MILLIS : 0).whenResult(() -> {
-                        transfers--;
-                        pump();
-                    });
+                    planner.ended(transfer, known, context.clock().millis());
+                    transfers--;
+                    pump();
+                    if (known == Ending.BUSY) {
+                        Promises.delay(ChunkPlanner.BUSY_MILLIS).whenResult(this::pump);
+                    }
                 });
     }
 
@@ -260,10 +265,10 @@
         BitSet unreachable = planner.unreachable();
         long now = context.clock().millis();
         boolean tooSoon = now - originAskedMillis < originPauseMillis;
-        if (askingOrigin || unreachable.isEmpty()) {
+        if (askingOrigin || (unreachable.isEmpty() && !hasEndsToTell())) {
             return;
         }
-        if (tooSoon) {
+        if (tooSoon && !hasEndsToTell()) {
             Promises.delay(originPauseMillis).whenResult(this::pump);
             return;
         }
@@ -272,13 +277,23 @@
         Command command = new Command.GrantOrigin(
                 version.manifest(),
                 file.manifest().chunkCount(),
+                context.box(),
+                originKept.toLongArray(),
+                originFailed.toLongArray(),
                 unreachable.toLongArray(),
-                TRANSFERS_AT_ONCE - transfers,
+                Math.max(0, ORIGIN_DRAWS_AT_ONCE - originDraws),
                 model.policy(),
+                Set.of(),
                 0);
+        BitSet toldKept = (BitSet) originKept.clone();
+        BitSet toldFailed = (BitSet) originFailed.clone();
         Promise.<CommandResult>ofFuture(context.control().submit(command, GRANT_TIMEOUT_MILLIS))
                 .whenComplete((result, failure) -> {
                     askingOrigin = false;
+                    if (result instanceof CommandResult.OriginGranted) {
+                        originKept.andNot(toldKept);
+                        originFailed.andNot(toldFailed);
+                    }
                     boolean granted = result instanceof CommandResult.OriginGranted grant
                             && !grant.chunks().isEmpty();
                     originPauseMillis = granted ? 0 : Math.min(2 * originPauseMillis + RETRY_MILLIS, 10 * RETRY_MILLIS);
@@ -289,20 +304,24 @@
                 });
     }
 
+    private boolean hasEndsToTell() {
+        return !originKept.isEmpty() || !originFailed.isEmpty();
+    }
+
     private void drawFromOrigin(int chunk) {
         if (stopped) {
             return;
         }
-        transfers++;
-        originTransfers++;
+        originDraws++;
         planner.originBegun(chunk);
         context.origin()
                 .chunk(version.origin(), file.manifest(), chunk)
                 .then(bytes -> keep(chunk, bytes, "origin"), failure -> Promise.of(Ending.FAILED))
                 .whenComplete((ending, failure) -> {
-                    transfers--;
-                    originTransfers--;
-                    planner.originEnded(chunk, failure == null ? ending : Ending.FAILED);
+                    originDraws--;
+                    Ending known = failure == null ? ending : Ending.FAILED;
+                    (known == Ending.KEPT ? originKept : originFailed).set(chunk);
+                    planner.originEnded(chunk, known);
                     if (ending == Ending.CORRUPT && ++originCorrupt >= ORIGIN_CORRUPT_LIMIT) {
                         fail(new CopyStoppedException(ResultCode.ORIGIN_CORRUPT));
                         return;
--- a/specs/Agreement.tla
+++ b/specs/Agreement.tla
@@ -24,13 +24,13 @@
 Symmetry == Permutations(Boxes)
 FirstMembers == {<<b, 1>> : b \in Boxes}
 
-VARIABLES term, votedFor, log, commit, leading,  \* by member
+VARIABLES term, votedFor, log, commit, role,     \* by member
           running,                               \* the life that runs on each box
           losses,
           requests, votes, appends, acks,        \* messages
           accepted                               \* history: <<index, entry>> ever committed anywhere
 
-vars == <<term, votedFor, log, commit, leading, running, losses, requests, votes, appends, acks, accepted>>
+vars == <<term, votedFor, log, commit, role, running, losses, requests, votes, appends, acks, accepted>>
 
 Alive == {<<b, running[b]>> : b \in Boxes}
 
@@ -50,18 +50,19 @@
     /\ votedFor = [m \in Member |-> None]
     /\ log = [m \in Member |-> <<>>]
     /\ commit = [m \in Member |-> 0]
-    /\ leading = [m \in Member |-> FALSE]
+    /\ role = [m \in Member |-> "follower"]
     /\ running = [b \in Boxes |-> 1]
     /\ losses = 0
     /\ requests = {} /\ votes = {} /\ appends = {} /\ acks = {} /\ accepted = {}
 
 StartElection(m) ==
-    /\ m \in Alive /\ m \in Members(m) /\ ~leading[m] /\ term[m] < MaxTerm
+    /\ m \in Alive /\ m \in Members(m) /\ role[m] # "leader" /\ term[m] < MaxTerm
     /\ term' = [term EXCEPT ![m] = @ + 1]
     /\ votedFor' = [votedFor EXCEPT ![m] = m]
     /\ votes' = votes \cup {<<term[m] + 1, m, m>>}
     /\ requests' = requests \cup {<<term[m] + 1, m, Len(log[m]), LastTerm(log[m])>>}
-    /\ UNCHANGED <<log, commit, leading, running, losses, appends, acks, accepted>>
+    /\ role' = [role EXCEPT ![m] = "candidate"]
+    /\ UNCHANGED <<log, commit, running, losses, appends, acks, accepted>>
 
 OnVoteRequest(m, r) ==
     LET t == r[1] c == r[2]
@@ -72,39 +73,39 @@
        /\ <<t, m, c>> \notin votes
        /\ term' = [term EXCEPT ![m] = t]
        /\ votedFor' = [votedFor EXCEPT ![m] = c]
-       /\ leading' = [leading EXCEPT ![m] = IF newer THEN FALSE ELSE @]
+       /\ role' = [role EXCEPT ![m] = IF newer THEN "follower" ELSE @]
        /\ commit' = [commit EXCEPT ![m] = IF newer THEN 0 ELSE @]
        /\ votes' = votes \cup {<<t, m, c>>}
        /\ UNCHANGED <<log, running, losses, requests, appends, acks, accepted>>
 
 BecomeLeader(m) ==
-    /\ m \in Alive /\ ~leading[m] /\ votedFor[m] = m
+    /\ m \in Alive /\ role[m] = "candidate"
     /\ IsMajority({v \in Member : <<term[m], v, m>> \in votes}, Members(m))
-    /\ leading' = [leading EXCEPT ![m] = TRUE]
+    /\ role' = [role EXCEPT ![m] = "leader"]
     /\ UNCHANGED <<term, votedFor, log, commit, running, losses, requests, votes, appends, acks, accepted>>
 
 AppendAsLeader(m, members) ==
     /\ Len(log[m]) < MaxLog
     /\ log' = [log EXCEPT ![m] = Append(@, [term |-> term[m], members |-> members])]
     /\ acks' = acks \cup {<<term[m], m, Len(log[m]) + 1>>}
-    /\ UNCHANGED <<term, votedFor, commit, leading, running, losses, requests, votes, appends, accepted>>
+    /\ UNCHANGED <<term, votedFor, commit, role, running, losses, requests, votes, appends, accepted>>
 
-Propose(m) == m \in Alive /\ leading[m] /\ AppendAsLeader(m, {})
+Propose(m) == m \in Alive /\ role[m] = "leader" /\ AppendAsLeader(m, {})
 
 Replicate(m) ==
-    /\ m \in Alive /\ leading[m] /\ log[m] # <<>>
+    /\ m \in Alive /\ role[m] = "leader" /\ log[m] # <<>>
     /\ <<term[m], log[m]>> \notin appends
     /\ appends' = appends \cup {<<term[m], log[m]>>}
-    /\ UNCHANGED <<term, votedFor, log, commit, leading, running, losses, requests, votes, acks, accepted>>
+    /\ UNCHANGED <<term, votedFor, log, commit, role, running, losses, requests, votes, acks, accepted>>
 
 OnAppendRequest(m, a) ==
     LET t == a[1]
         kept == IF IsPrefix(a[2], log[m]) THEN log[m] ELSE a[2]
-    IN /\ m \in Alive /\ t >= term[m] /\ ~(leading[m] /\ t = term[m])
+    IN /\ m \in Alive /\ t >= term[m] /\ ~(role[m] = "leader" /\ t = term[m])
        /\ (log[m] # kept \/ <<t, m, Len(a[2])>> \notin acks)
        /\ term' = [term EXCEPT ![m] = t]
        /\ votedFor' = [votedFor EXCEPT ![m] = IF t > term[m] THEN None ELSE @]
-       /\ leading' = [leading EXCEPT ![m] = FALSE]
+       /\ role' = [role EXCEPT ![m] = "follower"]
        /\ log' = [log EXCEPT ![m] = kept]
        /\ commit' = [commit EXCEPT ![m] = 0]
        /\ acks' = acks \cup {<<t, m, Len(a[2])>>}
@@ -112,11 +113,11 @@
 
 AdvanceCommit(m) ==
     \E i \in 1 .. Len(log[m]) :
-        /\ m \in Alive /\ leading[m] /\ i > commit[m] /\ log[m][i].term = term[m]
+        /\ m \in Alive /\ role[m] = "leader" /\ i > commit[m] /\ log[m][i].term = term[m]
         /\ IsMajority({f \in Member : \E n \in i .. MaxLog : <<term[m], f, n>> \in acks}, Members(m))
         /\ commit' = [commit EXCEPT ![m] = i]
         /\ accepted' = accepted \cup {<<j, log[m][j]>> : j \in 1 .. i}
-        /\ UNCHANGED <<term, votedFor, log, leading, running, losses, requests, votes, appends, acks>>
+        /\ UNCHANGED <<term, votedFor, log, role, running, losses, requests, votes, appends, acks>>
 
 \* The two steps by which a leader lets a new life take the place of the old one.
 AdmitJoiner(m) ==
@@ -125,12 +126,12 @@
             caughtUp == commit[m] = 0 \/ \E n \in commit[m] .. MaxLog : <<term[m], j, n>> \in acks
             settled == Config(log[m], commit[m]) = Members(m)
             established == commit[m] > 0 /\ log[m][commit[m]].term = term[m]
-        IN /\ m \in Alive /\ leading[m] /\ j \notin Members(m) /\ caughtUp /\ settled /\ established
+        IN /\ m \in Alive /\ role[m] = "leader" /\ j \notin Members(m) /\ caughtUp /\ settled /\ established
            /\ AppendAsLeader(m, IF former # {} THEN Members(m) \ former ELSE Members(m) \cup {j})
 
 Restart(m) ==
-    /\ m \in Alive /\ leading[m]
-    /\ leading' = [leading EXCEPT ![m] = FALSE]
+    /\ m \in Alive /\ role[m] = "leader"
+    /\ role' = [role EXCEPT ![m] = "follower"]
     /\ commit' = [commit EXCEPT ![m] = 0]
     /\ UNCHANGED <<term, votedFor, log, running, losses, requests, votes, appends, acks, accepted>>
 
@@ -140,13 +141,13 @@
     /\ losses' = losses + 1
     /\ IF NewLifeGuard
        THEN /\ running' = [running EXCEPT ![b] = 2]
-            /\ UNCHANGED <<term, votedFor, log, commit, leading>>
+            /\ UNCHANGED <<term, votedFor, log, commit, role>>
        ELSE /\ UNCHANGED running
             /\ term' = [term EXCEPT ![<<b, 1>>] = 0]
             /\ votedFor' = [votedFor EXCEPT ![<<b, 1>>] = None]
             /\ log' = [log EXCEPT ![<<b, 1>>] = <<>>]
             /\ commit' = [commit EXCEPT ![<<b, 1>>] = 0]
-            /\ leading' = [leading EXCEPT ![<<b, 1>>] = FALSE]
+            /\ role' = [role EXCEPT ![<<b, 1>>] = "follower"]
     /\ UNCHANGED <<requests, votes, appends, acks, accepted>>
 
 Next ==
@@ -162,7 +163,7 @@
 ----------------------------------------------------------------------------
 OneEntryPerIndex == \A x, y \in accepted : x[1] = y[1] => x[2] = y[2]
 
-OneLeaderPerTerm == \A m, n \in Alive : leading[m] /\ leading[n] /\ term[m] = term[n] => m = n
+OneLeaderPerTerm == \A m, n \in Alive : role[m] = "leader" /\ role[n] = "leader" /\ term[m] = term[n] => m = n
 
 \* What a leader believes committed is what was accepted, so no accepted entry reverts.
 CommittedIsAccepted ==
@@ -170,6 +171,6 @@
 
 \* Every accepted entry stands in the log of whoever leads in a later term.
 NoAcceptedEntryLost ==
-    \A m \in Alive : leading[m] =>
+    \A m \in Alive : role[m] = "leader" =>
         \A x \in accepted : x[2].term < term[m] => x[1] <= Len(log[m]) /\ log[m][x[1]] = x[2]
 ============================================================================
