Burst: short queues at senders, and the receiver's link counted as busy while bytes were on their way

Cause: a sender queued 400 ms of chunks while receivers have six slots, and a receiver waited a whole chunk's time after it had come in, although its link was free on the way; both held slots. Ruled out: processor time (30 boxes took 30-40% of a core each at most) and the origin's budget (1.35 copies). Change: a sender is busy beyond one and a half chunks; arrivals overlap with their way.

--- a/core/src/main/java/org/bankturn/distribution/LinkLimit.java
+++ b/core/src/main/java/org/bankturn/distribution/LinkLimit.java
@@ -12,6 +12,7 @@
  */
 public final class LinkLimit {
     private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final double MOST_WAITING = 1.5;
 
     private final Clock clock;
     private final double bytesPerMilli;
@@ -52,8 +53,26 @@
         return Math.max(0, Math.round(freeAtMillis - now));
     }
 
-    /** Returns milliseconds of transfers already waiting, 0 or more. */
-    public synchronized long backlogMillis() {
-        return Math.max(0, Math.round(freeAtMillis - clock.millis()));
+    /**
+     * Takes room for a transfer that has just come in, and so was on its way while the link was free.
+     *
+     * @param bytes its size
+     * @return milliseconds until it may count as through at this rate, 0 or more
+     */
+    public synchronized long arrivalDelayMillis(long bytes) {
+        double now = clock.millis();
+        double takes = bytes / bytesPerMilli;
+        freeAtMillis = Math.max(freeAtMillis, now - takes) + takes;
+        return Math.max(0, Math.round(freeAtMillis - now));
+    }
+
+    /**
+     * Tells whether the link has more waiting than it should: a queue keeps it full, a long one only makes peers wait.
+     *
+     * @param bytes the size of one more transfer
+     * @return true if more than one and a half transfers of that size wait already
+     */
+    public synchronized boolean isBusyFor(long bytes) {
+        return freeAtMillis - clock.millis() > MOST_WAITING * bytes / bytesPerMilli;
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/target/ChunkServer.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/ChunkServer.java
@@ -20,7 +20,6 @@
  * <p>ChunkServer is confined to its reactor's thread; files are read on the executor.
  */
 final class ChunkServer {
-    private static final long MOST_BACKLOG_MILLIS = 400;
     private static final long NEWS_PAUSE_MILLIS = 20;
 
     private final Executor files;
@@ -75,10 +74,11 @@
                 || request.chunk() >= file.manifest().chunkCount()) {
             return Promise.of(new NodeReply.Chunk(null, false));
         }
-        if (upload.backlogMillis() > MOST_BACKLOG_MILLIS) {
+        int size = file.manifest().sizeOf(request.chunk());
+        if (upload.isBusyFor(size)) {
             return Promise.of(new NodeReply.Chunk(null, true));
         }
-        long delay = upload.delayMillis(file.manifest().sizeOf(request.chunk()));
+        long delay = upload.delayMillis(size);
         return Promises.delay(delay)
                 .then(nothing -> Promise.ofBlocking(files, () -> file.read(request.chunk())))
                 .map(bytes -> new NodeReply.Chunk(bytes, false));
--- a/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
@@ -243,7 +243,7 @@
 
     /** Waits until the own link would have let the bytes through, checks them and keeps them. */
     private Promise<Ending> keep(int chunk, byte[] bytes, String source) {
-        long delay = context.download().delayMillis(bytes.length);
+        long delay = context.download().arrivalDelayMillis(bytes.length);
         return Promises.delay(delay)
                 .then(nothing -> Promise.ofBlocking(context.files(), () -> file.keep(chunk, bytes)))
                 .map(kept -> {
--- a/standins/src/main/java/org/bankturn/bench/BurstBench.java
+++ b/standins/src/main/java/org/bankturn/bench/BurstBench.java
@@ -93,6 +93,9 @@
         ObjectNode result = new ObjectMapper().createObjectNode();
         result.put("boxes", boxes).put("policy", policy).put("fault", fault);
         result.put("mebibytes", mebibytes).put("chunkKibibytes", chunkKibibytes);
+        double firstChunk = awaitOriginSent(0.001, startNanos);
+        double oneCopy = awaitOriginSent(0.999, startNanos);
+        result.put("secondsToFirstChunkOut", firstChunk).put("secondsToOneCopyOut", oneCopy);
         double half = awaitServing(expected / 2, startNanos);
         double most = awaitServing(expected * 9 / 10, startNanos);
         double all = awaitServing(expected, startNanos);
@@ -143,6 +146,15 @@
         }
     }
 
+    private double awaitOriginSent(double copies, long startNanos) {
+        String manifest = weights.manifest().digest();
+        Await.until(
+                copies + " copies left the origin",
+                TIMEOUT_MILLIS,
+                () -> running.origin().copiesSent(manifest) >= copies);
+        return (System.nanoTime() - startNanos) / 1e9;
+    }
+
     private double awaitServing(int count, long startNanos) {
         Await.until(
                 count + " engines serve", TIMEOUT_MILLIS + STALL_MILLIS, () -> running.enginesWith(weights) >= count);
