Configuration: a change reads only the file that changed; targets are found by service and hall

Change: accepted files are kept as read; names are counted in a map; boxes are grouped by service and hall when a configuration is made. Also: targets are asked every 500 ms, the control thread wakes every 40 ms.

--- a/core/src/main/java/org/bankturn/configuration/Configuration.java
+++ b/core/src/main/java/org/bankturn/configuration/Configuration.java
@@ -1,7 +1,6 @@
 package org.bankturn.configuration;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,7 +23,7 @@
     private static final Configuration EMPTY = new Configuration(0, new TreeMap<>(), new TreeMap<>());
 
     private final long index;
-    private final Map<String, FileRecord> files;
+    private final Map<String, AcceptedFile> files;
     private final Map<String, String> inService;
     private final String digest;
     private final Map<String, DataHall> dataHalls;
@@ -33,6 +32,7 @@
     private final Map<String, ModelVersion> versions;
     private final Map<String, Service> services;
     private final Map<String, ClientAccount> clientAccounts;
+    private final Map<String, Map<String, List<Box>>> usableBoxes;
 
     /** Returns the configuration before any file, index 0, not null. */
     public static Configuration empty() {
@@ -48,24 +48,24 @@
      * @return the configuration, not null
      */
     public static Configuration of(long index, List<FileRecord> files, Map<String, String> inService) {
-        TreeMap<String, FileRecord> byName = new TreeMap<>();
-        files.forEach(file -> byName.put(file.name(), file));
-        return new Configuration(index, byName, new TreeMap<>(inService));
+        return EMPTY.withFiles(index, files, inService);
     }
 
-    private Configuration(long index, Map<String, FileRecord> files, Map<String, String> inService) {
+    private Configuration(long index, Map<String, AcceptedFile> files, Map<String, String> inService) {
         this.index = index;
         this.files = files;
         this.inService = inService;
-        List<OperatorFile> contents = files.values().stream()
-                .map(file -> OperatorFileReader.read(file.name(), file.text()).content())
-                .toList();
+        List<OperatorFile> contents =
+                files.values().stream().map(file -> file.parsed().content()).toList();
         this.dataHalls = collect(contents, OperatorFile::dataHalls, DataHall::name);
         this.boxes = collect(contents, OperatorFile::boxes, Box::name);
         this.models = collect(contents, OperatorFile::models, Model::name);
         this.versions = collect(contents, OperatorFile::versions, version -> version.model() + "/" + version.name());
         this.services = collect(contents, OperatorFile::services, Service::name);
         this.clientAccounts = collect(contents, OperatorFile::clientAccounts, ClientAccount::name);
+        this.usableBoxes = boxes.values().stream()
+                .filter(this::mayBeUsed)
+                .collect(Collectors.groupingBy(Box::service, Collectors.groupingBy(Box::dataHall)));
         this.digest = computeDigest();
     }
 
@@ -83,7 +83,7 @@
 
     /** Returns the newest accepted files by name, not null. */
     public List<FileRecord> files() {
-        return List.copyOf(files.values());
+        return files.values().stream().map(AcceptedFile::record).toList();
     }
 
     /** Returns the manifest in service by model name, not null. */
@@ -178,14 +178,26 @@
      * Lists the boxes whose weights may come from each other: same model, halls that the model allows.
      *
      * @param model the model, not null
-     * @return the boxes by name, not null
+     * @return the boxes, not null
      */
     public List<Box> boxesOf(Model model) {
-        return boxes.values().stream()
-                .filter(box -> modelOn(box).filter(model::equals).isPresent())
+        return services.values().stream()
+                .filter(service -> model.name().equals(service.model()))
+                .flatMap(service -> usableBoxes(service.name()).values().stream())
+                .flatMap(List::stream)
                 .toList();
     }
 
+    /**
+     * Lists the boxes of a service, without those in a hall that the service's model does not allow.
+     *
+     * @param service the service's name, not null
+     * @return the boxes by hall, not null
+     */
+    public Map<String, List<Box>> usableBoxes(String service) {
+        return usableBoxes.getOrDefault(service, Map.of());
+    }
+
     /**
      * Checks a text as the next content of its file, against all other files in force.
      *
@@ -200,11 +212,14 @@
         }
         List<ParsedFile> all = new ArrayList<>();
         files.values().stream()
-                .filter(file -> !file.name().equals(candidate.content().name()))
-                .forEach(file -> all.add(OperatorFileReader.read(file.name(), file.text())));
+                .map(AcceptedFile::parsed)
+                .filter(file ->
+                        !file.content().name().equals(candidate.content().name()))
+                .forEach(all::add);
         all.add(candidate);
-        List<NamedThing> described =
-                all.stream().flatMap(file -> file.described().stream()).toList();
+        Map<NamedThing.Identity, Long> described = all.stream()
+                .flatMap(file -> file.described().stream())
+                .collect(Collectors.groupingBy(NamedThing::identity, Collectors.counting()));
         return Stream.concat(
                         duplicates(candidate, described),
                         all.stream()
@@ -232,11 +247,29 @@
      * @return the next configuration, at the file's index, not null
      */
     public Configuration withFile(FileRecord file) {
-        TreeMap<String, FileRecord> changed = new TreeMap<>(files);
-        changed.put(file.name(), file);
+        Map<String, AcceptedFile> changed = new TreeMap<>(files);
+        changed.put(file.name(), AcceptedFile.read(file));
         return new Configuration(file.index(), changed, inService);
     }
 
+    /**
+     * Returns a configuration of the given files; files that this one has already are not read again.
+     *
+     * @param atIndex the index
+     * @param all every file, not null
+     * @param manifests the manifest in service by model name, not null
+     * @return the configuration, not null
+     */
+    Configuration withFiles(long atIndex, List<FileRecord> all, Map<String, String> manifests) {
+        Map<String, AcceptedFile> byName = new TreeMap<>();
+        for (FileRecord file : all) {
+            AcceptedFile known = files.get(file.name());
+            boolean same = known != null && known.record().equals(file);
+            byName.put(file.name(), same ? known : AcceptedFile.read(file));
+        }
+        return new Configuration(atIndex, byName, new TreeMap<>(manifests));
+    }
+
     /**
      * Returns this configuration with a version in service.
      *
@@ -260,17 +293,29 @@
                 .collect(Collectors.toMap(name, thing -> thing, (first, second) -> first, TreeMap::new));
     }
 
-    private static Stream<DocumentError> duplicates(ParsedFile candidate, List<NamedThing> described) {
+    /** An accepted file with what was read from it. */
+    private record AcceptedFile(FileRecord record, ParsedFile parsed) {
+        static AcceptedFile read(FileRecord record) {
+            return new AcceptedFile(record, OperatorFileReader.read(record.name(), record.text()));
+        }
+    }
+
+    private boolean mayBeUsed(Box box) {
+        Service service = services.get(box.service());
+        return service != null && (!service.hasModel() || modelOn(box).isPresent());
+    }
+
+    private static Stream<DocumentError> duplicates(ParsedFile candidate, Map<NamedThing.Identity, Long> described) {
         return candidate.described().stream()
-                .filter(name -> described.stream().filter(name::isSameThing).count() > 1)
+                .filter(name -> described.get(name.identity()) > 1)
                 .map(name -> new DocumentError(
                         ResultCode.NAME_DUPLICATE,
                         name.location(),
                         name.kind().words() + " " + name.name() + " is described twice"));
     }
 
-    private static Stream<DocumentError> unknown(NamedThing name, List<NamedThing> described) {
-        if (described.stream().anyMatch(name::isSameThing)) {
+    private static Stream<DocumentError> unknown(NamedThing name, Map<NamedThing.Identity, Long> described) {
+        if (described.containsKey(name.identity())) {
             return Stream.empty();
         }
         String message = "no file describes the " + name.kind().words() + " " + name.name();
@@ -279,16 +324,14 @@
 
     private String computeDigest() {
         StringBuilder text = new StringBuilder().append(index);
-        files.values().stream()
-                .sorted(Comparator.comparing(FileRecord::name))
-                .forEach(file -> text.append('\n')
-                        .append(file.name())
-                        .append(' ')
-                        .append(file.number())
-                        .append(' ')
-                        .append(file.index())
-                        .append(' ')
-                        .append(file.digest()));
+        files().forEach(file -> text.append('\n')
+                .append(file.name())
+                .append(' ')
+                .append(file.number())
+                .append(' ')
+                .append(file.index())
+                .append(' ')
+                .append(file.digest()));
         inService.forEach(
                 (model, manifest) -> text.append('\n').append(model).append('=').append(manifest));
         return Digest.of(text.toString());
--- a/core/src/main/java/org/bankturn/configuration/ConfigurationUpdate.java
+++ b/core/src/main/java/org/bankturn/configuration/ConfigurationUpdate.java
@@ -40,7 +40,7 @@
         files.removeIf(
                 file -> changedFiles.stream().anyMatch(changed -> changed.name().equals(file.name())));
         files.addAll(changedFiles);
-        Configuration result = Configuration.of(index, files, inService);
+        Configuration result = base.withFiles(index, files, inService);
         return Optional.of(result).filter(made -> made.digest().equals(digest));
     }
 }
--- a/core/src/main/java/org/bankturn/configuration/NamedThing.java
+++ b/core/src/main/java/org/bankturn/configuration/NamedThing.java
@@ -24,7 +24,10 @@
         }
     }
 
-    boolean isSameThing(NamedThing other) {
-        return kind == other.kind && name.equals(other.name);
+    /** What makes two names stand for the same thing. */
+    record Identity(Kind kind, String name) {}
+
+    Identity identity() {
+        return new Identity(kind, name);
     }
 }
--- a/core/src/main/java/org/bankturn/routing/TargetSelector.java
+++ b/core/src/main/java/org/bankturn/routing/TargetSelector.java
@@ -1,6 +1,7 @@
 package org.bankturn.routing;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.bankturn.configuration.Box;
@@ -61,26 +62,25 @@
      * @return the targets of the own hall if there are any, else those of other allowed halls, not null
      */
     public List<Box> candidates(Service service, ClientAccount account, Set<String> tried) {
-        List<Box> allowed = configuration.boxes().stream()
-                .filter(box -> box.service().equals(service.name()) && !box.leaving())
-                .filter(box -> account.mayLiveIn(box.dataHall()))
-                .filter(box -> !tried.contains(box.name()) && view.mayTakeWork(box.name()))
-                .filter(box -> servesNow(service, box))
-                .toList();
-        List<Box> own = allowed.stream()
-                .filter(box -> box.dataHall().equals(ownDataHall))
+        Map<String, List<Box>> byHall = configuration.usableBoxes(service.name());
+        List<Box> own = willing(service, account, tried, byHall.getOrDefault(ownDataHall, List.of()));
+        if (!own.isEmpty()) {
+            return own;
+        }
+        return byHall.values().stream()
+                .flatMap(boxes -> willing(service, account, tried, boxes).stream())
                 .toList();
-        return own.isEmpty() ? allowed : own;
     }
 
-    private boolean servesNow(Service service, Box box) {
-        if (!service.hasModel()) {
-            return true;
+    private List<Box> willing(Service service, ClientAccount account, Set<String> tried, List<Box> boxes) {
+        String version = versionOf(service).orElse(null);
+        if (service.hasModel() && version == null) {
+            return List.of();
         }
-        boolean allowed = configuration.modelOn(box).isPresent();
-        return allowed
-                && versionOf(service)
-                        .filter(version -> view.serves(box.name(), version))
-                        .isPresent();
+        return boxes.stream()
+                .filter(box -> !box.leaving() && account.mayLiveIn(box.dataHall()))
+                .filter(box -> !tried.contains(box.name()) && view.mayTakeWork(box.name()))
+                .filter(box -> version == null || view.serves(box.name(), version))
+                .toList();
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
@@ -42,7 +42,7 @@
  */
 public final class ControlMember {
     private static final Logger LOG = System.getLogger(ControlMember.class.getName());
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 40;
     private static final long PROPOSAL_TIMEOUT_MILLIS = 4_000;
     private static final long JOIN_RETRY_MILLIS = 500;
 
--- a/daemon/src/main/java/org/bankturn/daemon/entry/EntryServlet.java
+++ b/daemon/src/main/java/org/bankturn/daemon/entry/EntryServlet.java
@@ -121,10 +121,10 @@
         long weightOfAll = configuration.clientAccounts().stream()
                 .mapToLong(ClientAccount::weight)
                 .sum();
-        long boxes = configuration.boxes().stream()
-                .filter(box -> request.account().mayLiveIn(box.dataHall()))
-                .filter(box -> box.service().equals(request.service().name()))
-                .count();
+        long boxes = configuration.usableBoxes(request.service().name()).entrySet().stream()
+                .filter(hall -> request.account().mayLiveIn(hall.getKey()))
+                .mapToLong(hall -> hall.getValue().size())
+                .sum();
         int capacity = (int) Math.max(1, boxes * request.service().requestsAtOnce());
         long remaining = request.dueMillis() - state.clock().millis();
         return new FairAdmission.Candidate(
--- a/daemon/src/main/java/org/bankturn/daemon/entry/TargetPoller.java
+++ b/daemon/src/main/java/org/bankturn/daemon/entry/TargetPoller.java
@@ -16,7 +16,7 @@
  * <p>TargetPoller is confined to its reactor's thread.
  */
 final class TargetPoller {
-    private static final long SHORTEST_ROUND_MILLIS = 250;
+    private static final long SHORTEST_ROUND_MILLIS = 500;
     private static final long MILLIS_PER_TARGET = 15;
     private static final long TIMEOUT_MILLIS = 1_000;
 
--- a/standins/src/main/java/org/bankturn/bench/BenchTool.java
+++ b/standins/src/main/java/org/bankturn/bench/BenchTool.java
@@ -9,7 +9,14 @@
         name = "bench",
         description = "Measures bankturn on loopback.",
         defaultCommand = Help.class,
-        commands = {Help.class, BurstBench.class, PlannerBench.class, SlopeBench.class})
+        commands = {
+            Help.class,
+            BurstBench.class,
+            PlannerBench.class,
+            SlopeBench.class,
+            OverheadBench.class,
+            FanOutBench.class
+        })
 public final class BenchTool {
     private BenchTool() {}
 
--- a/standins/src/main/java/org/bankturn/harness/DaemonHandle.java
+++ b/standins/src/main/java/org/bankturn/harness/DaemonHandle.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -44,6 +45,40 @@
         return process.pid();
     }
 
+    /**
+     * Returns the daemon's resident memory.
+     *
+     * @return kibibytes
+     */
+    public long residentKibibytes() {
+        return statusField("VmRSS:");
+    }
+
+    /**
+     * Returns the processor time that the daemon has used.
+     *
+     * @return milliseconds
+     */
+    public long processorMillis() {
+        return process.toHandle()
+                .info()
+                .totalCpuDuration()
+                .orElse(Duration.ZERO)
+                .toMillis();
+    }
+
+    private long statusField(String field) {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                    .filter(line -> line.startsWith(field))
+                    .map(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                    .findFirst()
+                    .orElse(0L);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /**
      * Starts the daemon; {@link #awaitReady()} waits until it serves.
      *
--- a/standins/src/main/java/org/bankturn/harness/LocalDeployment.java
+++ b/standins/src/main/java/org/bankturn/harness/LocalDeployment.java
@@ -168,6 +168,16 @@
         return addresses.get(name).http();
     }
 
+    /**
+     * Returns where the engine or service beside a target process is reached.
+     *
+     * @param box the box's name, not null
+     * @return host:port, not null
+     */
+    public String backendAddress(String box) {
+        return addresses.get(box).backend();
+    }
+
     /** Returns where operators reach every entry process, as the tool takes it, not null. */
     public String operatorAddresses() {
         return plan.entries().stream().map(entry -> httpAddress(entry.name())).collect(Collectors.joining(","));
