Cut halls: silent links between halls in the tests; members are the same wherever they are reached

Cause: a hall without a majority was only brought about by freezing other boxes. Found on the way: the leader kept its followers by box, incarnation and address, so a control box that is reached by another address from elsewhere was not known by its replies. Change: a relay for each hall and entry process that can be cut in silence; address no longer counts for a member's equality; a start asks all sources for their index alone and fetches one whole configuration; a target process looks at a new configuration at once.

--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -300,7 +300,7 @@
             send(request.from(), new VoteReply(self, granted ? request.term() : term, true, granted));
             return;
         }
-        boolean free = votedFor == null || votedFor.isSameLife(request.from());
+        boolean free = votedFor == null || votedFor.equals(request.from());
         boolean granted = request.term() == term && free && upToDate;
         if (granted && votedFor == null) {
             votedFor = request.from();
@@ -539,7 +539,7 @@
     // ---- members
 
     private void onJoinRequest(JoinRequest request) {
-        boolean known = isVoter(request.from()) || request.from().isSameLife(joiner);
+        boolean known = isVoter(request.from()) || request.from().equals(joiner);
         if (role != Role.LEADER || known || joiner != null || !admissible.test(request.from())) {
             return;
         }
@@ -577,19 +577,17 @@
     }
 
     private boolean isVoter(Member member) {
-        return members().stream().anyMatch(voter -> voter.isSameLife(member));
+        return members().contains(member);
     }
 
     private boolean isMajority(Set<Member> supporters) {
         List<Member> members = members();
-        long count = members.stream()
-                .filter(voter -> supporters.stream().anyMatch(voter::isSameLife))
-                .count();
+        long count = members.stream().filter(supporters::contains).count();
         return count > members.size() / 2;
     }
 
     private List<Member> peers() {
-        return members().stream().filter(member -> !member.isSameLife(self)).toList();
+        return members().stream().filter(member -> !member.equals(self)).toList();
     }
 
     private long matchOf(Member member) {
--- a/core/src/test/java/org/bankturn/agreement/MemberGroup.java
+++ b/core/src/test/java/org/bankturn/agreement/MemberGroup.java
@@ -55,7 +55,7 @@
         clock.advance(10);
         for (Agreement member : List.copyOf(running.values())) {
             member.tick();
-            if (member.members().stream().noneMatch(member.self()::isSameLife)) {
+            if (member.members().stream().noneMatch(member.self()::equals)) {
                 member.askToJoin(first);
             }
             carryOut(member);
@@ -72,7 +72,7 @@
         Outbound outbound = fate == 0 ? bag.get(chosen) : bag.remove(chosen);
         Agreement member = running.get(outbound.to().box());
         boolean sameLife =
-                member.self().isSameLife(outbound.to()) || outbound.message() instanceof AgreementMessage.JoinRequest;
+                member.self().equals(outbound.to()) || outbound.message() instanceof AgreementMessage.JoinRequest;
         if (fate != 1 && sameLife) {
             member.receive(outbound.message());
             carryOut(member);
@@ -124,7 +124,7 @@
         }
         if (member.role() == Role.LEADER) {
             Member before = leaders.putIfAbsent(member.term(), member.self());
-            if (before != null && !before.isSameLife(member.self())) {
+            if (before != null && !before.equals(member.self())) {
                 throw new AssertionError("two leaders in term " + member.term());
             }
         }
--- a/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
@@ -215,7 +215,7 @@
     }
 
     private void askToJoinIfOutside() {
-        boolean outside = agreement.members().stream().noneMatch(agreement.self()::isSameLife);
+        boolean outside = agreement.members().stream().noneMatch(agreement.self()::equals);
         long now = clock.millis();
         if (outside && now - joinAskedMillis >= JOIN_RETRY_MILLIS) {
             joinAskedMillis = now;
@@ -331,7 +331,7 @@
     private CommandResult notDone(ResultCode code) {
         String address = agreement
                 .leader()
-                .filter(leader -> !leader.isSameLife(agreement.self()))
+                .filter(leader -> !leader.equals(agreement.self()))
                 .map(Member::address)
                 .orElse(null);
         return new CommandResult.NotDone(code, address);
--- a/daemon/src/main/java/org/bankturn/daemon/follow/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/bankturn/daemon/follow/ConfigurationFollower.java
@@ -5,6 +5,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -78,9 +79,15 @@
         if (sources.isEmpty()) {
             return Promise.complete();
         }
-        return askAll().then(answered -> answered > 0
-                ? beginPolls()
-                : Promises.delay(PAUSE_AFTER_FAILURE_MILLIS).then(this::start));
+        return askIndexes().then(indexes -> {
+            Optional<SourceIndex> newest = indexes.stream().max(Comparator.comparingLong(SourceIndex::index));
+            if (newest.isEmpty()) {
+                return Promises.delay(PAUSE_AFTER_FAILURE_MILLIS).then(this::start);
+            }
+            return learnFrom(newest.get()).then(
+                    learned -> beginPolls(),
+                    failure -> Promises.delay(PAUSE_AFTER_FAILURE_MILLIS).then(this::start));
+        });
     }
 
     /** Stops following. */
@@ -90,16 +97,32 @@
 
     /** Polls each source without waiting, to pass reports up at once, such as that this process is leaving. */
     public Promise<Void> reportNow() {
-        return askAll().toVoid();
+        return askIndexes().toVoid();
     }
 
-    private Promise<Integer> askAll() {
-        List<Promise<Integer>> answers = new ArrayList<>();
+    /** A source that answered, and the index that it has. */
+    private record SourceIndex(Address source, long index) {}
+
+    /** Asks every source for its index alone, so that a start costs one whole configuration however many there are. */
+    private Promise<List<SourceIndex>> askIndexes() {
+        List<Promise<Optional<SourceIndex>>> answers = new ArrayList<>();
         for (Address source : sources) {
-            answers.add(poll(source, 0, FIRST_TIMEOUT_MILLIS).map(index -> 1, failure -> 0));
+            NodeRequest request = new NodeRequest.FetchConfiguration(Long.MAX_VALUE, 0, reports.get());
+            answers.add(clients.ask(source, request, FIRST_TIMEOUT_MILLIS)
+                    .map(
+                            reply -> reply instanceof NodeReply.Fetched fetched
+                                    ? Optional.of(new SourceIndex(source, fetched.index()))
+                                    : Optional.empty(),
+                            failure -> Optional.empty()));
         }
         return Promises.toList(answers)
-                .map(all -> all.stream().mapToInt(Integer::intValue).sum());
+                .map(all -> all.stream().flatMap(Optional::stream).toList());
+    }
+
+    private Promise<Void> learnFrom(SourceIndex newest) {
+        return newest.index() <= holder.get().index()
+                ? Promise.complete()
+                : poll(newest.source(), 0, TIMEOUT_MILLIS).toVoid();
     }
 
     private Promise<Void> beginPolls() {
--- a/daemon/src/main/java/org/bankturn/daemon/target/TargetRole.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/TargetRole.java
@@ -36,6 +36,7 @@
 
     private final DaemonSettings settings;
     private final ConfigurationHolder holder;
+    private final NioReactor reactor;
     private final ExecutorService files = Executors.newFixedThreadPool(FILE_THREADS, task -> new Thread(task, "files"));
     private final ChunkServer chunkServer;
     private final VersionKeeper keeper;
@@ -76,6 +77,7 @@
         TargetSettings target = settings.target();
         this.settings = settings;
         this.holder = wiring.holder();
+        this.reactor = wiring.reactor();
         BackendClient client = BackendClient.on(wiring.reactor());
         TargetContext context = new TargetContext(
                 settings.process(),
@@ -106,6 +108,7 @@
     /** Begins to keep versions as the configuration wants them. */
     public void start() {
         keeper.start();
+        holder.onAdvance(configuration -> reactor.execute(keeper::checkNow));
     }
 
     /** Returns what takes requests of entry processes, not null. */
--- a/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
@@ -44,6 +44,7 @@
     private static final long CHUNK_TIMEOUT_MILLIS = 8_000;
     private static final long MANIFEST_TIMEOUT_MILLIS = 2_000;
     private static final long GRANT_TIMEOUT_MILLIS = 3_000;
+    private static final long MANIFEST_RETRY_MILLIS = 40;
     private static final long MANIFEST_PATIENCE_MILLIS = 600;
 
     private final TargetContext context;
@@ -108,7 +109,7 @@
             if (mayAskOrigin(patientUntil)) {
                 return askOriginForManifest(patientUntil);
             }
-            return Promises.delay(RETRY_MILLIS).then(nothing -> findManifest(patientUntil));
+            return Promises.delay(MANIFEST_RETRY_MILLIS).then(nothing -> findManifest(patientUntil));
         });
     }
 
@@ -146,7 +147,7 @@
                         manifest -> manifest.isPresent()
                                 ? Promise.of(manifest.get())
                                 : Promise.ofException(new CopyStoppedException(ResultCode.MANIFEST_CORRUPT)),
-                        failure -> Promises.delay(RETRY_MILLIS).then(nothing -> findManifest(patientUntil)));
+                        failure -> Promises.delay(MANIFEST_RETRY_MILLIS).then(nothing -> findManifest(patientUntil)));
     }
 
     // ---- the chunks
--- a/daemon/src/main/java/org/bankturn/daemon/target/VersionKeeper.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/VersionKeeper.java
@@ -83,7 +83,8 @@
         cancelCopy();
     }
 
-    private void check() {
+    /** Looks at the configuration at once, as when it has changed. */
+    void checkNow() {
         if (closed) {
             return;
         }
@@ -92,6 +93,13 @@
         } catch (RuntimeException e) {
             LOG.log(Level.WARNING, "check of versions failed", e);
         }
+    }
+
+    private void check() {
+        if (closed) {
+            return;
+        }
+        checkNow();
         Promises.delay(CHECK_MILLIS).whenResult(this::check);
     }
 
--- a/standins/src/main/java/org/bankturn/harness/LocalDeployment.java
+++ b/standins/src/main/java/org/bankturn/harness/LocalDeployment.java
@@ -35,6 +35,7 @@
     private final Map<String, DaemonHandle> daemons = new LinkedHashMap<>();
     private final Map<String, EngineStandin> engines = new LinkedHashMap<>();
     private final List<PlainServiceStandin> services = new ArrayList<>();
+    private final List<HallLink> links = new ArrayList<>();
     private final Map<String, Integer> runsById = PlainServiceStandin.newCounts();
 
     /**
@@ -60,6 +61,9 @@
     /** Where a process is reached, and where what stands beside it is. */
     private record Addresses(String http, String node, String backend) {}
 
+    /** A relay by which one hall reaches the node port of an entry process in another. */
+    private record HallLink(String fromHall, String toHall, String process, int port, Relay relay) {}
+
     /**
      * Prepares a deployment: stand-ins run, settings are written, no daemon runs yet.
      *
@@ -76,13 +80,15 @@
         this.plan = plan;
         this.options = options;
         this.folder = Files.createTempDirectory("bankturn-");
-        this.ports = Ports.find(3 * (plan.entries().size() + plan.targets().size()) + 1);
+        int processes = plan.entries().size() + plan.targets().size();
+        this.ports = Ports.find(3 * processes + plan.entries().size() * plan.dataHalls().size() + 1);
         int originPort = ports.next();
         this.originAddress = "127.0.0.1:" + originPort;
         this.origin = OriginStandin.start(originPort, options.originBytesPerSecond());
         for (Place entry : plan.entries()) {
             addresses.put(entry.name(), new Addresses(ports.nextAddress(), ports.nextAddress(), ""));
         }
+        startLinks();
         for (TargetPlace target : plan.targets()) {
             int backend = ports.next();
             startBackend(target, backend);
@@ -229,6 +235,19 @@
         deleteTree(folder.resolve(name).resolve("data"));
     }
 
+    /**
+     * Cuts a hall off from the entry and control processes of the others, in silence, or heals the cut. What entry
+     * processes send to targets, and targets to each other, does not go by these links.
+     *
+     * @param hall the hall, not null
+     * @param cut true to cut, false to heal
+     */
+    public void setCutOff(String hall, boolean cut) {
+        links.stream()
+                .filter(link -> link.fromHall().equals(hall) || link.toHall().equals(hall))
+                .forEach(link -> link.relay().setCut(cut));
+    }
+
     @Override
     public void close() throws IOException {
         daemons.values().stream().filter(DaemonHandle::isAlive).forEach(DaemonHandle::thaw);
@@ -236,10 +255,35 @@
         engines.values().forEach(EngineStandin::close);
         services.forEach(PlainServiceStandin::close);
         origin.close();
+        for (HallLink link : links) {
+            link.relay().close();
+        }
         deleteTree(folder);
     }
 
-    // ---- stand-ins and files
+    // ---- stand-ins, links and files
+
+    private void startLinks() throws IOException {
+        for (Place entry : plan.entries()) {
+            String node = addresses.get(entry.name()).node();
+            int nodePort = Integer.parseInt(node.substring(node.lastIndexOf(':') + 1));
+            for (String hall : plan.dataHalls()) {
+                if (!hall.equals(entry.dataHall())) {
+                    int port = ports.next();
+                    links.add(new HallLink(hall, entry.dataHall(), entry.name(), port, Relay.start(port, nodePort)));
+                }
+            }
+        }
+    }
+
+    /** Returns where a process in a hall reaches the node port of an entry process: by a link if halls differ. */
+    private String nodeAddressFrom(String hall, String process) {
+        return links.stream()
+                .filter(link -> link.fromHall().equals(hall) && link.process().equals(process))
+                .map(link -> "127.0.0.1:" + link.port())
+                .findFirst()
+                .orElseGet(() -> addresses.get(process).node());
+    }
 
     private void startBackend(TargetPlace target, int port) throws IOException {
         if (target.service().equals(DeploymentPlan.ASSISTANT)) {
@@ -297,7 +341,7 @@
                 .forEach(box -> text.append("  - {name: ")
                         .append(box.name())
                         .append(", nodeAddress: '")
-                        .append(addresses.get(box.name()).node())
+                        .append(nodeAddressFrom(hall, box.name()))
                         .append("'}\n"));
         text.append("configurationSources: [").append(sourcesOf(name, hall)).append("]\n");
         return text;
@@ -309,7 +353,7 @@
         return plan.entries().stream()
                 .filter(place -> !place.name().equals(name))
                 .filter(place -> place.dataHall().equals(hall) || (entry && place.control()))
-                .map(place -> "'" + addresses.get(place.name()).node() + "'")
+                .map(place -> "'" + nodeAddressFrom(hall, place.name()) + "'")
                 .collect(Collectors.joining(", "));
     }
 
--- /dev/null
+++ b/standins/src/test/java/org/bankturn/harness/CutHallTest.java
@@ -0,0 +1,55 @@
+package org.bankturn.harness;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import org.bankturn.result.ResultCode;
+import org.junit.jupiter.api.Test;
+
+/** A data hall cut off from the others in silence, with real processes and links. */
+class CutHallTest {
+    private static final int ANSWERED = ResultCode.REQUEST_ANSWERED.number();
+
+    @Test
+    void a_cut_off_hall_serves_what_it_can_and_joins_again_without_a_revert() throws IOException {
+        try (SmallDeployment deployment = SmallDeployment.serving()) {
+            String leader = deployment.leader();
+            String hall = leader.substring(0, leader.indexOf('-'));
+            String other = leader.equals("two-entry") ? "three-entry" : "two-entry";
+            String address = deployment.running.httpAddress(leader);
+            long before = deployment.indexAt(leader);
+            deployment.running.setCutOff(hall, true);
+            Await.until("the others accept a file", SmallDeployment.PATIENCE, () -> {
+                try {
+                    return deployment.applyThrough(deployment.running.httpAddress(other), 2, "v2", "majority") == 0;
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+            assertThat(deployment.chat(leader)).isEqualTo(ANSWERED);
+            assertThat(deployment.caller.callOnce(address, "account-1", "booking", "cut"))
+                    .isEqualTo(ResultCode.NOT_RUN_NO_CLAIM.number());
+            assertThat(deployment.applyThrough(address, 2, "v1", "minority")).isEqualTo(5);
+            assertThat(deployment.indexAt(leader)).isGreaterThanOrEqualTo(before);
+            long accepted = deployment.indexAt(other);
+            deployment.running.setCutOff(hall, false);
+            deployment.awaitIndex(leader, accepted);
+            Await.until("keyed requests run again", SmallDeployment.PATIENCE, () ->
+                    deployment.caller.callOnce(address, "account-1", "booking", "healed") == ANSWERED);
+            assertThat(deployment.applyThrough(address, 2, "v1", "minority")).isEqualTo(3);
+            assertThat(deployment.running.runsById()).doesNotContainKey("cut").containsEntry("healed", 1);
+            assertThat(deployment.tally.wrongCount()).isZero();
+        }
+    }
+
+    @Test
+    void a_planned_stop_of_the_leading_control_box_is_hardly_noticed() throws IOException {
+        try (SmallDeployment deployment = SmallDeployment.start(SmallDeployment.ENGINE)) {
+            deployment.apply(1, "v1");
+            String leader = deployment.leader();
+            String other = leader.equals("two-entry") ? "three-entry" : "two-entry";
+            deployment.running.daemon(leader).stop();
+            assertThat(deployment.applyThrough(deployment.running.httpAddress(other), 2, "v2", "after")).isZero();
+        }
+    }
+}
