--- a/cli/src/main/java/org/bankturn/cli/BankturnTool.java
+++ b/cli/src/main/java/org/bankturn/cli/BankturnTool.java
@@ -19,6 +19,8 @@
             WatchCommand.class
         })
 public final class BankturnTool {
+    private static final String HELP = "help";
+
     private BankturnTool() {}
 
     /**
@@ -46,7 +48,8 @@
         }
         if (command instanceof Help<?> help) {
             help.run();
-            return ExitCode.DONE.number();
+            boolean asked = arguments.length == 0 || arguments[0].equals(HELP);
+            return asked ? ExitCode.DONE.number() : ExitCode.USAGE.number();
         }
         return ((OperatorCommand) command).runAndReport().number();
     }
--- a/cli/src/test/java/org/bankturn/cli/BankturnToolTest.java
+++ b/cli/src/test/java/org/bankturn/cli/BankturnToolTest.java
@@ -19,7 +19,8 @@
     @ParameterizedTest
     @ValueSource(strings = {"donor-line.yaml", "signing-franchise.yaml"})
     void the_examples_are_valid(String name) {
-        assertThat(BankturnTool.run("validate", EXAMPLES.resolve(name).toString())).isZero();
+        assertThat(BankturnTool.run("validate", EXAMPLES.resolve(name).toString()))
+                .isZero();
     }
 
     @Test
--- a/daemon/src/main/java/org/bankturn/daemon/follow/ConfigurationFollower.java
+++ b/daemon/src/main/java/org/bankturn/daemon/follow/ConfigurationFollower.java
@@ -84,9 +84,11 @@
             if (newest.isEmpty()) {
                 return Promises.delay(PAUSE_AFTER_FAILURE_MILLIS).then(this::start);
             }
-            return learnFrom(newest.get()).then(
-                    learned -> beginPolls(),
-                    failure -> Promises.delay(PAUSE_AFTER_FAILURE_MILLIS).then(this::start));
+            return learnFrom(newest.get())
+                    .then(
+                            learned -> beginPolls(),
+                            failure ->
+                                    Promises.delay(PAUSE_AFTER_FAILURE_MILLIS).then(this::start));
         });
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/target/VersionCopy.java
@@ -6,7 +6,9 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -44,7 +46,7 @@
     private static final long CHUNK_TIMEOUT_MILLIS = 8_000;
     private static final long MANIFEST_TIMEOUT_MILLIS = 2_000;
     private static final long GRANT_TIMEOUT_MILLIS = 3_000;
-    private static final long MANIFEST_RETRY_MILLIS = 40;
+    private static final int MANIFEST_ASKED_AT_ONCE = 3;
     private static final long MANIFEST_PATIENCE_MILLIS = 600;
 
     private final TargetContext context;
@@ -109,7 +111,7 @@
             if (mayAskOrigin(patientUntil)) {
                 return askOriginForManifest(patientUntil);
             }
-            return Promises.delay(MANIFEST_RETRY_MILLIS).then(nothing -> findManifest(patientUntil));
+            return Promises.delay(RETRY_MILLIS).then(nothing -> findManifest(patientUntil));
         });
     }
 
@@ -122,7 +124,10 @@
     }
 
     private Promise<Optional<Manifest>> askNeighboursForManifest() {
-        List<Promise<Optional<Manifest>>> asked = neighbours.stream()
+        List<Box> some = new ArrayList<>(neighbours);
+        Collections.shuffle(some);
+        List<Promise<Optional<Manifest>>> asked = some.stream()
+                .limit(MANIFEST_ASKED_AT_ONCE)
                 .map(neighbour -> context.clients()
                         .ask(
                                 nodeAddress(neighbour),
@@ -147,7 +152,7 @@
                         manifest -> manifest.isPresent()
                                 ? Promise.of(manifest.get())
                                 : Promise.ofException(new CopyStoppedException(ResultCode.MANIFEST_CORRUPT)),
-                        failure -> Promises.delay(MANIFEST_RETRY_MILLIS).then(nothing -> findManifest(patientUntil)));
+                        failure -> Promises.delay(RETRY_MILLIS).then(nothing -> findManifest(patientUntil)));
     }
 
     // ---- the chunks
--- a/daemon/src/test/java/org/bankturn/daemon/settings/DaemonSettingsTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/settings/DaemonSettingsTest.java
@@ -43,8 +43,8 @@
                         ResultCode.FIELD_INVALID,
                         ResultCode.FIELD_INVALID,
                         ResultCode.FIELD_UNKNOWN);
-        assertThat(errorsOf(bad)).allSatisfy(error -> assertThat(error.location().line())
-                .isGreaterThan(11));
+        assertThat(errorsOf(bad))
+                .allSatisfy(error -> assertThat(error.location().line()).isGreaterThan(11));
     }
 
     @Test
--- a/standins/src/main/java/org/bankturn/harness/Relay.java
+++ b/standins/src/main/java/org/bankturn/harness/Relay.java
@@ -73,7 +73,9 @@
     private void pass(Socket from, Socket to) throws IOException, InterruptedException {
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
-            for (int count = from.getInputStream().read(buffer); count >= 0; count = from.getInputStream().read(buffer)) {
+            for (int count = from.getInputStream().read(buffer);
+                    count >= 0;
+                    count = from.getInputStream().read(buffer)) {
                 awaitOpen();
                 to.getOutputStream().write(buffer, 0, count);
             }
--- a/standins/src/test/java/org/bankturn/harness/CutHallTest.java
+++ b/standins/src/test/java/org/bankturn/harness/CutHallTest.java
@@ -34,8 +34,10 @@
             long accepted = deployment.indexAt(other);
             deployment.running.setCutOff(hall, false);
             deployment.awaitIndex(leader, accepted);
-            Await.until("keyed requests run again", SmallDeployment.PATIENCE, () ->
-                    deployment.caller.callOnce(address, "account-1", "booking", "healed") == ANSWERED);
+            Await.until(
+                    "keyed requests run again",
+                    SmallDeployment.PATIENCE,
+                    () -> deployment.caller.callOnce(address, "account-1", "booking", "healed") == ANSWERED);
             assertThat(deployment.applyThrough(address, 2, "v1", "minority")).isEqualTo(3);
             assertThat(deployment.running.runsById()).doesNotContainKey("cut").containsEntry("healed", 1);
             assertThat(deployment.tally.wrongCount()).isZero();
@@ -49,7 +51,8 @@
             String leader = deployment.leader();
             String other = leader.equals("two-entry") ? "three-entry" : "two-entry";
             deployment.running.daemon(leader).stop();
-            assertThat(deployment.applyThrough(deployment.running.httpAddress(other), 2, "v2", "after")).isZero();
+            assertThat(deployment.applyThrough(deployment.running.httpAddress(other), 2, "v2", "after"))
+                    .isZero();
         }
     }
 }
