Agreement: one place answers messages of an earlier term

Cause: the same four lines stood in two handlers (found by a search for duplicates). Change: isOutdated. No behaviour changes.

--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -483,8 +483,7 @@
     // ---- replication, on a follower
 
     private void onAppendRequest(AppendRequest request) {
-        if (request.term() < term) {
-            send(request.from(), new AppendReply(self, term, false, log.lastIndex()));
+        if (isOutdated(request)) {
             return;
         }
         followLeader(request.from());
@@ -514,8 +513,7 @@
     }
 
     private void onSnapshotRequest(SnapshotRequest request) {
-        if (request.term() < term) {
-            send(request.from(), new AppendReply(self, term, false, log.lastIndex()));
+        if (isOutdated(request)) {
             return;
         }
         followLeader(request.from());
@@ -530,6 +528,15 @@
         send(request.from(), new AppendReply(self, term, true, commitIndex));
     }
 
+    /** Tells the sender of a message of an earlier term so; returns true if that is all there is to do. */
+    private boolean isOutdated(AgreementMessage message) {
+        if (message.term() >= term) {
+            return false;
+        }
+        send(message.from(), new AppendReply(self, term, false, log.lastIndex()));
+        return true;
+    }
+
     private void followLeader(Member from) {
         becomeFollower(term, from);
         leaderHeardMillis = clock.millis();
