--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -30,6 +30,9 @@
  * <p>Agreement is mutable and not thread-safe; one thread owns it.
  */
 public final class Agreement {
+    private static final int SILENT_TIMEOUTS_TO_REPLACE = 3;
+    private static final int SILENT_TIMEOUTS_TO_REMOVE = 8;
+
     private final Member self;
     private final Clock clock;
     private final UniformRandomProvider random;
@@ -143,6 +146,21 @@
         return role == Role.LEADER && log.termAt(commitIndex) == term;
     }
 
+    /** Returns when this member last heard from its leader, or as leader from a majority, in milliseconds. */
+    public long heardMillis() {
+        if (role != Role.LEADER) {
+            return leaderHeardMillis;
+        }
+        List<Long> heard = new ArrayList<>();
+        for (Member peer : peers()) {
+            Replication replication = replications.get(peer);
+            heard.add(replication == null ? Long.MIN_VALUE / 2 : replication.heardMillis());
+        }
+        heard.add(clock.millis());
+        heard.sort((one, other) -> Long.compare(other, one));
+        return heard.get(members().size() / 2);
+    }
+
     // ---- steps
 
     /** Lets time pass: starts elections, sends heartbeats, steps down without a majority. */
@@ -380,6 +398,7 @@
             heartbeatDueMillis = now + settings.heartbeatMillis();
             replicateToAll();
             admitJoiner();
+            removeSilentMember();
         }
     }
 
@@ -577,12 +596,41 @@
         }
         List<Member> changed = new ArrayList<>(members());
         boolean hadFormerLife = changed.removeIf(member -> member.box().equals(joiner.box()));
-        if (!hadFormerLife) {
+        if (!hadFormerLife && !removeSilent(changed, SILENT_TIMEOUTS_TO_REPLACE)) {
             changed.add(joiner);
         }
         appendAsLeader(new byte[0], List.copyOf(changed));
     }
 
+    /** Takes out a member that is long silent, so that a larger group does not need a majority that counts it. */
+    private void removeSilentMember() {
+        boolean changing = !log.membersAt(commitIndex).equals(members());
+        if (changing || joiner != null || members().size() <= settings.leastMembers() || !isEstablishedLeader()) {
+            return;
+        }
+        List<Member> changed = new ArrayList<>(members());
+        if (removeSilent(changed, SILENT_TIMEOUTS_TO_REMOVE)) {
+            appendAsLeader(new byte[0], List.copyOf(changed));
+        }
+    }
+
+    private boolean removeSilent(List<Member> from, int electionTimeouts) {
+        long now = clock.millis();
+        if (from.size() < settings.leastMembers()) {
+            return false;
+        }
+        for (Member member : peers()) {
+            Replication replication = replications.get(member);
+            boolean silent = replication != null
+                    && now - replication.heardMillis() > electionTimeouts * settings.electionTimeoutMillis();
+            if (silent) {
+                from.remove(member);
+                return true;
+            }
+        }
+        return false;
+    }
+
     private boolean isVoter(Member member) {
         return members().contains(member);
     }
--- a/core/src/main/java/org/bankturn/agreement/AgreementSettings.java
+++ b/core/src/main/java/org/bankturn/agreement/AgreementSettings.java
@@ -6,11 +6,27 @@
  * @param electionTimeoutMillis silence after which a member stands for election; drawn between one and two of these
  * @param heartbeatMillis the time between a leader's messages, well below the election timeout
  * @param batchEntries entries in one message at most
+ * @param leastMembers silent members are taken out of larger groups than this
  */
-public record AgreementSettings(long electionTimeoutMillis, long heartbeatMillis, int batchEntries) {
+public record AgreementSettings(long electionTimeoutMillis, long heartbeatMillis, int batchEntries, int leastMembers) {
+    /** A group that never takes out members because they are silent. */
+    public static final int KEEP_SILENT_MEMBERS = Integer.MAX_VALUE;
+
     /** Settings for halls a few milliseconds apart. */
-    public static final AgreementSettings DEFAULT = new AgreementSettings(1_000, 150, 64);
+    public static final AgreementSettings DEFAULT = new AgreementSettings(1_000, 150, 64, KEEP_SILENT_MEMBERS);
+
+    /**
+     * Returns settings of a group that keeps silent members.
+     *
+     * @param electionTimeoutMillis see the class
+     * @param heartbeatMillis see the class
+     * @param batchEntries see the class
+     */
+    public AgreementSettings(long electionTimeoutMillis, long heartbeatMillis, int batchEntries) {
+        this(electionTimeoutMillis, heartbeatMillis, batchEntries, KEEP_SILENT_MEMBERS);
+    }
 
+    /** Checks that heartbeats are well below the timeout. */
     public AgreementSettings {
         if (heartbeatMillis <= 0 || electionTimeoutMillis < 3 * heartbeatMillis) {
             throw new IllegalArgumentException("electionTimeoutMillis must be three heartbeats or more: "
--- /dev/null
+++ b/core/src/main/java/org/bankturn/publication/PublicationCommand.java
@@ -0,0 +1,31 @@
+package org.bankturn.publication;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.bankturn.registry.TargetSighting;
+
+/** A change of what is published, as it stands in the agreement log. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "do")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = PublicationCommand.PutDocument.class, name = "put"),
+    @JsonSubTypes.Type(value = PublicationCommand.NameWeights.class, name = "weights"),
+    @JsonSubTypes.Type(value = PublicationCommand.RecordTarget.class, name = "target"),
+    @JsonSubTypes.Type(value = PublicationCommand.RemoveTarget.class, name = "gone"),
+    @JsonSubTypes.Type(value = PublicationCommand.Confirm.class, name = "confirm")
+})
+public sealed interface PublicationCommand {
+    /** Publishes an operators' document, deflated; the highest version wins. */
+    record PutDocument(long version, byte[] deflated) implements PublicationCommand {}
+
+    /** Names a version of a model's weights; the highest wins. */
+    record NameWeights(String model, int version) implements PublicationCommand {}
+
+    /** Records what a target said. */
+    record RecordTarget(TargetSighting sighting) implements PublicationCommand {}
+
+    /** Takes a target off the list; {@code byItself} if the target said so itself. */
+    record RemoveTarget(String id, boolean byItself) implements PublicationCommand {}
+
+    /** Changes nothing; once it is committed, whoever submitted it knows that it had seen everything before. */
+    record Confirm() implements PublicationCommand {}
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/registry/TargetRegistry.java
@@ -0,0 +1,143 @@
+package org.bankturn.registry;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The targets that are there, and those that lately left.
+ *
+ * <p>A target that said it is leaving never becomes ready again under the same incarnation, and one that left is never
+ * listed again. When an address is announced by another incarnation, the former one is gone. All calls carry the index
+ * of the log entry that causes them, so that members that apply the same entries hold the same registry.
+ *
+ * <p>TargetRegistry is mutable and not thread-safe.
+ */
+public final class TargetRegistry {
+    private static final int REMEMBERED_DEPARTURES = 512;
+
+    private final Map<String, TargetRecord> targets = new LinkedHashMap<>();
+    private final Map<String, Departure> departures = new LinkedHashMap<>();
+    private long forgottenUntil;
+
+    /**
+     * A target that is gone.
+     *
+     * @param id its incarnation, not null
+     * @param lastSequence its newest heartbeat
+     * @param index the log entry that removed it
+     * @param byItself true if the target said so itself and may not come back
+     */
+    public record Departure(String id, long lastSequence, long index, boolean byItself) {}
+
+    /**
+     * What a registry holds, for a snapshot.
+     *
+     * @param targets the targets, not null
+     * @param departures those that lately left, not null
+     * @param forgottenUntil the newest log entry whose departures may no longer be listed
+     */
+    public record Content(List<TargetRecord> targets, List<Departure> departures, long forgottenUntil) {}
+
+    /** Returns an empty registry, not null. */
+    public static TargetRegistry empty() {
+        return new TargetRegistry();
+    }
+
+    /** Returns a registry with the given content, not null. */
+    public static TargetRegistry restore(Content content) {
+        TargetRegistry registry = new TargetRegistry();
+        content.targets().forEach(each -> registry.targets.put(each.sighting().id(), each));
+        content.departures().forEach(each -> registry.departures.put(each.id(), each));
+        registry.forgottenUntil = content.forgottenUntil();
+        return registry;
+    }
+
+    private TargetRegistry() {}
+
+    /** Returns what this registry holds, not null. */
+    public Content content() {
+        return new Content(List.copyOf(targets.values()), List.copyOf(departures.values()), forgottenUntil);
+    }
+
+    /** Returns the newest log entry whose departures may no longer be listed, 0 if all are. */
+    public long forgottenUntil() {
+        return forgottenUntil;
+    }
+
+    /** Returns the target of that incarnation, empty if it is not there. */
+    public Optional<TargetRecord> find(String id) {
+        return Optional.ofNullable(targets.get(id));
+    }
+
+    /** Returns all targets, not null. */
+    public Collection<TargetRecord> all() {
+        return List.copyOf(targets.values());
+    }
+
+    /** Returns true if the target has left for good. */
+    public boolean hasLeft(String id) {
+        Departure departure = departures.get(id);
+        return departure != null && departure.byItself();
+    }
+
+    /** Returns true if recording the sighting would change what is known. */
+    public boolean wouldChange(TargetSighting sighting) {
+        TargetRecord known = targets.get(sighting.id());
+        if (known != null) {
+            return sighting.sequence() > known.sighting().sequence()
+                    && !known.sighting().saysTheSameAs(stickyDraining(known, sighting));
+        }
+        Departure departure = departures.get(sighting.id());
+        return departure == null || (!departure.byItself() && sighting.sequence() > departure.lastSequence());
+    }
+
+    /**
+     * Takes in a sighting.
+     *
+     * @param index the log entry
+     * @param sighting the sighting, not null
+     */
+    public void record(long index, TargetSighting sighting) {
+        if (!wouldChange(sighting)) {
+            return;
+        }
+        List<String> replaced = new ArrayList<>();
+        for (TargetRecord each : targets.values()) {
+            boolean sameAddress = each.sighting().address().equals(sighting.address());
+            if (sameAddress && !each.sighting().id().equals(sighting.id())) {
+                replaced.add(each.sighting().id());
+            }
+        }
+        replaced.forEach(id -> depart(index, id, false));
+        TargetRecord known = targets.get(sighting.id());
+        departures.remove(sighting.id());
+        targets.put(sighting.id(), new TargetRecord(known == null ? sighting : stickyDraining(known, sighting), index));
+    }
+
+    /**
+     * Takes a target off the list.
+     *
+     * @param index the log entry
+     * @param id the target's incarnation, not null
+     * @param byItself true if the target said so itself
+     */
+    public void depart(long index, String id, boolean byItself) {
+        TargetRecord known = targets.remove(id);
+        long last = known == null ? 0 : known.sighting().sequence();
+        departures.remove(id);
+        departures.put(id, new Departure(id, last, index, byItself));
+        if (departures.size() > REMEMBERED_DEPARTURES) {
+            Departure oldest = departures.values().iterator().next();
+            departures.remove(oldest.id());
+            forgottenUntil = Math.max(forgottenUntil, oldest.index());
+        }
+    }
+
+    private static TargetSighting stickyDraining(TargetRecord known, TargetSighting sighting) {
+        return known.sighting().draining() ? sighting.asDraining() : sighting;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/registry/package-info.java
@@ -0,0 +1,2 @@
+/** The targets that announced themselves: what they said last, kept by the control group. */
+package org.bankturn.registry;
--- /dev/null
+++ b/core/src/main/java/org/bankturn/service/EngineModel.java
@@ -0,0 +1,25 @@
+package org.bankturn.service;
+
+/**
+ * How fast the engines of a service work.
+ *
+ * @param slots requests that run at once
+ * @param tokenCapacity tokens that fit in memory
+ * @param stepMillis the time of one token step
+ * @param stepMillisPerRequest what each running request adds to a step
+ * @param stepMillisPerThousandTokens what a thousand tokens of context add to a step
+ * @param promptTokensPerMillisecond how fast prompts are read
+ * @param promptTokensPerStep the most that is read in a step
+ * @param stepsPerPass token steps between readings while requests write
+ * @param usualAnswerTokens the mean length of an answer
+ */
+public record EngineModel(
+        int slots,
+        long tokenCapacity,
+        double stepMillis,
+        double stepMillisPerRequest,
+        double stepMillisPerThousandTokens,
+        double promptTokensPerMillisecond,
+        int promptTokensPerStep,
+        int stepsPerPass,
+        int usualAnswerTokens) {}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -0,0 +1,220 @@
+package org.bankturn.daemon.gateway;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.bankturn.daemon.http.HttpHead;
+import org.bankturn.daemon.http.HttpListener;
+import org.bankturn.daemon.http.ServerExchange;
+import org.bankturn.daemon.http.ServerLimits;
+import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.publication.Published;
+import org.bankturn.publication.NamedWeights;
+import org.bankturn.routing.RetryBudget;
+import org.bankturn.service.Account;
+import org.bankturn.service.ClientLimits;
+import org.bankturn.service.Route;
+import org.bankturn.service.Service;
+import org.bankturn.service.ServingConfiguration;
+import org.bankturn.time.Clock;
+
+/**
+ * Takes callers' requests, finds their route and account, and hands each to a {@link ForwardedRequest}.
+ *
+ * <p>Gateway is confined to its reactor's thread.
+ */
+public final class Gateway {
+    private static final byte[] NOTHING = new byte[0];
+    private static final long COME_BACK_MILLIS = 300;
+    private static final long PLATFORM_NOTICES_MILLIS = 2_600;
+    private static final long STOP_MARGIN_MILLIS = 700;
+    private static final long STOP_CHECK_MILLIS = 50;
+    private static final double RETRY_SHARE_USED = 0.8;
+    private static final int GATEWAYS_AT_MOST = 48;
+    private static final long DUE_AFTER_START_MILLIS = 2_000;
+
+    private final GatewaySettings settings;
+    private final RequestDialect dialect;
+    private final Eventloop reactor;
+    private final Clock clock;
+    private final DecisionLog log;
+    private final HttpListener callers;
+    private final HttpListener readiness;
+    private final TargetTable targets;
+    private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final Map<String, TreeMap<Integer, Long>> weightsDueMillis = new HashMap<>();
+    private Published published = Published.NOTHING;
+    private boolean stopping;
+
+    /** Returns a gateway that does not serve yet, not null. */
+    public static Gateway of(
+            GatewaySettings settings, RequestDialect dialect, Eventloop reactor, Clock clock, DecisionLog log) {
+        return new Gateway(settings, dialect, reactor, clock, log);
+    }
+
+    private Gateway(GatewaySettings settings, RequestDialect dialect, Eventloop reactor, Clock clock, DecisionLog log) {
+        this.settings = settings;
+        this.dialect = dialect;
+        this.reactor = reactor;
+        this.clock = clock;
+        this.log = log;
+        this.targets = new TargetTable(clock, settings.dataHall());
+        this.callers = HttpListener.create(
+                reactor, clock, settings.callerAddress().toSocketAddress(), this::callerLimits, this::handle);
+        this.readiness = HttpListener.create(
+                reactor,
+                clock,
+                settings.readyAddress().toSocketAddress(),
+                () -> ServerLimits.CONTROL,
+                this::answerReadiness);
+    }
+
+    /** Starts to serve; call on the reactor's thread. */
+    public void start() throws IOException {
+        callers.listen();
+        readiness.listen();
+    }
+
+    /** Takes in what is published now. */
+    public void update(Published newer) {
+        boolean first = published.index() == 0;
+        long due = clock.millis() + (first ? DUE_AFTER_START_MILLIS : settings.weightsDeadlineMillis());
+        for (NamedWeights named : newer.weights()) {
+            weightsDueMillis
+                    .computeIfAbsent(named.model(), key -> new TreeMap<>())
+                    .putIfAbsent(named.version(), due);
+        }
+        published = newer;
+        targets.update(newer);
+    }
+
+    /** Stops as planned; the promise completes when nothing is under way or time is up. */
+    public Promise<Void> stop() {
+        stopping = true;
+        callers.drain();
+        SettablePromise<Void> stopped = new SettablePromise<>();
+        checkStopped(clock.millis(), stopped);
+        return stopped;
+    }
+
+    private void checkStopped(long since, SettablePromise<Void> stopped) {
+        long waited = clock.millis() - since;
+        boolean noticed = waited >= PLATFORM_NOTICES_MILLIS;
+        if (noticed) {
+            callers.closeResting();
+        }
+        boolean done = noticed && callers.underWay() == 0;
+        if (done || waited >= settings.stopMillis() - STOP_MARGIN_MILLIS) {
+            log.write(DecisionKind.STOP, "waited_ms", waited, "under_way", callers.underWay());
+            callers.close();
+            readiness.close();
+            stopped.set(null);
+            return;
+        }
+        reactor.delayBackground(STOP_CHECK_MILLIS, () -> checkStopped(since, stopped));
+    }
+
+    private ServerLimits callerLimits() {
+        ServingConfiguration configuration = published.configuration();
+        ClientLimits limits = configuration == null ? ClientLimits.DEFAULT : configuration.limits();
+        return new ServerLimits(
+                limits.maximumHeaderBytes(),
+                limits.maximumBodyBytes(),
+                limits.headerTimeoutMillis(),
+                limits.idleTimeoutMillis());
+    }
+
+    private void answerReadiness(ServerExchange exchange) {
+        boolean ready = !stopping && published.configuration() != null;
+        exchange.answer(HttpHead.answer(ready ? 200 : 503, List.of()), NOTHING);
+    }
+
+    // ---- requests
+
+    private void handle(ServerExchange exchange) {
+        CallerTerms terms = dialect.terms(exchange.head());
+        ServingConfiguration configuration = published.configuration();
+        if (configuration == null) {
+            answer(exchange, terms, 503, "no configuration known");
+            return;
+        }
+        Optional<Route> route = configuration.route(terms.host(), terms.path());
+        if (route.isEmpty()) {
+            answer(exchange, terms, 404, "no route in version " + configuration.version());
+            return;
+        }
+        Account account = null;
+        if (configuration.hasAccounts() && !route.get().open()) {
+            account = terms.key() == null
+                    ? null
+                    : configuration.accountOf(terms.key()).orElse(null);
+            if (account == null) {
+                answer(exchange, terms, 401, "unknown key in version " + configuration.version());
+                return;
+            }
+        } else if (terms.key() != null) {
+            account = configuration.accountOf(terms.key()).orElse(null);
+        }
+        new ForwardedRequest(this, exchange, terms, route.get(), account).start();
+    }
+
+    private void answer(ServerExchange exchange, CallerTerms terms, int status, String reason) {
+        log.write(DecisionKind.REFUSED, "request", terms.id(), "status", status, "reason", reason);
+        exchange.answer(dialect.ownAnswer(status, terms, status == 503 ? COME_BACK_MILLIS : 0), NOTHING);
+    }
+
+    // ---- what forwarded requests need
+
+    RequestDialect dialect() {
+        return dialect;
+    }
+
+    Eventloop reactor() {
+        return reactor;
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
+    TargetTable targets() {
+        return targets;
+    }
+
+    Optional<Service> service(String name) {
+        return published.configuration().service(name);
+    }
+
+    /** Returns the version that must run a request of the service, 0 for any, -1 if the service holds no weights. */
+    int leastVersion(Service service) {
+        if (service.weights() == null) {
+            return -1;
+        }
+        long now = clock.millis();
+        TreeMap<Integer, Long> dueMillis =
+                weightsDueMillis.getOrDefault(service.weights().model(), new TreeMap<>());
+        return dueMillis.descendingMap().entrySet().stream()
+                .filter(entry -> entry.getValue() <= now)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElse(0);
+    }
+
+    RetryBudget retryBudget(String service) {
+        return retryBudgets.computeIfAbsent(service, key -> {
+            int percent = Math.max(1, (int) (settings.retryShare() * RETRY_SHARE_USED * 100));
+            return RetryBudget.ofPercent(percent, Math.max(1, settings.retryAllowance() / GATEWAYS_AT_MOST));
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
@@ -0,0 +1,27 @@
+package org.bankturn.daemon.group;
+
+import org.bankturn.registry.TargetSighting;
+
+/** What operators and targets ask of a control process. */
+public sealed interface ControlCall {
+    /** Publishes a document. */
+    record Publish(byte[] document) implements ControlCall {}
+
+    /** Reads the document in force. */
+    record Read() implements ControlCall {}
+
+    /** Names a version of a model's weights. */
+    record NameWeights(String model, int version) implements ControlCall {}
+
+    /** A target says that it is there. */
+    record Heartbeat(TargetSighting sighting) implements ControlCall {}
+
+    /** A target says that it leaves. */
+    record Leave(String id) implements ControlCall {}
+
+    /** Something else. */
+    record Unknown() implements ControlCall {}
+
+    /** Something that cannot be read. */
+    record Malformed(String reason) implements ControlCall {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -0,0 +1,466 @@
+package org.bankturn.daemon.group;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.agreement.Agreement;
+import org.bankturn.agreement.AgreementSettings;
+import org.bankturn.agreement.Member;
+import org.bankturn.agreement.Snapshot;
+import org.bankturn.codec.Deflated;
+import org.bankturn.daemon.group.GroupMember.Outcome;
+import org.bankturn.daemon.http.HttpListener;
+import org.bankturn.daemon.http.ServerExchange;
+import org.bankturn.daemon.http.ServerLimits;
+import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.daemon.wire.NodeServer;
+import org.bankturn.publication.PublicationCommand;
+import org.bankturn.publication.PublicationState;
+import org.bankturn.publication.PublicationUpdate;
+import org.bankturn.registry.TargetRecord;
+import org.bankturn.registry.TargetSighting;
+import org.bankturn.service.DocumentFormat;
+import org.bankturn.service.ServingConfiguration;
+import org.bankturn.service.UnreadableDocumentException;
+import org.bankturn.storage.AgreementStorage;
+import org.bankturn.storage.FolderDevice;
+import org.bankturn.time.Clock;
+
+/**
+ * A control process: takes operators' changes and targets' heartbeats, has the group agree on them, and publishes.
+ *
+ * <p>Anything is acknowledged only once a majority has synced it. Its reactor carries calls and messages; the member has
+ * a thread of its own.
+ */
+public final class GroupNode {
+    private static final AgreementSettings TIMING = new AgreementSettings(500, 100, 64, 3);
+    private static final long FIRST_INCARNATION = 1;
+    private static final long FRESH_MILLIS = 900;
+    private static final long FORWARD_TIMEOUT_MILLIS = 2_000;
+    private static final long HEARTBEATS_FORWARDED_MILLIS = 400;
+    private static final int HEARTBEATS_MISSED = 7;
+
+    private final GroupSettings settings;
+    private final Supplier<List<Address>> seeds;
+    private final ControlDialect dialect;
+    private final DocumentFormat format;
+    private final Clock clock;
+    private final DecisionLog log;
+    private final Eventloop reactor;
+    private final NodeClients clients;
+    private final NodeServer nodeServer;
+    private final HttpListener listener;
+    private final GroupMember member;
+    private final Set<Watcher> watchers = new HashSet<>();
+    private final Set<String> heardTargets = new LinkedHashSet<>();
+    private final Map<String, Long> heartbeats = new HashMap<>();
+    private boolean ledBefore;
+
+    private record Watcher(long haveIndex, SettablePromise<NodeReply> reply) {}
+
+    /**
+     * Creates a control process that does not run yet.
+     *
+     * @param settings what it must be told, not null
+     * @param seeds the node addresses that settings name now, not null
+     * @param dialect how its callers speak, not null
+     * @param format reads operators' documents, not null
+     * @param reactor its reactor, not null
+     * @param clock the time, not null
+     * @param log the decision log, not null
+     */
+    public static GroupNode of(
+            GroupSettings settings,
+            Supplier<List<Address>> seeds,
+            ControlDialect dialect,
+            DocumentFormat format,
+            Eventloop reactor,
+            Clock clock,
+            DecisionLog log) {
+        return new GroupNode(settings, seeds, dialect, format, reactor, clock, log);
+    }
+
+    private GroupNode(
+            GroupSettings settings,
+            Supplier<List<Address>> seeds,
+            ControlDialect dialect,
+            DocumentFormat format,
+            Eventloop reactor,
+            Clock clock,
+            DecisionLog log) {
+        this.settings = settings;
+        this.seeds = seeds;
+        this.dialect = dialect;
+        this.format = format;
+        this.reactor = reactor;
+        this.clock = clock;
+        this.log = log;
+        this.clients = NodeClients.on(reactor);
+        this.nodeServer = NodeServer.create(reactor, settings.nodeAddress(), this::answer);
+        this.listener = HttpListener.create(
+                reactor, clock, settings.callAddress().toSocketAddress(), () -> ServerLimits.CONTROL, this::handle);
+        this.member = GroupMember.of(
+                new GroupMember.Wiring(
+                        this::openFolder,
+                        (to, message) -> clients.tell(Address.parse(to.address()), new NodeRequest.Agree(message)),
+                        this::contacts,
+                        this::applied,
+                        log),
+                clock);
+    }
+
+    /** Starts to serve; call on the reactor's thread. */
+    public void start() throws IOException {
+        nodeServer.listen();
+        listener.listen();
+        member.start();
+        forwardHeartbeatsLater();
+    }
+
+    /** Stops as planned: hands leadership over first. Call from another thread than the reactor's. */
+    public void stop() {
+        member.stop();
+    }
+
+    // ---- the member's folder and group
+
+    private GroupMember.Recovered openFolder() throws IOException {
+        FolderDevice device = FolderDevice.open(Path.of(settings.dataFolder()));
+        Optional<Long> incarnation = AgreementStorage.readIncarnation(device);
+        AgreementStorage storage = incarnation.isPresent() ? AgreementStorage.recover(device) : prepareFolder(device);
+        long life = AgreementStorage.readIncarnation(device).orElseThrow();
+        Agreement agreement = Agreement.recover(
+                member(settings.nodeAddress(), life),
+                storage.stored(),
+                TIMING,
+                clock,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(),
+                joining -> true);
+        return new GroupMember.Recovered(agreement, storage);
+    }
+
+    /** A box that may form the group starts from the seeds; any other starts outside and asks to join. */
+    private AgreementStorage prepareFolder(FolderDevice device) throws IOException {
+        boolean forms = settings.formsGroup() && settings.seeds().contains(settings.nodeAddress());
+        if (forms) {
+            List<Member> first = settings.seeds().stream()
+                    .map(seed -> member(seed, FIRST_INCARNATION))
+                    .sorted()
+                    .toList();
+            return AgreementStorage.create(device, FIRST_INCARNATION, Snapshot.initial(first));
+        }
+        long life = Math.max(
+                FIRST_INCARNATION + 1, RandomSource.XO_RO_SHI_RO_128_PP.create().nextLong(Long.MAX_VALUE));
+        return AgreementStorage.create(device, life, Snapshot.initial(List.of()));
+    }
+
+    private static Member member(Address address, long incarnation) {
+        return new Member(address.toString(), incarnation, address.toString());
+    }
+
+    private List<Member> contacts() {
+        Set<Member> contacts = new LinkedHashSet<>(member.view().members());
+        for (Address seed : seeds.get()) {
+            contacts.add(member(seed, 0));
+        }
+        contacts.removeIf(
+                contact -> contact.address().equals(settings.nodeAddress().toString()));
+        return List.copyOf(contacts);
+    }
+
+    private void applied(PublicationState state) {
+        long index = state.index();
+        reactor.execute(() -> wakeWatchers(index));
+    }
+
+    // ---- calls of operators and targets
+
+    private void handle(ServerExchange exchange) {
+        ControlCall call = dialect.read(exchange.head(), exchange.body());
+        decide(call).whenComplete((answer, failure) -> {
+            ControlAnswer given =
+                    failure == null ? answer : new ControlAnswer.Unavailable(String.valueOf(failure.getMessage()));
+            logAnswer(call, given);
+            exchange.answer(dialect.head(given), dialect.body(given));
+        });
+    }
+
+    private void logAnswer(ControlCall call, ControlAnswer given) {
+        boolean quiet = given instanceof ControlAnswer.Accepted && call instanceof ControlCall.Heartbeat;
+        if (!quiet) {
+            log.write(
+                    DecisionKind.CHANGE,
+                    "call",
+                    call.getClass().getSimpleName(),
+                    "answer",
+                    given instanceof ControlAnswer.Document ? "Document" : given);
+        }
+    }
+
+    private Promise<ControlAnswer> decide(ControlCall call) {
+        if (call instanceof ControlCall.Publish publish) {
+            return publish(publish.document());
+        }
+        if (call instanceof ControlCall.Read) {
+            return read();
+        }
+        if (call instanceof ControlCall.NameWeights named) {
+            return change(new PublicationCommand.NameWeights(named.model(), named.version()));
+        }
+        if (call instanceof ControlCall.Heartbeat heartbeat) {
+            return heartbeat(heartbeat.sighting());
+        }
+        if (call instanceof ControlCall.Leave leave) {
+            return change(new PublicationCommand.RemoveTarget(leave.id(), true));
+        }
+        if (call instanceof ControlCall.Malformed malformed) {
+            return Promise.of(new ControlAnswer.Refused(malformed.reason()));
+        }
+        return Promise.of(new ControlAnswer.NotFound());
+    }
+
+    private Promise<ControlAnswer> publish(byte[] document) {
+        ServingConfiguration configuration;
+        try {
+            configuration = format.read(document);
+        } catch (UnreadableDocumentException e) {
+            return Promise.of(new ControlAnswer.Refused(e.getMessage()));
+        }
+        if (!configuration.problems().isEmpty()) {
+            return Promise.of(new ControlAnswer.Refused(configuration.problems().get(0)));
+        }
+        return change(new PublicationCommand.PutDocument(configuration.version(), Deflated.deflate(document)));
+    }
+
+    /** Has the group commit a command; what is committed here already is accepted at once. */
+    private Promise<ControlAnswer> change(PublicationCommand command) {
+        return ask(member.query(state -> state.wouldChange(command))).then(needed -> {
+            if (!needed && member.view().isFresh(clock.millis(), FRESH_MILLIS)) {
+                return Promise.of(new ControlAnswer.Accepted());
+            }
+            return submit(command).map(GroupNode::answerTo);
+        });
+    }
+
+    private static ControlAnswer answerTo(Outcome outcome) {
+        return outcome == Outcome.COMMITTED
+                ? new ControlAnswer.Accepted()
+                : new ControlAnswer.Unavailable(outcome.name());
+    }
+
+    private Promise<Outcome> submit(PublicationCommand command) {
+        return ask(member.submit(command)).then(outcome -> {
+            GroupView view = member.view();
+            boolean forward = outcome == Outcome.NOT_LEADER && view.leader() != null && !view.leads();
+            if (!forward) {
+                return Promise.of(outcome);
+            }
+            return clients.ask(
+                            Address.parse(view.leader().address()),
+                            new NodeRequest.SubmitPublication(command),
+                            FORWARD_TIMEOUT_MILLIS)
+                    .map(reply ->
+                            reply instanceof NodeReply.PublicationOutcome done ? done.outcome() : Outcome.UNKNOWN);
+        });
+    }
+
+    private Promise<ControlAnswer> heartbeat(TargetSighting sighting) {
+        if (!member.view().isFresh(clock.millis(), FRESH_MILLIS)) {
+            return Promise.of(new ControlAnswer.Unavailable("not in touch with a majority"));
+        }
+        heardTargets.add(sighting.id());
+        return ask(member.query(state -> state.registry().hasLeft(sighting.id())))
+                .then(left -> {
+                    if (left) {
+                        return Promise.of(new ControlAnswer.Accepted());
+                    }
+                    return change(new PublicationCommand.RecordTarget(sighting));
+                });
+    }
+
+    private Promise<ControlAnswer> read() {
+        return ask(member.query(PublicationState::documentVersion))
+                .then(have -> confirmedDocument(have))
+                .then(document -> document.deflated() != null
+                        ? Promise.of(document)
+                        : ask(member.query(state -> new NodeReply.Document(state.documentVersion(), state.document()))))
+                .map(document -> document.deflated() == null
+                        ? new ControlAnswer.Unavailable("no document yet")
+                        : new ControlAnswer.Document(Deflated.inflate(document.deflated())));
+    }
+
+    private Promise<NodeReply.Document> confirmedDocument(long haveVersion) {
+        GroupView view = member.view();
+        if (view.leads()) {
+            return confirmHere(haveVersion);
+        }
+        if (view.leader() == null) {
+            return Promise.ofException(new IOException("no leader"));
+        }
+        return clients.ask(
+                        Address.parse(view.leader().address()),
+                        new NodeRequest.ReadDocument(haveVersion),
+                        FORWARD_TIMEOUT_MILLIS)
+                .then(reply -> reply instanceof NodeReply.Document document
+                        ? Promise.of(document)
+                        : Promise.ofException(new IOException("leader could not confirm")));
+    }
+
+    /** An entry that is committed after the read began proves that this member saw all that was accepted before. */
+    private Promise<NodeReply.Document> confirmHere(long haveVersion) {
+        return ask(member.submit(new PublicationCommand.Confirm())).then(outcome -> {
+            if (outcome != Outcome.COMMITTED) {
+                return Promise.ofException(new IOException("not confirmed: " + outcome));
+            }
+            return ask(member.query(state -> new NodeReply.Document(
+                    state.documentVersion(), state.documentVersion() == haveVersion ? null : state.document())));
+        });
+    }
+
+    // ---- messages of other processes
+
+    private Promise<NodeReply> answer(NodeRequest request) {
+        if (request instanceof NodeRequest.Agree agree) {
+            member.receive(agree.message());
+            return Promise.of(new NodeReply.Received());
+        }
+        if (request instanceof NodeRequest.SubmitPublication submitted) {
+            return ask(member.submit(submitted.command())).map(NodeReply.PublicationOutcome::new);
+        }
+        if (request instanceof NodeRequest.ReadDocument read) {
+            return confirmHere(read.haveVersion()).map(document -> document);
+        }
+        if (request instanceof NodeRequest.WatchPublication watch) {
+            return watch(watch);
+        }
+        if (request instanceof NodeRequest.NoteHeartbeats noted) {
+            noteHeartbeats(noted.targets());
+            return Promise.of(new NodeReply.Received());
+        }
+        return Promise.of(new NodeReply.Failed("not for a control process"));
+    }
+
+    private Promise<NodeReply> watch(NodeRequest.WatchPublication watch) {
+        return ask(member.query(PublicationState::index)).then(index -> {
+            if (index > watch.haveIndex()) {
+                return watched(watch.haveIndex());
+            }
+            SettablePromise<NodeReply> reply = new SettablePromise<>();
+            Watcher watcher = new Watcher(watch.haveIndex(), reply);
+            watchers.add(watcher);
+            reactor.delayBackground(watch.waitMillis(), () -> {
+                if (watchers.remove(watcher)) {
+                    reply.set(watchedNothing());
+                }
+            });
+            return reply;
+        });
+    }
+
+    private void wakeWatchers(long index) {
+        List<Watcher> waiting = new ArrayList<>();
+        watchers.removeIf(watcher -> watcher.haveIndex() < index && waiting.add(watcher));
+        for (Watcher watcher : waiting) {
+            watched(watcher.haveIndex()).whenComplete(watcher.reply()::set, watcher.reply()::setException);
+        }
+    }
+
+    private Promise<NodeReply> watched(long haveIndex) {
+        return ask(member.query(state -> state.updateSince(haveIndex))).map(this::reply);
+    }
+
+    private NodeReply watchedNothing() {
+        return reply(null);
+    }
+
+    private NodeReply reply(PublicationUpdate update) {
+        GroupView view = member.view();
+        return new NodeReply.Watched(
+                update,
+                view.isFresh(clock.millis(), FRESH_MILLIS),
+                settings.dataHall(),
+                view.members().stream().map(Member::address).toList(),
+                watchers.size());
+    }
+
+    // ---- targets that fall silent
+
+    private void forwardHeartbeatsLater() {
+        reactor.delayBackground(HEARTBEATS_FORWARDED_MILLIS, () -> {
+            forwardHeartbeats();
+            forwardHeartbeatsLater();
+        });
+    }
+
+    private void forwardHeartbeats() {
+        GroupView view = member.view();
+        List<String> heard = List.copyOf(heardTargets);
+        heardTargets.clear();
+        if (view.leads()) {
+            noteHeartbeats(heard);
+            removeSilentTargets();
+        } else if (view.leader() != null && !heard.isEmpty()) {
+            clients.tell(Address.parse(view.leader().address()), new NodeRequest.NoteHeartbeats(heard));
+        }
+        ledBefore = view.leads();
+    }
+
+    private void noteHeartbeats(List<String> targets) {
+        long now = clock.millis();
+        targets.forEach(target -> heartbeats.put(target, now));
+    }
+
+    private void removeSilentTargets() {
+        if (!ledBefore) {
+            heartbeats.clear();
+        }
+        ask(member.query(state -> state.registry().all())).whenResult(this::removeSilentOf);
+    }
+
+    private void removeSilentOf(Collection<TargetRecord> targets) {
+        long now = clock.millis();
+        Set<String> known = new HashSet<>();
+        for (TargetRecord each : targets) {
+            String id = each.sighting().id();
+            known.add(id);
+            long last = heartbeats.computeIfAbsent(id, key -> now);
+            if (now - last > HEARTBEATS_MISSED * settings.heartbeatMillis()) {
+                heartbeats.remove(id);
+                log.write(DecisionKind.TARGET, "target", id, "event", "silent", "silent_ms", now - last);
+                ask(member.submit(new PublicationCommand.RemoveTarget(id, false)));
+            }
+        }
+        heartbeats.keySet().retainAll(known);
+    }
+
+    private <T> Promise<T> ask(CompletableFuture<T> future) {
+        SettablePromise<T> promise = new SettablePromise<>();
+        CompletableFuture<T> unused = future.whenComplete((value, failure) -> reactor.execute(() -> {
+            if (failure != null) {
+                promise.trySetException(failure instanceof Exception known ? known : new IOException(failure));
+            } else {
+                promise.trySet(value);
+            }
+        }));
+        return promise;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupView.java
@@ -0,0 +1,27 @@
+package org.bankturn.daemon.group;
+
+import java.util.List;
+import org.bankturn.agreement.Member;
+
+/**
+ * What other threads may know of a member and its group.
+ *
+ * @param self the member, null if its folder could not be read yet
+ * @param leader the leader as far as known, null if none is
+ * @param members the members, not null
+ * @param leads true if this member leads and its state is current
+ * @param current true if it leads or follows a leader
+ * @param heardMillis when it last heard from its leader, or as leader from a majority
+ */
+public record GroupView(
+        Member self, Member leader, List<Member> members, boolean leads, boolean current, long heardMillis) {
+    /** Returns the view of a member that knows nothing, not null. */
+    public static GroupView unknown() {
+        return new GroupView(null, null, List.of(), false, false, Long.MIN_VALUE / 2);
+    }
+
+    /** Returns true if the member is in touch with a majority, as of a moment within {@code withinMillis}. */
+    public boolean isFresh(long nowMillis, long withinMillis) {
+        return current && nowMillis - heardMillis <= withinMillis;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/http/BodyDecoder.java
@@ -0,0 +1,147 @@
+package org.bankturn.daemon.http;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Locale;
+
+/** Takes one message's body out of received bytes, whatever its framing; mutable, confined to one thread. */
+final class BodyDecoder {
+    private static final int MOST_LINE_BYTES = 4_096;
+    private static final byte[] NOTHING = new byte[0];
+
+    private enum State {
+        COUNTED,
+        CHUNK_SIZE,
+        CHUNK_DATA,
+        CHUNK_END,
+        TRAILER,
+        UNTIL_CLOSE,
+        DONE
+    }
+
+    private State state;
+    private long left;
+
+    /** Returns the decoder of a request's body. */
+    static BodyDecoder ofRequest(HttpHead head) throws HttpFormatException {
+        return of(head, false);
+    }
+
+    /** Returns the decoder of an answer's body. */
+    static BodyDecoder ofAnswer(HttpHead head, boolean bodiless) throws HttpFormatException {
+        int status = head.status();
+        if (bodiless || status == 204 || status == 304) {
+            return new BodyDecoder(State.DONE, 0);
+        }
+        return of(head, true);
+    }
+
+    private static BodyDecoder of(HttpHead head, boolean answer) throws HttpFormatException {
+        if (head.field("transfer-encoding").isPresent()) {
+            String coding = head.field("transfer-encoding").get().toLowerCase(Locale.ROOT);
+            if (!coding.equals("chunked")
+                    || (!answer && head.field("content-length").isPresent())) {
+                throw new HttpFormatException("transfer-encoding " + coding);
+            }
+            return new BodyDecoder(State.CHUNK_SIZE, 0);
+        }
+        if (head.field("content-length").isPresent()) {
+            long length = number(head.field("content-length").get(), 10);
+            long different = head.fields().stream()
+                    .filter(field -> field.is("content-length"))
+                    .map(HttpField::value)
+                    .distinct()
+                    .count();
+            if (different > 1) {
+                throw new HttpFormatException("two lengths");
+            }
+            return new BodyDecoder(length == 0 ? State.DONE : State.COUNTED, length);
+        }
+        return new BodyDecoder(answer ? State.UNTIL_CLOSE : State.DONE, 0);
+    }
+
+    private BodyDecoder(State state, long left) {
+        this.state = state;
+        this.left = left;
+    }
+
+    boolean isDone() {
+        return state == State.DONE;
+    }
+
+    /** Returns true if the body ends with its connection. */
+    boolean endsWithConnection() {
+        return state == State.UNTIL_CLOSE;
+    }
+
+    /** Returns true if a length was told, or chunks are, so that the end can be seen. */
+    long lengthLeft() {
+        return state == State.COUNTED ? left : -1;
+    }
+
+    /** Takes what there is of the body. */
+    byte[] take(ByteQueue received) throws HttpFormatException {
+        if (state == State.UNTIL_CLOSE) {
+            return received.take(received.size());
+        }
+        if (state == State.COUNTED) {
+            byte[] part = received.take((int) Math.min(left, received.size()));
+            left -= part.length;
+            state = left == 0 ? State.DONE : state;
+            return part;
+        }
+        return state == State.DONE ? NOTHING : takeChunks(received);
+    }
+
+    private byte[] takeChunks(ByteQueue received) throws HttpFormatException {
+        ByteArrayOutputStream taken = new ByteArrayOutputStream();
+        while (state != State.DONE) {
+            if (state == State.CHUNK_DATA) {
+                if (received.size() == 0) {
+                    break;
+                }
+                byte[] part = received.take((int) Math.min(left, received.size()));
+                taken.writeBytes(part);
+                left -= part.length;
+                state = left == 0 ? State.CHUNK_END : state;
+                continue;
+            }
+            int size = received.lineSize(0);
+            if (size < 0) {
+                if (received.size() > MOST_LINE_BYTES) {
+                    throw new HttpFormatException("chunk line too long");
+                }
+                break;
+            }
+            String line = received.text(0, size).trim();
+            received.skip(size);
+            takeLine(line);
+        }
+        return taken.toByteArray();
+    }
+
+    private void takeLine(String line) throws HttpFormatException {
+        if (state == State.CHUNK_SIZE) {
+            int end = line.indexOf(';');
+            left = number((end < 0 ? line : line.substring(0, end)).trim(), 16);
+            state = left == 0 ? State.TRAILER : State.CHUNK_DATA;
+        } else if (state == State.CHUNK_END) {
+            if (!line.isEmpty()) {
+                throw new HttpFormatException("chunk longer than said");
+            }
+            state = State.CHUNK_SIZE;
+        } else if (line.isEmpty()) {
+            state = State.DONE;
+        }
+    }
+
+    private static long number(String text, int radix) throws HttpFormatException {
+        try {
+            if (text.isEmpty() || text.startsWith("+") || text.startsWith("-")) {
+                throw new HttpFormatException("no length: " + text);
+            }
+            return Long.parseLong(text, radix);
+        } catch (NumberFormatException e) {
+            throw new HttpFormatException("no length: " + text);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ByteQueue.java
@@ -0,0 +1,70 @@
+package org.bankturn.daemon.http;
+
+import io.activej.bytebuf.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Bytes that were received and are not taken yet; mutable, confined to one thread. */
+final class ByteQueue {
+    private static final int INITIAL_BYTES = 1_024;
+
+    private byte[] bytes = new byte[0];
+    private int start;
+    private int end;
+
+    /** Adds the buffer's bytes and recycles it. */
+    void add(ByteBuf buffer) {
+        int size = buffer.readRemaining();
+        makeRoom(size);
+        System.arraycopy(buffer.array(), buffer.head(), bytes, end, size);
+        end += size;
+        buffer.recycle();
+    }
+
+    private void makeRoom(int size) {
+        if (bytes.length - end >= size) {
+            return;
+        }
+        int held = end - start;
+        byte[] larger = held + size <= bytes.length && start > 0
+                ? bytes
+                : new byte[Math.max(INITIAL_BYTES, Integer.highestOneBit(held + size) * 2)];
+        System.arraycopy(bytes, start, larger, 0, held);
+        bytes = larger;
+        start = 0;
+        end = held;
+    }
+
+    int size() {
+        return end - start;
+    }
+
+    byte[] take(int size) {
+        byte[] taken = Arrays.copyOfRange(bytes, start, start + size);
+        skip(size);
+        return taken;
+    }
+
+    void skip(int size) {
+        start += size;
+        if (start == end) {
+            start = 0;
+            end = 0;
+            bytes = bytes.length > 1 << 16 ? new byte[0] : bytes;
+        }
+    }
+
+    /** Returns the size up to and with the first line end, -1 if there is none yet. */
+    int lineSize(int from) {
+        for (int position = start + from; position < end; position++) {
+            if (bytes[position] == '\n') {
+                return position + 1 - start;
+            }
+        }
+        return -1;
+    }
+
+    String text(int from, int to) {
+        return new String(bytes, start + from, to - from, StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HopFailure.java
@@ -0,0 +1,24 @@
+package org.bankturn.daemon.http;
+
+/** Why a hop gave no whole answer. */
+public enum HopFailure {
+    /** No connection could be made: the request did not leave. */
+    NOT_CONNECTED(true),
+    /** The other side reset the connection. */
+    RESET(false),
+    /** The other side ended the connection early. */
+    CLOSED(false),
+    /** What came back is no answer. */
+    MALFORMED(false);
+
+    private final boolean surelyNotSent;
+
+    HopFailure(boolean surelyNotSent) {
+        this.surelyNotSent = surelyNotSent;
+    }
+
+    /** Returns true if no byte of the request left. */
+    public boolean isSurelyNotSent() {
+        return surelyNotSent;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
@@ -0,0 +1,137 @@
+package org.bankturn.daemon.http;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import org.bankturn.time.Clock;
+
+/**
+ * Makes single calls whose answers are taken whole; connections are kept for the next call.
+ *
+ * <p>HttpCalls is confined to its reactor's thread.
+ */
+public final class HttpCalls {
+    private final NioReactor reactor;
+    private final Clock clock;
+    private final Map<InetSocketAddress, Deque<TargetConnection>> resting = new HashMap<>();
+
+    /**
+     * A whole answer.
+     *
+     * @param head its head, not null
+     * @param body its body, not null
+     */
+    public record Answer(HttpHead head, byte[] body) {
+        /** Returns true if the status says success. */
+        public boolean isSuccess() {
+            return head.status() / 100 == 2;
+        }
+    }
+
+    /** Returns a caller on the reactor's thread, not null. */
+    public static HttpCalls on(NioReactor reactor, Clock clock) {
+        return new HttpCalls(reactor, clock);
+    }
+
+    private HttpCalls(NioReactor reactor, Clock clock) {
+        this.reactor = reactor;
+        this.clock = clock;
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param address where to, not null
+     * @param head the request's head without framing, not null
+     * @param body its body, not null
+     * @param timeoutMillis how long to wait for the whole answer
+     * @return the answer; fails if there is no whole one in time
+     */
+    public Promise<Answer> call(InetSocketAddress address, HttpHead head, byte[] body, long timeoutMillis) {
+        HttpHead framed = head.with("Content-Length", Integer.toString(body.length));
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(body.length + 256);
+        bytes.writeBytes(framed.encode());
+        bytes.writeBytes(body);
+        Call call = new Call(address);
+        reactor.delayBackground(timeoutMillis, call::timeOut);
+        TargetConnection rested = takeRested(address);
+        Promise<TargetConnection> connected =
+                rested != null ? Promise.of(rested) : TargetConnection.connect(reactor, clock, address, timeoutMillis);
+        connected.whenComplete((connection, failure) -> call.connected(connection, failure, bytes.toByteArray()));
+        return call.result;
+    }
+
+    private TargetConnection takeRested(InetSocketAddress address) {
+        Deque<TargetConnection> kept = resting.getOrDefault(address, new ArrayDeque<>());
+        while (!kept.isEmpty()) {
+            TargetConnection connection = kept.pollLast();
+            if (connection.isUsable()) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    private final class Call implements AnswerListener {
+        private final InetSocketAddress address;
+        private final SettablePromise<Answer> result = new SettablePromise<>();
+        private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+        private TargetConnection connection;
+        private HttpHead answer;
+
+        Call(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        void connected(TargetConnection opened, Exception failure, byte[] request) {
+            if (failure != null) {
+                result.trySetException(failure);
+                return;
+            }
+            if (result.isComplete()) {
+                opened.close();
+                return;
+            }
+            connection = opened;
+            opened.send(request, false, this);
+        }
+
+        void timeOut() {
+            if (result.trySetException(new IOException("no answer in time from " + address)) && connection != null) {
+                connection.close();
+            }
+        }
+
+        @Override
+        public boolean onHead(HttpHead head) {
+            answer = head;
+            return true;
+        }
+
+        @Override
+        public void onPart(byte[] bytes) {
+            content.writeBytes(bytes);
+        }
+
+        @Override
+        public void onEnd() {
+            if (connection.isUsable()) {
+                resting.computeIfAbsent(address, key -> new ArrayDeque<>()).add(connection);
+            }
+            result.trySet(new Answer(answer, content.toByteArray()));
+        }
+
+        @Override
+        public void onFailure(HopFailure failure) {
+            result.trySetException(new IOException(failure + " at " + address));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpHead.java
@@ -0,0 +1,127 @@
+package org.bankturn.daemon.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The start line and header fields of a message.
+ *
+ * <p>HttpHead is immutable and thread-safe.
+ *
+ * @param first method or protocol version, not null
+ * @param second target of the request or status, not null
+ * @param third protocol version or reason, not null
+ * @param fields the fields in order, not null
+ */
+public record HttpHead(String first, String second, String third, List<HttpField> fields) {
+    private static final Set<String> CONNECTION_FIELDS = Set.of(
+            "connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "proxy-connection", "expect");
+    private static final String VERSION = "HTTP/1.1";
+
+    /** Copies the fields. */
+    public HttpHead {
+        fields = List.copyOf(fields);
+    }
+
+    /** Returns the head of a request, not null. */
+    public static HttpHead request(String method, String target, List<HttpField> fields) {
+        return new HttpHead(method, target, VERSION, fields);
+    }
+
+    /** Returns the head of an answer, not null. */
+    public static HttpHead answer(int status, List<HttpField> fields) {
+        return new HttpHead(VERSION, Integer.toString(status), reason(status), fields);
+    }
+
+    private static String reason(int status) {
+        return switch (status) {
+            case 200 -> "OK";
+            case 202 -> "Accepted";
+            case 307 -> "Temporary Redirect";
+            case 400 -> "Bad Request";
+            case 401 -> "Unauthorized";
+            case 404 -> "Not Found";
+            case 413 -> "Content Too Large";
+            case 431 -> "Request Header Fields Too Large";
+            case 502 -> "Bad Gateway";
+            case 503 -> "Service Unavailable";
+            case 504 -> "Gateway Timeout";
+            default -> "Status";
+        };
+    }
+
+    /** Returns the status of an answer, -1 if this is none. */
+    public int status() {
+        try {
+            return Integer.parseInt(second);
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    /** Returns the first value of a field, empty if it is not there. */
+    public Optional<String> field(String name) {
+        for (HttpField field : fields) {
+            if (field.is(name)) {
+                return Optional.of(field.value());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns true if a field holds the word among its values, in any case. */
+    public boolean fieldHolds(String name, String word) {
+        for (HttpField field : fields) {
+            if (field.is(name) && field.value().toLowerCase(Locale.ROOT).contains(word)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns this head without the fields that concern one connection only, nor those named in Connection. */
+    public HttpHead withoutConnectionFields() {
+        Set<String> named = new java.util.HashSet<>(CONNECTION_FIELDS);
+        for (HttpField field : fields) {
+            if (field.is("connection")) {
+                for (String word : field.value().split(",", -1)) {
+                    named.add(word.trim().toLowerCase(Locale.ROOT));
+                }
+            }
+        }
+        return without(named);
+    }
+
+    /** Returns this head without the named fields; names in lower case. */
+    public HttpHead without(Set<String> names) {
+        List<HttpField> kept = new ArrayList<>();
+        for (HttpField field : fields) {
+            if (!names.contains(field.name().toLowerCase(Locale.ROOT))) {
+                kept.add(field);
+            }
+        }
+        return new HttpHead(first, second, third, kept);
+    }
+
+    /** Returns this head with one more field. */
+    public HttpHead with(String name, String value) {
+        List<HttpField> more = new ArrayList<>(fields);
+        more.add(new HttpField(name, value));
+        return new HttpHead(first, second, third, more);
+    }
+
+    /** Returns the bytes of this head, the empty line included. */
+    public byte[] encode() {
+        StringBuilder text = new StringBuilder(256);
+        text.append(first).append(' ').append(second).append(' ').append(third).append("\r\n");
+        for (HttpField field : fields) {
+            text.append(field.name()).append(": ").append(field.value()).append("\r\n");
+        }
+        text.append("\r\n");
+        return text.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -0,0 +1,224 @@
+package org.bankturn.daemon.http;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.ITcpSocket;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Supplier;
+import org.bankturn.time.Clock;
+
+/** One caller's connection: reads a request whole, waits for its answer, then takes the next; confined to one thread. */
+final class ServerConnection {
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+    private static final int MOST_BYTES_AHEAD = 64 << 10;
+
+    private final HttpListener listener;
+    private final ITcpSocket socket;
+    private final Clock clock;
+    private final Supplier<ServerLimits> limits;
+    private final HttpHandler handler;
+    private final ByteQueue received = new ByteQueue();
+    private final Deque<byte[]> unsent = new ArrayDeque<>();
+    private HttpHead head;
+    private BodyDecoder body;
+    private ByteArrayOutputStream bodyBytes;
+    private ServerExchange exchange;
+    private long quietSince;
+    private long requestSince;
+    private boolean reading;
+    private boolean sending;
+    private boolean closeWhenSent;
+    private boolean ended;
+
+    ServerConnection(
+            HttpListener listener, ITcpSocket socket, Clock clock, Supplier<ServerLimits> limits, HttpHandler handler) {
+        this.listener = listener;
+        this.socket = socket;
+        this.clock = clock;
+        this.limits = limits;
+        this.handler = handler;
+        this.quietSince = clock.millis();
+    }
+
+    void start() {
+        readMore();
+    }
+
+    boolean isBusy() {
+        return exchange != null || head != null || sending;
+    }
+
+    boolean isClosing() {
+        return listener.isDraining();
+    }
+
+    void closeIfResting() {
+        if (!isBusy() && received.size() == 0) {
+            close();
+        }
+    }
+
+    void closeIfOverdue(long now) {
+        boolean waitsForRequest = exchange == null && !sending;
+        boolean begun = head != null || received.size() > 0;
+        long bound = begun ? 4 * limits.get().headTimeoutMillis() : limits.get().idleTimeoutMillis();
+        if (waitsForRequest && now - (begun ? requestSince : quietSince) > bound) {
+            close();
+        }
+    }
+
+    void close() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        socket.closeEx(new IOException("closed here"));
+        finishEnd();
+    }
+
+    private void finishEnd() {
+        listener.ended(this);
+        ServerExchange waiting = exchange;
+        exchange = null;
+        if (waiting != null) {
+            waiting.callerGone();
+        }
+    }
+
+    // ---- receiving
+
+    private void readMore() {
+        if (reading || ended || (received.size() > MOST_BYTES_AHEAD && exchange != null)) {
+            return;
+        }
+        reading = true;
+        socket.read().whenComplete((bytes, failure) -> {
+            reading = false;
+            if (ended) {
+                if (bytes != null) {
+                    bytes.recycle();
+                }
+                return;
+            }
+            if (failure != null || bytes == null) {
+                close();
+                return;
+            }
+            if (received.size() == 0 && head == null) {
+                requestSince = clock.millis();
+            }
+            received.add(bytes);
+            takeRequest();
+            readMore();
+        });
+    }
+
+    private void takeRequest() {
+        if (exchange != null || ended || closeWhenSent) {
+            return;
+        }
+        try {
+            if (head == null && !takeHead()) {
+                return;
+            }
+            bodyBytes.writeBytes(body.take(received));
+            if (bodyBytes.size() > limits.get().mostBodyBytes()) {
+                refuse(413);
+                return;
+            }
+            if (body.isDone()) {
+                handOver();
+            }
+        } catch (HttpFormatException e) {
+            refuse(400);
+        }
+    }
+
+    private boolean takeHead() throws HttpFormatException {
+        head = HttpHeadParser.take(received, limits.get().mostHeadBytes());
+        if (head == null) {
+            return false;
+        }
+        body = BodyDecoder.ofRequest(head);
+        if (body.lengthLeft() > limits.get().mostBodyBytes()) {
+            refuse(413);
+            return false;
+        }
+        bodyBytes = new ByteArrayOutputStream((int) Math.max(32, body.lengthLeft()));
+        if (head.fieldHolds("expect", "100-continue")) {
+            send(CONTINUE);
+        }
+        return true;
+    }
+
+    private void handOver() {
+        HttpHead taken = head;
+        byte[] content = bodyBytes.toByteArray();
+        head = null;
+        body = null;
+        bodyBytes = null;
+        exchange = new ServerExchange(this, taken, content, clock.millis());
+        handler.handle(exchange);
+    }
+
+    private void refuse(int status) {
+        head = null;
+        closeWhenSent = true;
+        send(HttpHead.answer(
+                        status, List.of(new HttpField("Content-Length", "0"), new HttpField("Connection", "close")))
+                .encode());
+    }
+
+    // ---- sending, for the exchange
+
+    void send(byte[] bytes) {
+        if (ended) {
+            return;
+        }
+        unsent.add(bytes);
+        sendMore();
+    }
+
+    /** Ends the exchange; with {@code keep} false the connection closes once all is sent. */
+    void finish(ServerExchange finished, boolean keep) {
+        if (exchange != finished) {
+            return;
+        }
+        exchange = null;
+        quietSince = clock.millis();
+        requestSince = quietSince;
+        closeWhenSent = !keep;
+        sendMore();
+        if (keep && !ended) {
+            takeRequest();
+            readMore();
+        }
+    }
+
+    private void sendMore() {
+        if (sending || ended) {
+            return;
+        }
+        if (unsent.isEmpty()) {
+            if (closeWhenSent) {
+                socket.close();
+                ended = true;
+                finishEnd();
+            }
+            return;
+        }
+        sending = true;
+        socket.write(ByteBuf.wrapForReading(unsent.poll())).whenComplete((nothing, failure) -> {
+            sending = false;
+            if (failure != null) {
+                close();
+            } else {
+                sendMore();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerExchange.java
@@ -0,0 +1,142 @@
+package org.bankturn.daemon.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+
+/**
+ * A request and the way back to its caller.
+ *
+ * <p>Answer with {@link #answer}, or with {@link #beginParts}, {@link #part} and {@link #endParts}. {@link #abort} closes
+ * the connection so that what was sent cannot look whole. ServerExchange is confined to its reactor's thread.
+ */
+public final class ServerExchange {
+    private static final Set<String> FRAMING = Set.of("content-length", "transfer-encoding", "connection");
+    private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+    private static final byte[] LINE_END = {'\r', '\n'};
+
+    private final ServerConnection connection;
+    private final HttpHead head;
+    private final byte[] body;
+    private final long receivedMillis;
+    private Runnable whenGone = () -> {};
+    private boolean begun;
+    private boolean keep;
+    private boolean finished;
+
+    ServerExchange(ServerConnection connection, HttpHead head, byte[] body, long receivedMillis) {
+        this.connection = connection;
+        this.head = head;
+        this.body = body;
+        this.receivedMillis = receivedMillis;
+    }
+
+    /** Returns the request's head, not null. */
+    public HttpHead head() {
+        return head;
+    }
+
+    /** Returns the request's body, not null. */
+    public byte[] body() {
+        return body;
+    }
+
+    /** Returns when the request had come whole. */
+    public long receivedMillis() {
+        return receivedMillis;
+    }
+
+    /** Returns true if a part of the answer was sent. */
+    public boolean hasBegun() {
+        return begun;
+    }
+
+    /** Returns true if the answer was sent whole, was aborted, or the caller left. */
+    public boolean isFinished() {
+        return finished;
+    }
+
+    /** Sets what happens when the caller leaves before its answer is whole. */
+    public void whenGone(Runnable action) {
+        whenGone = action;
+    }
+
+    /** Sends a whole answer; fields of framing are set here. */
+    public void answer(HttpHead answer, byte[] content) {
+        if (finished || begun) {
+            return;
+        }
+        begun = true;
+        finished = true;
+        boolean keeps = keepsConnection();
+        HttpHead framed = framed(answer, keeps).with("Content-Length", Integer.toString(content.length));
+        boolean bodiless = head.first().equals("HEAD");
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(content.length + 256);
+        bytes.writeBytes(framed.encode());
+        if (!bodiless) {
+            bytes.writeBytes(content);
+        }
+        connection.send(bytes.toByteArray());
+        connection.finish(this, keeps);
+    }
+
+    /** Sends the head of an answer whose end is not known yet. */
+    public void beginParts(HttpHead answer) {
+        if (finished || begun) {
+            return;
+        }
+        begun = true;
+        keep = keepsConnection();
+        connection.send(
+                framed(answer, keep).with("Transfer-Encoding", "chunked").encode());
+    }
+
+    /** Sends a part of the answer. */
+    public void part(byte[] content) {
+        if (finished || content.length == 0) {
+            return;
+        }
+        ByteArrayOutputStream chunk = new ByteArrayOutputStream(content.length + 16);
+        chunk.writeBytes((Integer.toHexString(content.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        chunk.writeBytes(content);
+        chunk.writeBytes(LINE_END);
+        connection.send(chunk.toByteArray());
+    }
+
+    /** Ends the answer as whole. */
+    public void endParts() {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        connection.send(LAST_CHUNK);
+        connection.finish(this, keep && !connection.isClosing());
+    }
+
+    /** Closes the connection, so that the answer cannot look whole. */
+    public void abort() {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        connection.close();
+    }
+
+    void callerGone() {
+        if (!finished) {
+            finished = true;
+            whenGone.run();
+        }
+    }
+
+    private boolean keepsConnection() {
+        return !connection.isClosing()
+                && !head.fieldHolds("connection", "close")
+                && !head.third().equals("HTTP/1.0");
+    }
+
+    private static HttpHead framed(HttpHead answer, boolean keeps) {
+        HttpHead plain = answer.without(FRAMING);
+        return keeps ? plain : plain.with("Connection", "close");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -0,0 +1,235 @@
+package org.bankturn.daemon.http;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import org.bankturn.time.Clock;
+
+/**
+ * One connection to a target, which carries one request at a time.
+ *
+ * <p>It may be used again only if the answer was whole, named the request, asked for no end, and nothing followed it.
+ * TargetConnection is confined to its reactor's thread.
+ */
+public final class TargetConnection {
+    private static final int MOST_HEAD_BYTES = 32 << 10;
+    private static final long UNKNOWN_REST_MILLIS = 4_000;
+    private static final long REST_MARGIN_MILLIS = 700;
+
+    private final ITcpSocket socket;
+    private final Clock clock;
+    private final ByteQueue received = new ByteQueue();
+    private AnswerListener listener;
+    private BodyDecoder body;
+    private boolean wanted;
+    private boolean bodiless;
+    private boolean writing;
+    private boolean spoilt;
+    private boolean ended;
+    private long restingSince;
+    private long mostRestMillis = UNKNOWN_REST_MILLIS;
+
+    /** Connects; the promise fails if that takes longer than {@code timeoutMillis}. */
+    public static Promise<TargetConnection> connect(
+            NioReactor reactor, Clock clock, InetSocketAddress address, long timeoutMillis) {
+        return TcpSocket.connect(reactor, address, Duration.ofMillis(timeoutMillis), null)
+                .map(socket -> {
+                    TargetConnection connection = new TargetConnection(socket, clock);
+                    connection.readMore();
+                    return connection;
+                });
+    }
+
+    private TargetConnection(ITcpSocket socket, Clock clock) {
+        this.socket = socket;
+        this.clock = clock;
+        this.restingSince = clock.millis();
+    }
+
+    /** Returns true if a request may be sent now. */
+    public boolean isUsable() {
+        return !ended && !spoilt && listener == null && !writing && clock.millis() - restingSince < mostRestMillis;
+    }
+
+    /** Returns since when no request was under way. */
+    public long restingSince() {
+        return restingSince;
+    }
+
+    /** Returns true if the connection is no longer open. */
+    public boolean hasEnded() {
+        return ended;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request its bytes, head and body, not null
+     * @param expectsNoBody true if the answer has no body whatever its head says
+     * @param answers takes the answer, not null
+     */
+    public void send(byte[] request, boolean expectsNoBody, AnswerListener answers) {
+        listener = answers;
+        bodiless = expectsNoBody;
+        writing = true;
+        socket.write(ByteBuf.wrapForReading(request)).whenComplete((nothing, failure) -> {
+            writing = false;
+            if (failure != null) {
+                end(HopFailure.RESET);
+            }
+        });
+    }
+
+    /** Closes the connection; the listener hears nothing more. */
+    public void close() {
+        listener = null;
+        if (!ended) {
+            ended = true;
+            socket.closeEx(new IOException("closed here"));
+        }
+    }
+
+    private void readMore() {
+        socket.read().whenComplete((bytes, failure) -> {
+            if (ended) {
+                if (bytes != null) {
+                    bytes.recycle();
+                }
+                return;
+            }
+            if (failure != null) {
+                end(HopFailure.RESET);
+                return;
+            }
+            if (bytes == null) {
+                endOfInput();
+                return;
+            }
+            received.add(bytes);
+            takeAnswers();
+            if (!ended) {
+                readMore();
+            }
+        });
+    }
+
+    private void endOfInput() {
+        boolean whole = body != null && body.endsWithConnection();
+        if (!whole) {
+            end(HopFailure.CLOSED);
+            return;
+        }
+        AnswerListener waiting = listener;
+        boolean answered = wanted;
+        close();
+        if (waiting == null) {
+            return;
+        }
+        if (answered) {
+            waiting.onEnd();
+        } else {
+            waiting.onFailure(HopFailure.CLOSED);
+        }
+    }
+
+    private void end(HopFailure failure) {
+        AnswerListener waiting = listener;
+        close();
+        if (waiting != null) {
+            waiting.onFailure(failure);
+        }
+    }
+
+    private void takeAnswers() {
+        try {
+            while (!ended && received.size() > 0) {
+                if (listener == null) {
+                    close();
+                    return;
+                }
+                if (body == null && !takeHead()) {
+                    return;
+                }
+                if (body != null && !ended && !takeBody()) {
+                    return;
+                }
+            }
+        } catch (HttpFormatException e) {
+            end(HopFailure.MALFORMED);
+        }
+    }
+
+    /** Takes the next head; returns false if it is not whole yet. */
+    private boolean takeHead() throws HttpFormatException {
+        HttpHead head = HttpHeadParser.take(received, MOST_HEAD_BYTES);
+        if (head == null) {
+            return false;
+        }
+        int status = head.status();
+        if (status < 100) {
+            throw new HttpFormatException("no status: " + head.second());
+        }
+        if (status < 200) {
+            return true;
+        }
+        body = BodyDecoder.ofAnswer(head, bodiless);
+        wanted = listener.onHead(head);
+        spoilt |= !wanted || head.fieldHolds("connection", "close");
+        readKeepAlive(head.field("keep-alive"));
+        if (body.isDone() && !ended) {
+            answerEnded();
+        }
+        return true;
+    }
+
+    /** Takes what there is of the body; returns false if more must come first. */
+    private boolean takeBody() throws HttpFormatException {
+        byte[] part = body.take(received);
+        boolean whole = body.isDone();
+        if (wanted && part.length > 0) {
+            listener.onPart(part);
+        }
+        if (whole && !ended) {
+            answerEnded();
+        }
+        return whole;
+    }
+
+    private void readKeepAlive(Optional<String> value) {
+        if (value.isEmpty()) {
+            return;
+        }
+        for (String part : value.get().split(",", -1)) {
+            String trimmed = part.trim();
+            if (trimmed.startsWith("timeout=")) {
+                try {
+                    mostRestMillis =
+                            Long.parseLong(trimmed.substring("timeout=".length())) * 1_000 - REST_MARGIN_MILLIS;
+                } catch (NumberFormatException e) {
+                    spoilt = true;
+                }
+            }
+        }
+    }
+
+    private void answerEnded() {
+        body = null;
+        if (!wanted) {
+            return;
+        }
+        AnswerListener waiting = listener;
+        listener = null;
+        restingSince = clock.millis();
+        spoilt |= received.size() > 0 || writing;
+        if (spoilt) {
+            close();
+        }
+        waiting.onEnd();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -0,0 +1,44 @@
+package org.bankturn.daemon.observe;
+
+import java.util.Locale;
+
+/** What a line of the decision log tells. */
+public enum DecisionKind {
+    /** The process started. */
+    START,
+    /** The process stops as planned. */
+    STOP,
+    /** Settings were taken up or refused. */
+    RELOAD,
+    /** A dependency was lost. */
+    LOST,
+    /** A dependency was regained. */
+    REGAINED,
+    /** A request was refused without having run. */
+    REFUSED,
+    /** A request failed, or its outcome is unknown. */
+    FAILED,
+    /** A request was sent to another target. */
+    RETRIED,
+    /** A stream was taken up at another target. */
+    RESUMED,
+    /** A caller left before its answer was whole. */
+    CANCELLED,
+    /** A newer publication is in force here. */
+    PUBLISHED,
+    /** A change was accepted or refused. */
+    CHANGE,
+    /** A target was recorded, is leaving or is gone. */
+    TARGET,
+    /** A target is avoided, or tried again. */
+    HEALTH,
+    /** This control box leads, follows, joined or recovered. */
+    GROUP,
+    /** Weights were fetched, checked, staged or started. */
+    WEIGHTS;
+
+    /** Returns the name that stands in the log, not null. */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionLog.java
@@ -0,0 +1,118 @@
+package org.bankturn.daemon.observe;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.bankturn.time.Clock;
+
+/**
+ * Writes one JSON line for each decision to standard output, and never makes the deciding thread wait.
+ *
+ * <p>Lines go through a bounded queue to a thread of their own; what does not fit is dropped and counted, and the count
+ * is written once there is room again. Each kind of line has a budget a second, so that a flood of one kind leaves room
+ * for the others.
+ *
+ * <p>DecisionLog is thread-safe.
+ */
+public final class DecisionLog {
+    private static final int QUEUED_LINES = 1_024;
+    private static final int LINES_A_SECOND = 20;
+    private static final long SECOND_MILLIS = 1_000;
+
+    private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final Map<DecisionKind, Integer> writtenThisSecond = new EnumMap<>(DecisionKind.class);
+    private long second;
+    private final Clock clock;
+    private final String process;
+
+    /** Starts a log of the process of that name on standard output. */
+    public static DecisionLog start(String process, Clock clock) {
+        DecisionLog log = new DecisionLog(process, clock);
+        Thread writer = new Thread(log::writeLines, "log");
+        writer.setDaemon(true);
+        writer.start();
+        return log;
+    }
+
+    private DecisionLog(String process, Clock clock) {
+        this.process = process;
+        this.clock = clock;
+    }
+
+    /**
+     * Writes a line unless its kind has used up its budget.
+     *
+     * @param kind what was decided, not null
+     * @param fields names and values by turns: what it was decided on, and the outcome
+     */
+    public void write(DecisionKind kind, Object... fields) {
+        long now = clock.millis();
+        if (!withinBudget(kind, now)) {
+            dropped.incrementAndGet();
+            return;
+        }
+        StringBuilder line = new StringBuilder(160);
+        line.append("{\"at\":").append(now);
+        line.append(",\"process\":\"").append(process);
+        line.append("\",\"kind\":\"").append(kind.label()).append('"');
+        for (int position = 0; position + 1 < fields.length; position += 2) {
+            line.append(",\"").append(fields[position]).append("\":");
+            appendValue(line, fields[position + 1]);
+        }
+        line.append("}\n");
+        if (!queue.offer(line.toString())) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private synchronized boolean withinBudget(DecisionKind kind, long now) {
+        if (now / SECOND_MILLIS != second) {
+            second = now / SECOND_MILLIS;
+            writtenThisSecond.clear();
+        }
+        return writtenThisSecond.merge(kind, 1, Integer::sum) <= LINES_A_SECOND;
+    }
+
+    private static void appendValue(StringBuilder line, Object value) {
+        if (value instanceof Number || value instanceof Boolean) {
+            line.append(value);
+            return;
+        }
+        line.append('"');
+        String text = String.valueOf(value);
+        for (int position = 0; position < text.length(); position++) {
+            char each = text.charAt(position);
+            if (each == '"' || each == '\\') {
+                line.append('\\').append(each);
+            } else {
+                line.append(each < ' ' ? ' ' : each);
+            }
+        }
+        line.append('"');
+    }
+
+    private void writeLines() {
+        try (FileOutputStream output = new FileOutputStream(FileDescriptor.out)) {
+            while (true) {
+                output.write(queue.take().getBytes(StandardCharsets.UTF_8));
+                long lost = dropped.getAndSet(0);
+                if (lost > 0) {
+                    String line = "{\"at\":" + clock.millis() + ",\"process\":\"" + process
+                            + "\",\"kind\":\"lines_dropped\",\"count\":" + lost + "}\n";
+                    output.write(line.getBytes(StandardCharsets.UTF_8));
+                }
+            }
+        } catch (IOException e) {
+            queue.clear();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
@@ -0,0 +1,229 @@
+package org.bankturn.daemon.publication;
+
+import io.activej.reactor.nio.NioReactor;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.bankturn.codec.Deflated;
+import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.publication.PublicationUpdate;
+import org.bankturn.service.DocumentFormat;
+import org.bankturn.service.ServingConfiguration;
+import org.bankturn.service.UnreadableDocumentException;
+import org.bankturn.time.Clock;
+
+/**
+ * Keeps up with what the control group publishes, by asking one control process at a time and waiting there for news.
+ *
+ * <p>It prefers one in its own data hall, and moves on from one that does not answer or is not in touch with a majority.
+ * What it shows never goes back. PublicationFollower is confined to its reactor's thread.
+ */
+public final class PublicationFollower {
+    private static final long WAIT_MILLIS = 500;
+    private static final long ANSWER_MILLIS = 500;
+    private static final long PAUSE_MILLIS = 100;
+    private static final long PREFER_OWN_HALL_MILLIS = 5_000;
+
+    private final NioReactor reactor;
+    private final NodeClients clients;
+    private final Supplier<List<Address>> seeds;
+    private final String dataHall;
+    private final DocumentFormat format;
+    private final Clock clock;
+    private final DecisionLog log;
+    private final Consumer<Published> listener;
+    private final Map<Address, String> hallOf = new HashMap<>();
+    private final Set<Address> members = new LinkedHashSet<>();
+    private final Set<Address> tried = new LinkedHashSet<>();
+    private Published published = Published.NOTHING;
+    private Address current;
+    private long movedMillis;
+    private long freshMillis = Long.MIN_VALUE / 2;
+    private boolean stopped;
+
+    /**
+     * What a follower needs.
+     *
+     * @param reactor its reactor, not null
+     * @param clients asks other processes, not null
+     * @param seeds the control boxes that settings name now, not null
+     * @param dataHall the data hall it is in, not null
+     * @param format reads operators' documents, not null
+     * @param clock the time, not null
+     * @param log the decision log, not null
+     */
+    public record Wiring(
+            NioReactor reactor,
+            NodeClients clients,
+            Supplier<List<Address>> seeds,
+            String dataHall,
+            DocumentFormat format,
+            Clock clock,
+            DecisionLog log) {}
+
+    /** Returns a follower that tells {@code listener} of each change; it does not run yet. */
+    public static PublicationFollower of(Wiring wiring, Consumer<Published> listener) {
+        return new PublicationFollower(wiring, listener);
+    }
+
+    private PublicationFollower(Wiring wiring, Consumer<Published> listener) {
+        this.reactor = wiring.reactor();
+        this.clients = wiring.clients();
+        this.seeds = wiring.seeds();
+        this.dataHall = wiring.dataHall();
+        this.format = wiring.format();
+        this.clock = wiring.clock();
+        this.log = wiring.log();
+        this.listener = listener;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        ask();
+    }
+
+    /** Stops following. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /** Returns what is published, as far as known, not null. */
+    public Published published() {
+        return published;
+    }
+
+    /** Returns when a control process in touch with a majority last answered. */
+    public long freshMillis() {
+        return freshMillis;
+    }
+
+    private void ask() {
+        if (stopped) {
+            return;
+        }
+        if (current == null) {
+            current = next();
+        }
+        Address asked = current;
+        if (asked == null) {
+            askLater();
+            return;
+        }
+        clients.ask(
+                        asked,
+                        new NodeRequest.WatchPublication(published.index(), WAIT_MILLIS),
+                        WAIT_MILLIS + ANSWER_MILLIS)
+                .whenComplete((reply, failure) -> {
+                    if (failure == null && reply instanceof NodeReply.Watched watched) {
+                        took(asked, watched);
+                    } else {
+                        lost(asked, failure == null ? "no answer to the question" : failure.toString());
+                    }
+                });
+    }
+
+    private void took(Address from, NodeReply.Watched watched) {
+        hallOf.put(from, watched.dataHall());
+        if (!watched.members().isEmpty()) {
+            members.clear();
+            watched.members().forEach(text -> members.add(Address.parse(text)));
+        }
+        if (watched.update() != null && watched.update().index() > published.index()) {
+            apply(watched.update(), from);
+        }
+        if (!watched.fresh()) {
+            lost(from, "not in touch with a majority");
+            return;
+        }
+        tried.clear();
+        freshMillis = clock.millis();
+        preferOwnHall();
+        ask();
+    }
+
+    private void apply(PublicationUpdate update, Address from) {
+        ServingConfiguration configuration = published.configuration();
+        if (update.document() != null
+                && (configuration == null || update.documentVersion() > configuration.version())) {
+            try {
+                configuration = format.read(Deflated.inflate(update.document()));
+            } catch (UnreadableDocumentException e) {
+                log.write(DecisionKind.PUBLISHED, "outcome", "unreadable", "error", e.getMessage());
+                return;
+            }
+        }
+        published = published.after(update, configuration);
+        log.write(
+                DecisionKind.PUBLISHED,
+                "index",
+                published.index(),
+                "version",
+                configuration == null ? 0 : configuration.version(),
+                "targets",
+                published.targets().size(),
+                "from",
+                from);
+        listener.accept(published);
+    }
+
+    private void lost(Address asked, String reason) {
+        log.write(DecisionKind.LOST, "dependency", "control", "address", asked, "reason", reason);
+        tried.add(asked);
+        current = null;
+        Address other = next();
+        if (other == null) {
+            tried.clear();
+            askLater();
+        } else {
+            current = other;
+            movedMillis = clock.millis();
+            ask();
+        }
+    }
+
+    private void askLater() {
+        reactor.delayBackground(PAUSE_MILLIS, this::ask);
+    }
+
+    private Address next() {
+        List<Address> candidates = new ArrayList<>(members);
+        seeds.get().stream().filter(seed -> !members.contains(seed)).forEach(candidates::add);
+        candidates.removeAll(tried);
+        return candidates.stream()
+                .min((one, other) -> Integer.compare(distance(one), distance(other)))
+                .orElse(null);
+    }
+
+    private int distance(Address address) {
+        String hall = hallOf.get(address);
+        if (hall == null) {
+            return 1;
+        }
+        return hall.equals(dataHall) ? 0 : 2;
+    }
+
+    private void preferOwnHall() {
+        boolean due = clock.millis() - movedMillis > PREFER_OWN_HALL_MILLIS;
+        boolean first = movedMillis == 0;
+        if (distance(current) == 0 || !(due || first)) {
+            return;
+        }
+        Address nearer = next();
+        if (nearer != null && distance(nearer) < distance(current)) {
+            current = nearer;
+            movedMillis = distance(nearer) == 0 ? clock.millis() : movedMillis;
+        } else {
+            movedMillis = clock.millis();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/Published.java
@@ -0,0 +1,53 @@
+package org.bankturn.daemon.publication;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bankturn.publication.NamedWeights;
+import org.bankturn.publication.PublicationUpdate;
+import org.bankturn.registry.TargetSighting;
+import org.bankturn.service.ServingConfiguration;
+
+/**
+ * What is published, as far as one process knows.
+ *
+ * <p>Published is immutable and thread-safe.
+ *
+ * @param index the log index it leads to, 0 if nothing is known
+ * @param configuration the operators' document, null if none is known
+ * @param weights the named weights, not null
+ * @param targets the targets by incarnation, not null
+ */
+public record Published(
+        long index,
+        ServingConfiguration configuration,
+        List<NamedWeights> weights,
+        Map<String, TargetSighting> targets) {
+    /** Nothing is known. */
+    public static final Published NOTHING = new Published(0, null, List.of(), Map.of());
+
+    /** Copies the collections. */
+    public Published {
+        weights = List.copyOf(weights);
+        targets = Map.copyOf(targets);
+    }
+
+    /** Returns the named weights of a model, empty if none are named. */
+    public Optional<NamedWeights> weightsOf(String model) {
+        return weights.stream().filter(each -> each.model().equals(model)).findFirst();
+    }
+
+    /**
+     * Returns what is published after an update.
+     *
+     * @param update the update, not null
+     * @param newest the document that it brought, or the one held, null if there is none
+     */
+    Published after(PublicationUpdate update, ServingConfiguration newest) {
+        Map<String, TargetSighting> next = update.whole() ? new HashMap<>() : new HashMap<>(targets);
+        update.gone().forEach(next::remove);
+        update.changed().forEach(each -> next.put(each.id(), each));
+        return new Published(update.index(), newest, update.weights(), next);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -0,0 +1,198 @@
+package org.bankturn.daemon.serving;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.bankturn.daemon.gateway.Gateway;
+import org.bankturn.daemon.gateway.GatewaySettings;
+import org.bankturn.daemon.group.GroupNode;
+import org.bankturn.daemon.group.GroupSettings;
+import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.publication.PublicationFollower;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.weights.WeightsAgent;
+import org.bankturn.daemon.weights.WeightsSettings;
+import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.daemon.wire.NodeServer;
+import org.bankturn.document.DocumentError;
+import org.bankturn.time.Clock;
+
+/** One process that meets an outside platform; its settings say which role it has. */
+public final class ServingProcess {
+    private static final long SETTINGS_CHECK_MILLIS = 1_000;
+    private static final double WEIGHTS_DEADLINE_SHARE = 0.92;
+
+    private final SettingsSource source;
+    private final Dialects dialects;
+    private final Clock clock = Clock.system();
+    private final Eventloop reactor =
+            Eventloop.builder().withThreadName("serving").build();
+    private final DecisionLog log;
+    private volatile ServingSettings settings;
+    private long stamp;
+    private Gateway gateway;
+    private GroupNode group;
+
+    /** Returns a process that does not run yet, not null. */
+    public static ServingProcess of(ServingSettings settings, SettingsSource source, Dialects dialects) {
+        return new ServingProcess(settings, source, dialects);
+    }
+
+    private ServingProcess(ServingSettings settings, SettingsSource source, Dialects dialects) {
+        this.settings = settings;
+        this.source = source;
+        this.dialects = dialects;
+        this.log = DecisionLog.start(settings.process(), clock);
+    }
+
+    /** Starts the process; the future completes when it listens. */
+    public CompletableFuture<Void> start() throws IOException {
+        stamp = source.stamp();
+        reactor.keepAlive(true);
+        new Thread(reactor, "serving").start();
+        return reactor.submit(() -> {
+            startRole();
+            checkSettingsLater();
+            log.write(DecisionKind.START, "role", settings.role(), "hall", settings.dataHall(), "seeds", seeds());
+            return Promise.complete();
+        });
+    }
+
+    /** Stops as planned and returns when nothing is under way, or time is up. */
+    public void stop() {
+        log.write(DecisionKind.STOP, "event", "planned stop");
+        if (gateway != null) {
+            reactor.submit(gateway::stop).join();
+        }
+        if (group != null) {
+            group.stop();
+        }
+    }
+
+    /** Reads the settings again now. */
+    public void reload() {
+        reactor.execute(this::readSettings);
+    }
+
+    private List<Address> seeds() {
+        return settings.seeds();
+    }
+
+    private void startRole() throws IOException {
+        switch (settings.role()) {
+            case ENTRY -> startGateway();
+            case CONTROL -> startGroup();
+            case TARGET -> startWeights();
+        }
+    }
+
+    private void startGateway() throws IOException {
+        gateway = Gateway.of(
+                new GatewaySettings(
+                        settings.process(),
+                        settings.dataHall(),
+                        settings.callAddress(),
+                        settings.readyAddress(),
+                        settings.bounds().retryShare(),
+                        settings.bounds().retryAllowance(),
+                        (long) (settings.bounds().weightsMillis() * WEIGHTS_DEADLINE_SHARE),
+                        settings.bounds().stopMillis()),
+                dialects.requests(),
+                reactor,
+                clock,
+                log);
+        gateway.start();
+        PublicationFollower.of(followerWiring(NodeClients.on(reactor)), gateway::update)
+                .start();
+    }
+
+    private void startGroup() throws IOException {
+        group = GroupNode.of(
+                new GroupSettings(
+                        settings.process(),
+                        settings.dataHall(),
+                        settings.callAddress(),
+                        settings.nodeAddress(),
+                        settings.dataFolder(),
+                        settings.formsGroup(),
+                        settings.seeds(),
+                        settings.bounds().heartbeatMillis()),
+                this::seeds,
+                dialects.control(),
+                dialects.document(),
+                reactor,
+                clock,
+                log);
+        group.start();
+    }
+
+    private void startWeights() throws IOException {
+        NodeClients clients = NodeClients.on(reactor);
+        WeightsAgent agent = WeightsAgent.of(
+                new WeightsSettings(
+                        settings.process(),
+                        settings.dataHall(),
+                        settings.nodeAddress(),
+                        settings.engineAddress(),
+                        settings.service(),
+                        settings.bounds().weightsMillis()),
+                dialects.weights(),
+                reactor,
+                clients,
+                clock,
+                log);
+        NodeServer server = NodeServer.create(reactor, settings.nodeAddress(), request -> answer(agent, request));
+        server.listen();
+        PublicationFollower.of(followerWiring(clients), agent::update).start();
+        agent.start();
+    }
+
+    private static Promise<NodeReply> answer(WeightsAgent agent, NodeRequest request) {
+        if (request instanceof NodeRequest.GetPiece asked) {
+            return agent.givePiece(asked);
+        }
+        return Promise.of(new NodeReply.Failed("not for a weights process"));
+    }
+
+    private PublicationFollower.Wiring followerWiring(NodeClients clients) {
+        return new PublicationFollower.Wiring(
+                reactor, clients, this::seeds, settings.dataHall(), dialects.document(), clock, log);
+    }
+
+    // ---- settings that change
+
+    private void checkSettingsLater() {
+        reactor.delayBackground(SETTINGS_CHECK_MILLIS, () -> {
+            try {
+                if (source.stamp() != stamp) {
+                    readSettings();
+                }
+            } catch (IOException e) {
+                log.write(DecisionKind.RELOAD, "outcome", "unreadable", "error", e.getMessage());
+            }
+            checkSettingsLater();
+        });
+    }
+
+    private void readSettings() {
+        try {
+            stamp = source.stamp();
+            SettingsSource.Result read = source.read();
+            if (read.settings() == null) {
+                for (DocumentError error : read.errors()) {
+                    log.write(DecisionKind.RELOAD, "outcome", "refused", "error", error);
+                }
+                return;
+            }
+            settings = read.settings();
+            log.write(DecisionKind.RELOAD, "outcome", "taken up", "seeds", seeds());
+        } catch (IOException e) {
+            log.write(DecisionKind.RELOAD, "outcome", "unreadable", "error", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/package-info.java
@@ -0,0 +1,2 @@
+/** The process beside a target: brings named weights to its engine, and hands pieces on to its neighbours. */
+package org.bankturn.daemon.weights;
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
@@ -2,8 +2,11 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
 import org.bankturn.configuration.ConfigurationUpdate;
+import org.bankturn.daemon.group.GroupMember;
 import org.bankturn.membership.TargetStatus;
+import org.bankturn.publication.PublicationUpdate;
 import org.bankturn.state.command.CommandResult;
 import org.bankturn.state.query.ShowReply;
 import org.bankturn.state.query.StatusReply;
@@ -20,7 +23,11 @@
     @JsonSubTypes.Type(value = NodeReply.Target.class, name = "target"),
     @JsonSubTypes.Type(value = NodeReply.ManifestText.class, name = "manifestText"),
     @JsonSubTypes.Type(value = NodeReply.Holds.class, name = "holds"),
-    @JsonSubTypes.Type(value = NodeReply.Chunk.class, name = "chunk")
+    @JsonSubTypes.Type(value = NodeReply.Chunk.class, name = "chunk"),
+    @JsonSubTypes.Type(value = NodeReply.PublicationOutcome.class, name = "outcome"),
+    @JsonSubTypes.Type(value = NodeReply.Document.class, name = "document"),
+    @JsonSubTypes.Type(value = NodeReply.Watched.class, name = "watched"),
+    @JsonSubTypes.Type(value = NodeReply.Piece.class, name = "piece")
 })
 public sealed interface NodeReply {
     /** The message was taken in. */
@@ -52,4 +59,20 @@
 
     /** A chunk, null if it is not held here or {@code busy} tells that the link is taken. */
     record Chunk(byte[] bytes, boolean busy) implements NodeReply {}
+
+    /** What came of a change of what is published. */
+    record PublicationOutcome(GroupMember.Outcome outcome) implements NodeReply {}
+
+    /** The newest document; {@code deflated} is null if the asker has it or there is none. */
+    record Document(long version, byte[] deflated) implements NodeReply {}
+
+    /**
+     * What is published; {@code update} is null if nothing is newer, {@code fresh} tells whether the sender is in touch
+     * with a majority.
+     */
+    record Watched(PublicationUpdate update, boolean fresh, String dataHall, List<String> members, int watchers)
+            implements NodeReply {}
+
+    /** A piece of weights, null if it is not held here. */
+    record Piece(byte[] bytes) implements NodeReply {}
 }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.bankturn.agreement.AgreementMessage;
 import org.bankturn.membership.ProcessReport;
+import org.bankturn.publication.PublicationCommand;
 import org.bankturn.state.command.Command;
 
 /** What one process asks of another. */
@@ -19,7 +20,12 @@
     @JsonSubTypes.Type(value = NodeRequest.GetTargetStatus.class, name = "getTargetStatus"),
     @JsonSubTypes.Type(value = NodeRequest.GetManifest.class, name = "getManifest"),
     @JsonSubTypes.Type(value = NodeRequest.GetHolds.class, name = "getHolds"),
-    @JsonSubTypes.Type(value = NodeRequest.GetChunk.class, name = "getChunk")
+    @JsonSubTypes.Type(value = NodeRequest.GetChunk.class, name = "getChunk"),
+    @JsonSubTypes.Type(value = NodeRequest.SubmitPublication.class, name = "publish"),
+    @JsonSubTypes.Type(value = NodeRequest.ReadDocument.class, name = "document"),
+    @JsonSubTypes.Type(value = NodeRequest.WatchPublication.class, name = "watch"),
+    @JsonSubTypes.Type(value = NodeRequest.NoteHeartbeats.class, name = "beats"),
+    @JsonSubTypes.Type(value = NodeRequest.GetPiece.class, name = "piece")
 })
 public sealed interface NodeRequest {
     /** Carries a message of the agreement group; the reply says nothing. */
@@ -51,4 +57,19 @@
 
     /** Asks for a chunk. */
     record GetChunk(String manifest, int chunk) implements NodeRequest {}
+
+    /** Submits a change of what is published to the leader. */
+    record SubmitPublication(PublicationCommand command) implements NodeRequest {}
+
+    /** Asks the leader for the newest document, confirmed; it is left out if the asker's version is the newest. */
+    record ReadDocument(long haveVersion) implements NodeRequest {}
+
+    /** Asks for what is published after an index, waiting for it if need be. */
+    record WatchPublication(long haveIndex, long waitMillis) implements NodeRequest {}
+
+    /** Tells the leader which targets were heard from. */
+    record NoteHeartbeats(List<String> targets) implements NodeRequest {}
+
+    /** Asks for a piece of a version of a model's weights, waiting a while if it is on its way there. */
+    record GetPiece(String model, int version, int piece, long waitMillis) implements NodeRequest {}
 }
