--- /dev/null
+++ b/core/src/test/java/org/bankturn/registry/TargetRegistryTest.java
@@ -0,0 +1,69 @@
+package org.bankturn.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class TargetRegistryTest {
+    private final TargetRegistry registry = TargetRegistry.empty();
+
+    @Test
+    void a_target_that_said_it_is_leaving_never_becomes_ready_again() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 1));
+        registry.record(2, sighting("a", "10.0.0.1:80", true, 2));
+        registry.record(3, sighting("a", "10.0.0.1:80", false, 3));
+        assertThat(registry.find("a").orElseThrow().sighting().draining()).isTrue();
+    }
+
+    @Test
+    void a_late_heartbeat_changes_nothing() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 5));
+        assertThat(registry.wouldChange(sighting("a", "10.0.0.1:80", true, 4))).isFalse();
+    }
+
+    @Test
+    void a_target_that_left_is_never_listed_again() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 1));
+        registry.depart(2, "a", true);
+        registry.record(3, sighting("a", "10.0.0.1:80", false, 9));
+        assertThat(registry.all()).isEmpty();
+        assertThat(registry.hasLeft("a")).isTrue();
+    }
+
+    @Test
+    void a_target_that_fell_silent_comes_back_with_a_newer_heartbeat_only() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 7));
+        registry.depart(2, "a", false);
+        assertThat(registry.wouldChange(sighting("a", "10.0.0.1:80", false, 7))).isFalse();
+        registry.record(3, sighting("a", "10.0.0.1:80", false, 8));
+        assertThat(registry.find("a")).isPresent();
+    }
+
+    @Test
+    void another_incarnation_at_an_address_takes_the_place_of_the_former() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 7));
+        registry.record(2, sighting("b", "10.0.0.1:80", false, 1));
+        assertThat(registry.find("a")).isEmpty();
+        assertThat(registry.find("b")).isPresent();
+    }
+
+    @Test
+    void a_late_heartbeat_of_the_former_incarnation_does_not_bring_it_back() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 7));
+        registry.record(2, sighting("b", "10.0.0.1:80", false, 1));
+        registry.record(3, sighting("a", "10.0.0.1:80", false, 6));
+        assertThat(registry.find("b")).isPresent();
+    }
+
+    @Test
+    void a_restored_registry_holds_the_same() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 7));
+        registry.record(2, sighting("b", "10.0.0.2:80", true, 7));
+        registry.depart(3, "a", true);
+        assertThat(TargetRegistry.restore(registry.content()).content()).isEqualTo(registry.content());
+    }
+
+    private static TargetSighting sighting(String id, String address, boolean draining, long sequence) {
+        return new TargetSighting(id, "chat", address, "north", 4, draining, 1, sequence);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bankturn/service/ServingConfigurationTest.java
@@ -0,0 +1,71 @@
+package org.bankturn.service;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ServingConfigurationTest {
+    private static final Service CHAT = new Service("chat", "/health", 10, null, null, null, null);
+    private static final Service BOOKING = new Service("booking", "/health", 10, null, null, null, null);
+
+    @Test
+    void the_longest_prefix_that_begins_the_path_wins() {
+        ServingConfiguration configuration = configuration(
+                route("wide", "/a/", 100, share("chat", 1)), route("narrow", "/a/b/", 100, share("booking", 1)));
+        assertThat(configuration.route("h", "/a/b/c").orElseThrow().name()).isEqualTo("narrow");
+        assertThat(configuration.route("h", "/a/x").orElseThrow().name()).isEqualTo("wide");
+        assertThat(configuration.route("other", "/a/x")).isEmpty();
+        assertThat(configuration.route("h", "/a")).isEmpty();
+    }
+
+    @Test
+    void each_of_the_faults_is_found() {
+        assertThat(configuration(route("r", "/a/", 100, share("nobody", 1))).problems())
+                .hasSize(1);
+        assertThat(configuration(route("r", "/a/", 100, share("chat", 1)), route("s", "/a/", 100, share("chat", 1)))
+                        .problems())
+                .hasSize(1);
+        assertThat(configuration(route("r", "/a/", 100, share("chat", 0))).problems())
+                .hasSize(1);
+        assertThat(configuration(route("r", "/a/", 0, share("chat", 1))).problems())
+                .hasSize(1);
+        assertThat(ServingConfiguration.of(
+                                1,
+                                List.of(),
+                                List.of(),
+                                ClientLimits.DEFAULT,
+                                List.of(new Account("one", List.of("k"), 0), new Account("two", List.of("k"), 0)))
+                        .problems())
+                .hasSize(1);
+    }
+
+    @Test
+    void a_sound_configuration_has_no_problems() {
+        assertThat(configuration(route("r", "/a/", 100, share("chat", 90), share("booking", 10)))
+                        .problems())
+                .isEmpty();
+    }
+
+    @Test
+    void draws_fall_on_services_by_weight() {
+        Route route = route("r", "/a/", 100, share("chat", 3), share("booking", 1));
+        long chats = java.util.stream.LongStream.range(0, 400)
+                .filter(draw -> route.serviceFor(draw).equals("chat"))
+                .count();
+        assertThat(chats).isEqualTo(300);
+        assertThat(route.serviceFor(-1)).isEqualTo("booking");
+    }
+
+    private static WeightedService share(String service, int weight) {
+        return new WeightedService(service, weight);
+    }
+
+    private static Route route(String name, String prefix, long timeoutMillis, WeightedService... services) {
+        return new Route(name, "h", prefix, RequestKind.IDEMPOTENT, timeoutMillis, 50, 0, List.of(services), 2, false);
+    }
+
+    private static ServingConfiguration configuration(Route... routes) {
+        return ServingConfiguration.of(1, List.of(routes), List.of(CHAT, BOOKING), ClientLimits.DEFAULT, List.of());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
@@ -0,0 +1,101 @@
+package org.bankturn.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PieceRoutingTest {
+    private static final int PIECES = 96;
+    private static final int VERSION = 2;
+
+    @Test
+    void each_piece_leaves_the_origin_once_and_enters_each_hall_once() {
+        List<PieceHolder> boxes = boxes(4, 1);
+        for (int piece = 0; piece < PIECES; piece++) {
+            int fromOrigin = 0;
+            int betweenHalls = 0;
+            for (PieceHolder box : boxes) {
+                PieceSource source = PieceRouting.of(box, boxes, VERSION).sourceOf(piece, 0);
+                if (source instanceof PieceSource.Neighbour neighbour) {
+                    betweenHalls += hallOf(boxes, neighbour.box()).equals(box.dataHall()) ? 0 : 1;
+                } else {
+                    fromOrigin++;
+                }
+            }
+            assertThat(fromOrigin).isEqualTo(1);
+            assertThat(betweenHalls).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void sources_lead_to_the_origin_without_a_circle() {
+        List<PieceHolder> boxes = boxes(4, 1);
+        for (int piece = 0; piece < PIECES; piece++) {
+            for (PieceHolder box : boxes) {
+                assertThat(reachesOrigin(box, boxes, piece)).isTrue();
+            }
+        }
+    }
+
+    @Test
+    void an_empty_box_asks_a_holder_of_its_own_hall_first() {
+        List<PieceHolder> boxes = new ArrayList<>(boxes(3, VERSION));
+        PieceHolder empty = new PieceHolder("north-new", "north", 0);
+        boxes.add(empty);
+        for (int piece = 0; piece < PIECES; piece++) {
+            PieceSource source = PieceRouting.of(empty, boxes, VERSION).sourceOf(piece, 0);
+            assertThat(source)
+                    .isInstanceOfSatisfying(
+                            PieceSource.Neighbour.class,
+                            neighbour ->
+                                    assertThat(hallOf(boxes, neighbour.box())).isEqualTo("north"));
+        }
+    }
+
+    @Test
+    void the_origin_is_the_last_resort() {
+        List<PieceHolder> boxes = boxes(3, 1);
+        List<PieceSource> sources =
+                PieceRouting.of(boxes.get(0), boxes, VERSION).sourcesOf(5);
+        assertThat(sources.get(sources.size() - 1)).isInstanceOf(PieceSource.Origin.class);
+        assertThat(new HashSet<>(sources)).hasSameSizeAs(sources);
+    }
+
+    private static boolean reachesOrigin(PieceHolder start, List<PieceHolder> boxes, int piece) {
+        Set<String> seen = new HashSet<>();
+        PieceHolder at = start;
+        while (seen.add(at.box())) {
+            PieceSource source = PieceRouting.of(at, boxes, VERSION).sourceOf(piece, 0);
+            if (!(source instanceof PieceSource.Neighbour neighbour)) {
+                return true;
+            }
+            at = boxes.stream()
+                    .filter(box -> box.box().equals(neighbour.box()))
+                    .findFirst()
+                    .orElseThrow();
+        }
+        return false;
+    }
+
+    private static String hallOf(List<PieceHolder> boxes, String name) {
+        return boxes.stream()
+                .filter(box -> box.box().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .dataHall();
+    }
+
+    private static List<PieceHolder> boxes(int each, int heldVersion) {
+        List<PieceHolder> boxes = new ArrayList<>();
+        for (String hall : List.of("north", "south", "west")) {
+            for (int number = 0; number < each; number++) {
+                boxes.add(new PieceHolder(hall + "-" + number, hall, heldVersion));
+            }
+        }
+        return boxes;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -0,0 +1,411 @@
+package org.bankturn.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.publication.Published;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.registry.TargetSighting;
+import org.bankturn.service.Account;
+import org.bankturn.service.ClientLimits;
+import org.bankturn.service.RequestKind;
+import org.bankturn.service.Route;
+import org.bankturn.service.Service;
+import org.bankturn.service.ServingConfiguration;
+import org.bankturn.service.WeightedService;
+import org.bankturn.time.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A gateway on loopback before targets that misbehave as each test says. */
+@Timeout(30)
+class GatewayTest {
+    private final Eventloop reactor =
+            Eventloop.builder().withThreadName("gateway-test").build();
+    private final Clock clock = Clock.system();
+    private final List<ScriptedTarget> targets = new ArrayList<>();
+    private Gateway gateway;
+    private Address callers;
+    private Address ready;
+
+    @BeforeEach
+    void startGateway() throws Exception {
+        callers = freeAddress();
+        ready = freeAddress();
+        gateway = Gateway.of(
+                new GatewaySettings("test", "north", callers, ready, 0.5, 960, 1_000, 3_400),
+                new PlainDialect(),
+                reactor,
+                clock,
+                DecisionLog.start("test", clock));
+        reactor.keepAlive(true);
+        new Thread(reactor, "gateway-test").start();
+        reactor.submit(() -> {
+                    gateway.start();
+                    return Promise.complete();
+                })
+                .join();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (ScriptedTarget target : targets) {
+            target.close();
+        }
+        reactor.keepAlive(false);
+        reactor.breakEventloop();
+    }
+
+    @Test
+    void an_answer_comes_back_whole_with_its_fields() throws Exception {
+        publish(RequestKind.IDEMPOTENT, 2, answering("hello", "Seal: s1\r\n"));
+        String answer = call("GET", "a1", "");
+        assertThat(answer).startsWith("HTTP/1.1 200").contains("Seal: s1").endsWith("\r\n\r\nhello");
+    }
+
+    @Test
+    void the_body_travels_unchanged_and_the_deadline_shrinks() throws Exception {
+        ScriptedTarget target = answering("ok", "");
+        publish(RequestKind.UNSAFE, 1, target);
+        call("POST", "a1", "some body");
+        assertThat(target.bodies).containsExactly("some body");
+        assertThat(Long.parseLong(ScriptedTarget.field(target.heads.get(0), "deadline")))
+                .isBetween(1L, 2_000L);
+    }
+
+    @Test
+    void an_unsafe_request_whose_connection_is_reset_is_not_sent_again() throws Exception {
+        ScriptedTarget one = resetting();
+        ScriptedTarget other = resetting();
+        publish(RequestKind.UNSAFE, 2, one, other);
+        assertThat(call("POST", "a1", "x")).startsWith("HTTP/1.1 502");
+        assertThat(one.heads.size() + other.heads.size()).isEqualTo(1);
+    }
+
+    @Test
+    void an_unsafe_request_that_was_not_run_goes_to_another_target() throws Exception {
+        ScriptedTarget one = refusingFirst();
+        ScriptedTarget other = answering("done", "");
+        publish(RequestKind.UNSAFE, 2, one, other);
+        for (int number = 0; number < 4; number++) {
+            assertThat(call("POST", "a" + number, "x")).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    @Test
+    void a_request_that_every_target_refused_is_refused_with_when_to_come_back() throws Exception {
+        publish(RequestKind.UNSAFE, 2, alwaysRefusing(), alwaysRefusing());
+        assertThat(call("POST", "a1", "x")).startsWith("HTTP/1.1 503").contains("Come-Back: ");
+    }
+
+    @Test
+    void after_a_reset_a_later_refusal_does_not_make_it_not_run() throws Exception {
+        ScriptedTarget one = new ScriptedTarget((number, id, socket) -> {
+            if (number % 2 == 1) {
+                ScriptedTarget.reset(socket);
+                return false;
+            }
+            ScriptedTarget.write(socket, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        });
+        targets.add(one);
+        publish(RequestKind.IDEMPOTENT, 2, one, alwaysRefusing());
+        String answer = call("GET", "a1", "");
+        assertThat(answer).doesNotContain("200 OK");
+        if (!one.heads.isEmpty()) {
+            assertThat(answer).startsWith("HTTP/1.1 502");
+        }
+    }
+
+    @Test
+    void an_answer_to_another_request_is_passed_over() throws Exception {
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: late\r\nContent-Length: 5\r\n\r\nwrong");
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 5\r\n\r\nright");
+            return true;
+        });
+        targets.add(target);
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "a1", "x")).endsWith("right");
+        assertThat(call("POST", "a2", "x")).endsWith("right");
+    }
+
+    @Test
+    void an_answer_cut_short_does_not_look_whole() throws Exception {
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 50\r\n\r\npart");
+            return false;
+        });
+        targets.add(target);
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "a1", "x")).startsWith("HTTP/1.1 502").doesNotContain("part");
+    }
+
+    @Test
+    void an_answer_without_a_length_ends_with_its_connection() throws Exception {
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nall of it");
+            return false;
+        });
+        targets.add(target);
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "a1", "x")).startsWith("HTTP/1.1 200").endsWith("all of it");
+    }
+
+    @Test
+    void chunk_lines_that_come_in_two_parts_are_read() throws Exception {
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(
+                    socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel");
+            pause();
+            ScriptedTarget.write(socket, "lo\r\n6");
+            pause();
+            ScriptedTarget.write(socket, "\r\n world\r\n0\r\n\r\n");
+            return true;
+        });
+        targets.add(target);
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "a1", "x")).endsWith("hello world");
+    }
+
+    @Test
+    void a_stream_goes_on_at_another_target_after_its_last_whole_event() throws Exception {
+        ScriptedTarget one = streaming();
+        ScriptedTarget other = streaming();
+        publish(RequestKind.RESUMABLE_STREAM, 2, one, other);
+        String answer = call("POST", "a1", "x");
+        assertThat(eventsOf(answer)).containsExactly("1", "2", "3", "4");
+        assertThat(answer).endsWith("0\r\n\r\n");
+    }
+
+    @Test
+    void a_stream_that_may_not_be_taken_up_ends_without_looking_whole() throws Exception {
+        publish(RequestKind.STREAM, 2, streaming(), streaming());
+        String answer = call("POST", "a1", "x");
+        assertThat(eventsOf(answer)).containsExactly("1", "2");
+        assertThat(answer).doesNotEndWith("0\r\n\r\n");
+    }
+
+    @Test
+    void a_target_is_told_within_half_a_second_when_the_caller_leaves() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            if (socket.getInputStream().read() < 0) {
+                ended.countDown();
+            }
+            return false;
+        });
+        targets.add(target);
+        publish(RequestKind.IDEMPOTENT, 1, target);
+        try (Socket socket = new Socket(callers.host(), callers.port())) {
+            ScriptedTarget.write(socket, "GET /x/1 HTTP/1.1\r\nHost: h\r\nId: a1\r\nDeadline: 20000\r\nKey: k\r\n\r\n");
+            while (target.heads.isEmpty()) {
+                pause();
+            }
+        }
+        assertThat(ended.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void unknown_keys_and_paths_are_told_apart_from_knowing_nothing() throws Exception {
+        assertThat(call("GET", "a1", "")).startsWith("HTTP/1.1 503");
+        publish(RequestKind.IDEMPOTENT, 1, answering("x", ""));
+        assertThat(exchange("GET /x/1 HTTP/1.1\r\nHost: h\r\nId: a2\r\nKey: other\r\nConnection: close\r\n\r\n"))
+                .startsWith("HTTP/1.1 401");
+        assertThat(exchange("GET /y/1 HTTP/1.1\r\nHost: h\r\nId: a3\r\nKey: k\r\nConnection: close\r\n\r\n"))
+                .startsWith("HTTP/1.1 404");
+    }
+
+    @Test
+    void a_planned_stop_lets_a_request_end_and_tells_the_platform_at_once() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            await(release);
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 4\r\n\r\ndone");
+            return true;
+        });
+        targets.add(target);
+        publish(RequestKind.UNSAFE, 1, target);
+        try (Socket socket = new Socket(callers.host(), callers.port())) {
+            ScriptedTarget.write(
+                    socket, "POST /x/1 HTTP/1.1\r\nHost: h\r\nId: a1\r\nKey: k\r\nContent-Length: 0\r\n\r\n");
+            while (target.heads.isEmpty()) {
+                pause();
+            }
+            var stopped = reactor.submit(gateway::stop);
+            assertThat(askReady()).startsWith("HTTP/1.1 503");
+            release.countDown();
+            String answer = readAll(socket.getInputStream());
+            assertThat(answer).endsWith("done").contains("Connection: close");
+            stopped.join();
+        }
+    }
+
+    // ---- targets
+
+    private ScriptedTarget answering(String body, String fields) throws IOException {
+        return keep(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + fields + "Content-Length: " + body.length() + "\r\n\r\n"
+                            + body);
+            return true;
+        }));
+    }
+
+    private ScriptedTarget resetting() throws IOException {
+        return keep(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.reset(socket);
+            return false;
+        }));
+    }
+
+    private ScriptedTarget refusingFirst() throws IOException {
+        return keep(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(
+                    socket,
+                    number == 1
+                            ? "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                            : "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }));
+    }
+
+    private ScriptedTarget alwaysRefusing() throws IOException {
+        return keep(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }));
+    }
+
+    /** Breaks off in the middle of the third event, unless it is asked to go on after the second. */
+    private ScriptedTarget streaming() throws IOException {
+        Map<String, ScriptedTarget> self = new HashMap<>();
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            String head = self.get("target").heads.get(number - 1);
+            boolean resumed = ScriptedTarget.field(head, "last-event").equals("2");
+            ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nId: " + id
+                            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            if (resumed) {
+                ScriptedTarget.write(socket, chunk("id: 3\ndata: c\n\n") + chunk("id: 4\ndata: d\n\n") + "0\r\n\r\n");
+                return true;
+            }
+            ScriptedTarget.write(socket, chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\nid: 3\nda"));
+            return false;
+        });
+        self.put("target", target);
+        return keep(target);
+    }
+
+    private ScriptedTarget keep(ScriptedTarget target) {
+        targets.add(target);
+        return target;
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    // ---- calls
+
+    private void publish(RequestKind kind, int attempts, ScriptedTarget... published) {
+        Route route = new Route(
+                "r", "h", "/x/", kind, 2_000, 300, 0, List.of(new WeightedService("chat", 1)), attempts, false);
+        Service service = new Service("chat", "/health", 100, null, null, null, null);
+        ServingConfiguration configuration = ServingConfiguration.of(
+                1,
+                List.of(route),
+                List.of(service),
+                ClientLimits.DEFAULT,
+                List.of(new Account("acme", List.of("k"), 0)));
+        Map<String, TargetSighting> sightings = new HashMap<>();
+        for (ScriptedTarget target : published) {
+            String id = "t-" + target.address();
+            sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
+        }
+        reactor.submit(() -> {
+                    gateway.update(new Published(1, configuration, List.of(), sightings));
+                    return Promise.complete();
+                })
+                .join();
+    }
+
+    private String call(String method, String id, String body) throws IOException {
+        return exchange(method + " /x/1 HTTP/1.1\r\nHost: h\r\nId: " + id
+                + "\r\nDeadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body);
+    }
+
+    private String exchange(String request) throws IOException {
+        try (Socket socket = new Socket(callers.host(), callers.port())) {
+            ScriptedTarget.write(socket, request);
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    private String askReady() throws IOException {
+        try (Socket socket = new Socket(ready.host(), ready.port())) {
+            ScriptedTarget.write(socket, "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    private static String readAll(InputStream input) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        try (InputStream buffered = new BufferedInputStream(input)) {
+            buffered.transferTo(all);
+        } catch (IOException e) {
+            // a reset ends what can be read
+        }
+        return all.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    private static List<String> eventsOf(String answer) {
+        return answer.lines()
+                .filter(line -> line.startsWith("id: "))
+                .map(line -> line.substring(4))
+                .toList();
+    }
+
+    private static void pause() {
+        await(new CountDownLatch(1), 20);
+    }
+
+    private static void await(CountDownLatch latch) {
+        await(latch, 10_000);
+    }
+
+    private static void await(CountDownLatch latch, long millis) {
+        try {
+            boolean unused = latch.await(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
@@ -0,0 +1,51 @@
+package org.bankturn.daemon.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.bankturn.daemon.http.HttpField;
+import org.bankturn.daemon.http.HttpHead;
+
+/** A dialect with short names, for tests. */
+final class PlainDialect implements RequestDialect {
+    @Override
+    public CallerTerms terms(HttpHead head) {
+        return new CallerTerms(
+                head.field("Id").orElse(""),
+                head.field("Host").orElse(""),
+                head.second(),
+                Long.parseLong(head.field("Deadline").orElse("0")),
+                head.field("Key").orElse(null),
+                0,
+                0,
+                0);
+    }
+
+    @Override
+    public HttpHead toTarget(HttpHead head, Forwarding forwarding) {
+        HttpHead plain = head.withoutConnectionFields().without(Set.of("deadline", "key", "content-length"));
+        List<HttpField> fields = new ArrayList<>(plain.fields());
+        fields.add(new HttpField("Deadline", Long.toString(forwarding.remainingMillis())));
+        fields.add(new HttpField("Target", forwarding.targetId()));
+        if (forwarding.lastEvent() != null) {
+            fields.add(new HttpField("Last-Event", forwarding.lastEvent()));
+        }
+        return HttpHead.request(head.first(), head.second(), fields);
+    }
+
+    @Override
+    public TargetAnswer answer(HttpHead head) {
+        return new TargetAnswer(
+                head.status(),
+                head.field("Id").orElse(null),
+                head.field("Not-Run").isPresent(),
+                0);
+    }
+
+    @Override
+    public HttpHead ownAnswer(int status, CallerTerms terms, long comeBackMillis) {
+        return HttpHead.answer(
+                status,
+                comeBackMillis > 0 ? List.of(new HttpField("Come-Back", Long.toString(comeBackMillis))) : List.of());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -0,0 +1,118 @@
+package org.bankturn.daemon.gateway;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A target on loopback that answers each request as a test says. */
+final class ScriptedTarget implements AutoCloseable {
+    private final ServerSocket server;
+    private final Script script;
+    final List<String> heads = new CopyOnWriteArrayList<>();
+    final List<String> bodies = new CopyOnWriteArrayList<>();
+
+    /** Answers one request on its connection. */
+    @FunctionalInterface
+    interface Script {
+        /** Writes what it likes; returns false to close the connection. */
+        boolean answer(int number, String id, Socket socket) throws IOException;
+    }
+
+    ScriptedTarget(Script script) throws IOException {
+        this.script = script;
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread acceptor = new Thread(this::accept, "scripted-target");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    static void reset(Socket socket) throws SocketException {
+        socket.setSoLinger(true, 0);
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                Thread thread = new Thread(() -> serve(socket), "scripted-connection");
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream input = new BufferedInputStream(socket.getInputStream());
+            while (true) {
+                String head = readHead(input);
+                if (head == null) {
+                    return;
+                }
+                String body = new String(input.readNBytes(length(head)), StandardCharsets.ISO_8859_1);
+                int number;
+                synchronized (heads) {
+                    heads.add(head);
+                    bodies.add(body);
+                    number = heads.size();
+                }
+                if (!script.answer(number, field(head, "id"), socket)) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // the connection ended; the test sees it from the other side
+        }
+    }
+
+    private static String readHead(InputStream input) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int next = input.read();
+            if (next < 0) {
+                return null;
+            }
+            head.write(next);
+        }
+        return head.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    static String field(String head, String name) {
+        for (String line : head.split("\r\n", -1)) {
+            if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
+                return line.substring(line.indexOf(':') + 1).trim();
+            }
+        }
+        return "";
+    }
+
+    private static int length(String head) {
+        String length = field(head, "content-length");
+        return length.isEmpty() ? 0 : Integer.parseInt(length);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
