Weights: pieces dealt out evenly, asked for all at once, paced by the sender

Cause: a version took 9.4 to 10.8 s to reach all targets, over its bound of 8 s, and answers came late while it moved: six fetches at a time waited for pieces that their neighbour did not have yet, shares by hashing were uneven, and full links held up answers. Ruled out: the origin's rate (2.6 s a copy) and the engines (0.4 s from the order to the change). Change: pieces are dealt out in turn, every piece is asked of its neighbour at once, the manifest travels like a piece, origin pieces come one after the other, and a sender takes 0.8 of its link at most. The agent is split by concern.

--- a/core/src/main/java/org/bankturn/weights/PieceRouting.java
+++ b/core/src/main/java/org/bankturn/weights/PieceRouting.java
@@ -4,14 +4,15 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Says where one box fetches each piece of a version from.
  *
- * <p>Every box computes the same plan without talking: by rendezvous hashing, each piece has one box that fetches it from
+ * <p>Every box computes the same plan without talking. Pieces are dealt out in turn: each has one box that fetches it from
  * the origin, and in each other data hall one box that fetches it from there; the rest ask the box of their own hall. So
- * the origin sends one copy and each hall takes one in. Boxes that hold the version already are asked first, and a
- * source that failed is passed over by the attempt number.
+ * the origin sends one copy, each hall takes one in, and every box hands on about as much as it takes. Boxes that hold the
+ * version already are asked first, and a source that failed is passed over by the attempt number.
  *
  * <p>PieceRouting is immutable and thread-safe.
  */
@@ -27,7 +28,8 @@
 
     private PieceRouting(PieceHolder self, List<PieceHolder> boxes, int version) {
         this.self = self;
-        this.boxes = List.copyOf(boxes);
+        this.boxes =
+                boxes.stream().sorted(Comparator.comparing(PieceHolder::box)).toList();
         this.version = version;
     }
 
@@ -46,12 +48,12 @@
     public List<PieceSource> sourcesOf(int piece) {
         List<PieceSource> sources = new ArrayList<>();
         addBest(sources, piece, box -> isOther(box) && holds(box) && inOwnHall(box));
-        Optional<PieceHolder> first = best(piece, box -> true);
+        Optional<PieceHolder> first = originFetcher(piece);
         boolean anyHolds = boxes.stream().anyMatch(box -> isOther(box) && holds(box));
-        boolean fetchesFromOrigin = first.filter(self::equals).isPresent() && !anyHolds;
+        boolean fetchesFromOrigin = first.filter(this::isSelf).isPresent() && !anyHolds;
         if (!fetchesFromOrigin) {
-            Optional<PieceHolder> ofHall = best(piece, this::inOwnHall);
-            boolean fetchesForHall = ofHall.filter(self::equals).isPresent();
+            Optional<PieceHolder> ofHall = hallFetcher(piece, self.dataHall());
+            boolean fetchesForHall = ofHall.filter(this::isSelf).isPresent();
             if (!fetchesForHall) {
                 ofHall.ifPresent(box -> add(sources, box));
             }
@@ -64,8 +66,8 @@
         return sources;
     }
 
-    private void addBest(List<PieceSource> sources, int piece, java.util.function.Predicate<PieceHolder> which) {
-        best(piece, which).ifPresent(box -> add(sources, box));
+    private void addBest(List<PieceSource> sources, int piece, Predicate<PieceHolder> which) {
+        dealt(piece, which).ifPresent(box -> add(sources, box));
     }
 
     private static void add(List<PieceSource> sources, PieceHolder box) {
@@ -75,12 +77,36 @@
         }
     }
 
-    private Optional<PieceHolder> best(int piece, java.util.function.Predicate<PieceHolder> which) {
-        return boxes.stream().filter(which).max(Comparator.comparingLong(box -> rank(box, piece)));
+    /** Returns the box that fetches a piece from the origin: that of a hall that takes its turn. */
+    private Optional<PieceHolder> originFetcher(int piece) {
+        List<String> halls =
+                boxes.stream().map(PieceHolder::dataHall).distinct().sorted().toList();
+        if (halls.isEmpty()) {
+            return Optional.empty();
+        }
+        String hall = halls.get(Math.floorMod(piece, halls.size()));
+        return hallFetcher(piece, hall);
+    }
+
+    /** Returns the box that fetches a piece into a hall. */
+    private Optional<PieceHolder> hallFetcher(int piece, String hall) {
+        int halls = (int) boxes.stream().map(PieceHolder::dataHall).distinct().count();
+        return dealt(
+                Math.floorDiv(piece, Math.max(1, halls)), box -> box.dataHall().equals(hall));
+    }
+
+    /** Returns the box, among some, that a number falls on. */
+    private Optional<PieceHolder> dealt(int number, Predicate<PieceHolder> which) {
+        List<PieceHolder> some = boxes.stream().filter(which).toList();
+        return some.isEmpty() ? Optional.empty() : Optional.of(some.get(Math.floorMod(number, some.size())));
+    }
+
+    private boolean isSelf(PieceHolder box) {
+        return box.box().equals(self.box());
     }
 
     private boolean isOther(PieceHolder box) {
-        return !box.box().equals(self.box());
+        return !isSelf(box);
     }
 
     private boolean holds(PieceHolder box) {
@@ -90,11 +116,4 @@
     private boolean inOwnHall(PieceHolder box) {
         return box.dataHall().equals(self.dataHall());
     }
-
-    private static long rank(PieceHolder box, int piece) {
-        long mixed = box.box().hashCode() * 0x9E3779B97F4A7C15L + piece * 0xC2B2AE3D27D4EB4FL;
-        mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
-        mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-        return (mixed ^ (mixed >>> 31)) >>> 1;
-    }
 }
--- a/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
+++ b/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -31,6 +33,22 @@
         }
     }
 
+    @Test
+    void every_box_hands_on_about_as_much_as_the_others() {
+        List<PieceHolder> boxes = boxes(4, 1);
+        Map<String, Integer> sends = new HashMap<>();
+        for (int piece = 0; piece < PIECES; piece++) {
+            for (PieceHolder box : boxes) {
+                PieceSource source = PieceRouting.of(box, boxes, VERSION).sourceOf(piece, 0);
+                if (source instanceof PieceSource.Neighbour neighbour) {
+                    sends.merge(neighbour.box(), 1, Integer::sum);
+                }
+            }
+        }
+        assertThat(sends).hasSize(boxes.size());
+        assertThat(sends.values()).allMatch(count -> count == PIECES * (boxes.size() - 1) / boxes.size());
+    }
+
     @Test
     void sources_lead_to_the_origin_without_a_circle() {
         List<PieceHolder> boxes = boxes(4, 1);
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
@@ -18,6 +18,7 @@
  * @param seeds node addresses of control boxes, not null
  * @param engineAddress where the engine on the same box is called; null unless it is a target process
  * @param service the service of that engine; null unless it is a target process
+ * @param linkBytesPerSecond the rate of the box's link
  * @param bounds the times and shares that the deployment sets, not null
  */
 public record ServingSettings(
@@ -32,6 +33,7 @@
         List<Address> seeds,
         Address engineAddress,
         String service,
+        long linkBytesPerSecond,
         Bounds bounds) {
     /** Copies the seeds. */
     public ServingSettings {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -2,14 +2,7 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
-import io.activej.promise.SettablePromise;
 import java.io.IOException;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import org.bankturn.daemon.http.HttpCalls;
@@ -28,39 +21,33 @@
 import org.bankturn.time.Clock;
 import org.bankturn.weights.PieceHolder;
 import org.bankturn.weights.PieceRouting;
-import org.bankturn.weights.PieceSource;
 
 /**
  * Brings the newest named weights to the engine on the same box.
  *
- * <p>Pieces come from neighbours or the origin, are checked against the manifest, laid beside the engine, read back and
- * checked once more, and only then is the engine ordered to take them up. WeightsAgent is confined to its reactor's
- * thread.
+ * <p>It looks at the engine's report again and again, so that an engine that came back empty is noticed as well as a newer
+ * version. Engines change over by turns. WeightsAgent is confined to its reactor's thread.
  */
 public final class WeightsAgent {
     private static final byte[] NOTHING = new byte[0];
     private static final long CHECK_MILLIS = 250;
     private static final long LOCAL_CALL_MILLIS = 1_500;
-    private static final long ORIGIN_CALL_MILLIS = 3_000;
-    private static final long NEIGHBOUR_WAIT_MILLIS = 1_200;
-    private static final long NEIGHBOUR_CALL_MILLIS = 2_500;
-    private static final long RETRY_MILLIS = 150;
-    private static final int FETCHES_AT_ONCE = 6;
-    private static final double START_FROM_SHARE = 0.5;
-    private static final double START_SPREAD_SHARE = 0.25;
+    private static final long ORIGIN_CALL_MILLIS = 4_000;
+    private static final long NEIGHBOUR_MARGIN_MILLIS = 2_500;
+    private static final long START_AGAIN_MILLIS = 1_500;
+    private static final long START_RETRY_MILLIS = 150;
+    private static final double FIRST_TURN_SHARE = 0.5;
+    private static final double TURNS_SHARE = 0.15;
 
     private final WeightsSettings settings;
-    private final WeightsDialect dialect;
-    private final Eventloop reactor;
-    private final NodeClients clients;
-    private final HttpCalls calls;
-    private final Clock clock;
-    private final DecisionLog log;
+    private final Around around;
+    private final PieceSender sender;
     private Published published = Published.NOTHING;
-    private Copy copy;
+    private WeightsCopy copy;
     private EngineReport lastReport;
     private int namedVersion;
     private long namedMillis;
+    private boolean starting;
 
     /** Returns an agent that does not run yet, not null. */
     public static WeightsAgent of(
@@ -81,12 +68,8 @@
             Clock clock,
             DecisionLog log) {
         this.settings = settings;
-        this.dialect = dialect;
-        this.reactor = reactor;
-        this.clients = clients;
-        this.calls = HttpCalls.on(reactor, clock);
-        this.clock = clock;
-        this.log = log;
+        this.around = new Around(reactor, clock, log, dialect, clients, HttpCalls.on(reactor, clock));
+        this.sender = new PieceSender(reactor, clock, settings.linkBytesPerSecond());
     }
 
     /** Starts to look after the engine. */
@@ -103,7 +86,7 @@
     private void noteNamed(NamedWeights named) {
         if (named.version() > namedVersion) {
             namedVersion = named.version();
-            namedMillis = clock.millis();
+            namedMillis = around.clock().millis();
         }
     }
 
@@ -116,18 +99,17 @@
     // ---- looking after the engine
 
     private void check() {
-        checkOnce().whenComplete(() -> reactor.delayBackground(CHECK_MILLIS, this::check));
+        checkOnce().whenComplete(() -> around.reactor().delayBackground(CHECK_MILLIS, this::check));
     }
 
     private Promise<Void> checkOnce() {
         if (layout().isEmpty()) {
             return Promise.complete();
         }
-        return callEngine(dialect.report(), NOTHING)
+        return around.callEngine(around.dialect().report(), NOTHING)
                 .then(
                         answer -> {
-                            Optional<EngineReport> report = dialect.report(answer.body());
-                            report.ifPresent(this::take);
+                            around.dialect().report(answer.body()).ifPresent(this::take);
                             return Promise.complete();
                         },
                         failure -> Promise.complete());
@@ -139,11 +121,12 @@
         if (report.heldVersion() >= wanted || report.busy()) {
             return;
         }
-        boolean needsCopy = copy == null || (copy.version() < wanted && !copy.isWhole());
-        if (needsCopy || (copy.version() < wanted && report.heldVersion() >= copy.version())) {
+        boolean outdated = copy == null || (copy.version() < wanted && !copy.isNearlyWhole());
+        boolean done = copy != null && copy.version() < wanted && report.heldVersion() >= copy.version();
+        if (outdated || done) {
             beginCopy(wanted);
         } else if (copy.isWhole()) {
-            copy.startWhenDue();
+            startInTurn();
         }
     }
 
@@ -151,33 +134,45 @@
         if (copy != null) {
             copy.abandon();
         }
-        copy = new Copy(layout().orElseThrow().model(), version);
-        log.write(DecisionKind.WEIGHTS, "event", "copy begun", "version", version);
-        copy.fetchManifest();
+        around.log().write(DecisionKind.WEIGHTS, "event", "copy begun", "version", version);
+        copy = new WeightsCopy(around, layout().orElseThrow().model(), version);
+        copy.whenWhole(this::startInTurn);
+        copy.begin();
     }
 
-    private Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body) {
-        return calls.call(settings.engineAddress().toSocketAddress(), head, body, LOCAL_CALL_MILLIS)
-                .then(answer -> answer.isSuccess()
-                        ? Promise.of(answer)
-                        : Promise.ofException(new IOException(
-                                head.second() + " answered " + answer.head().status())));
+    /** Boxes take their turns, so that most engines serve while some change over; an empty engine does not wait. */
+    private void startInTurn() {
+        if (starting) {
+            return;
+        }
+        starting = true;
+        long wait = lastReport.heldVersion() == 0
+                ? 0
+                : Math.max(0, turnMillis() - around.clock().millis());
+        WeightsCopy started = copy;
+        around.reactor()
+                .delayBackground(
+                        wait,
+                        () -> started.verifyAndStart().whenComplete((answer, failure) -> {
+                            around.log()
+                                    .write(
+                                            DecisionKind.WEIGHTS,
+                                            "event",
+                                            failure == null ? "start ordered" : "start failed",
+                                            "version",
+                                            started.version(),
+                                            "error",
+                                            failure == null ? "" : failure.getMessage());
+                            long pause = failure == null ? START_AGAIN_MILLIS : START_RETRY_MILLIS;
+                            around.reactor().delayBackground(pause, () -> starting = false);
+                        }));
     }
 
-    private Promise<HttpCalls.Answer> callOrigin(HttpHead head) {
-        Optional<Service> origin = published.configuration().origin();
-        if (origin.isEmpty()) {
-            return Promise.ofException(new IOException("no origin of weights"));
-        }
-        return calls.call(
-                        Address.parse(origin.get().originAddress()).toSocketAddress(),
-                        head,
-                        NOTHING,
-                        ORIGIN_CALL_MILLIS)
-                .then(answer -> answer.isSuccess()
-                        ? Promise.of(answer)
-                        : Promise.ofException(new IOException(
-                                "origin answered " + answer.head().status())));
+    private long turnMillis() {
+        List<PieceHolder> boxes = boxes();
+        int rank = Math.max(0, boxes.indexOf(self()));
+        double share = rank / (double) Math.max(1, boxes.size());
+        return namedMillis + (long) (settings.deadlineMillis() * (FIRST_TURN_SHARE + TURNS_SHARE * share));
     }
 
     // ---- neighbours
@@ -185,30 +180,28 @@
     /** Answers a neighbour that asks for a piece. */
     public Promise<NodeReply> givePiece(NodeRequest.GetPiece asked) {
         if (copy != null && copy.version() == asked.version()) {
-            return copy.pieceWhenHeld(asked.piece(), asked.waitMillis());
+            return copy.pieceWhenHere(asked.piece(), asked.waitMillis()).then(sender::reply);
         }
-        boolean staged = lastReport != null && lastReport.heldVersion() == asked.version();
-        if (!staged) {
+        boolean lies = lastReport != null && lastReport.heldVersion() == asked.version();
+        if (!lies || asked.piece() == WeightsCopy.MANIFEST) {
             return Promise.of(new NodeReply.Piece(null));
         }
-        return callEngine(dialect.readBack(asked.model(), asked.piece()), NOTHING)
-                .map(answer -> new NodeReply.Piece(answer.body()));
+        return around.callEngine(around.dialect().readBack(asked.model(), asked.piece()), NOTHING)
+                .then(answer -> sender.reply(answer.body()));
     }
 
     private List<PieceHolder> boxes() {
         return published.targets().values().stream()
                 .filter(target -> target.service().equals(settings.service()) && !target.draining())
                 .map(this::holder)
-                .sorted(Comparator.comparing(PieceHolder::box))
+                .sorted((one, other) -> one.box().compareTo(other.box()))
                 .toList();
     }
 
     private PieceHolder holder(TargetSighting target) {
-        String box = new Address(
-                        Address.parse(target.address()).host(),
-                        settings.nodeAddress().port())
-                .toString();
-        return new PieceHolder(box, target.dataHall(), target.heldVersion());
+        Address box = new Address(
+                Address.parse(target.address()).host(), settings.nodeAddress().port());
+        return new PieceHolder(box.toString(), target.dataHall(), target.heldVersion());
     }
 
     private PieceHolder self() {
@@ -219,241 +212,81 @@
                 .orElse(new PieceHolder(own, settings.dataHall(), 0));
     }
 
-    private static boolean matches(byte[] piece, String digest) {
-        try {
-            byte[] actual = MessageDigest.getInstance("SHA-256").digest(piece);
-            return HexFormat.of().formatHex(actual).equalsIgnoreCase(digest);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("SHA-256 is part of every Java", e);
-        }
-    }
-
-    /** One version on its way to this box. */
-    private final class Copy {
-        private final String model;
-        private final int version;
-        private final long beganMillis = clock.millis();
-        private final List<Integer> missing = new ArrayList<>();
-        private final List<Waiter> waiters = new ArrayList<>();
-        private PieceManifest manifest;
-        private byte[][] pieces;
-        private int held;
-        private int underWay;
-        private boolean abandoned;
-        private boolean starting;
-
-        Copy(String model, int version) {
-            this.model = model;
-            this.version = version;
-        }
-
-        int version() {
-            return version;
-        }
-
-        boolean isWhole() {
-            return manifest != null && held == pieces.length;
-        }
-
-        void abandon() {
-            abandoned = true;
-            waiters.forEach(waiter -> waiter.reply().trySet(new NodeReply.Piece(null)));
-            waiters.clear();
-        }
-
-        void fetchManifest() {
-            if (abandoned) {
-                return;
-            }
-            callOrigin(dialect.manifest(model, version))
-                    .map(answer -> dialect.manifest(answer.body()).orElse(null))
-                    .whenComplete((received, failure) -> {
-                        boolean usable = failure == null && received != null && received.version() == version;
-                        if (usable) {
-                            begin(received);
-                        } else {
-                            reactor.delayBackground(RETRY_MILLIS, this::fetchManifest);
-                        }
-                    });
-        }
-
-        private void begin(PieceManifest received) {
-            if (abandoned || manifest != null) {
-                return;
-            }
-            manifest = received;
-            pieces = new byte[received.digests().size()][];
-            List<PieceHolder> boxes = boxes();
-            PieceRouting routing = PieceRouting.of(self(), boxes, version);
-            for (int piece = 0; piece < pieces.length; piece++) {
-                missing.add(piece);
-            }
-            missing.sort(
-                    Comparator.comparing(piece -> routing.sourceOf(piece, 0) instanceof PieceSource.Origin ? 0 : 1));
-            fetchMore();
-        }
-
-        private void fetchMore() {
-            while (!abandoned && underWay < FETCHES_AT_ONCE && !missing.isEmpty()) {
-                fetch(missing.remove(0), 0);
-            }
-        }
-
-        private void fetch(int piece, int attempt) {
-            underWay++;
-            PieceSource source = PieceRouting.of(self(), boxes(), version).sourceOf(piece, attempt);
-            fetchFrom(source, piece).whenComplete((bytes, failure) -> {
-                underWay--;
-                if (abandoned) {
-                    return;
-                }
-                boolean good = failure == null
-                        && bytes != null
-                        && matches(bytes, manifest.digests().get(piece));
-                if (good) {
-                    hold(piece, bytes);
-                } else {
-                    reactor.delayBackground(RETRY_MILLIS, () -> retry(piece, attempt + 1));
-                }
-                fetchMore();
-            });
-        }
-
-        private void retry(int piece, int attempt) {
-            if (!abandoned && pieces[piece] == null) {
-                fetch(piece, attempt);
-            }
-        }
-
-        private Promise<byte[]> fetchFrom(PieceSource source, int piece) {
-            if (source instanceof PieceSource.Neighbour neighbour) {
-                NodeRequest asked = new NodeRequest.GetPiece(model, version, piece, NEIGHBOUR_WAIT_MILLIS);
-                return clients.ask(Address.parse(neighbour.box()), asked, NEIGHBOUR_CALL_MILLIS)
-                        .map(reply -> reply instanceof NodeReply.Piece given ? given.bytes() : null);
-            }
-            return callOrigin(dialect.piece(model, version, piece)).map(HttpCalls.Answer::body);
-        }
-
-        private void hold(int piece, byte[] bytes) {
-            if (pieces[piece] != null) {
-                return;
-            }
-            pieces[piece] = bytes;
-            waiters.removeIf(waiter -> waiter.piece() == piece && waiter.reply().trySet(new NodeReply.Piece(bytes)));
-            stage(piece).whenComplete((nothing, failure) -> {
-                if (abandoned) {
-                    return;
-                }
-                if (failure != null) {
-                    reactor.delayBackground(RETRY_MILLIS, () -> stageAgain(piece));
-                    return;
-                }
-                countStaged();
-            });
+    /** The process around a copy. */
+    private final class Around implements WeightsSurroundings {
+        private final Eventloop reactor;
+        private final Clock clock;
+        private final DecisionLog log;
+        private final WeightsDialect dialect;
+        private final NodeClients clients;
+        private final HttpCalls calls;
+
+        Around(
+                Eventloop reactor,
+                Clock clock,
+                DecisionLog log,
+                WeightsDialect dialect,
+                NodeClients clients,
+                HttpCalls calls) {
+            this.reactor = reactor;
+            this.clock = clock;
+            this.log = log;
+            this.dialect = dialect;
+            this.clients = clients;
+            this.calls = calls;
         }
 
-        private void stageAgain(int piece) {
-            if (abandoned) {
-                return;
-            }
-            stage(piece).whenComplete((nothing, failure) -> {
-                if (failure == null) {
-                    countStaged();
-                } else {
-                    reactor.delayBackground(RETRY_MILLIS, () -> stageAgain(piece));
-                }
-            });
+        @Override
+        public Eventloop reactor() {
+            return reactor;
         }
 
-        private void countStaged() {
-            held++;
-            if (isWhole()) {
-                log.write(
-                        DecisionKind.WEIGHTS,
-                        "event",
-                        "copy whole",
-                        "version",
-                        version,
-                        "took_ms",
-                        clock.millis() - beganMillis);
-                startWhenDue();
-            }
+        @Override
+        public Clock clock() {
+            return clock;
         }
 
-        private Promise<Void> stage(int piece) {
-            return callEngine(dialect.stage(model, piece), pieces[piece]).toVoid();
+        @Override
+        public DecisionLog log() {
+            return log;
         }
 
-        // ---- starting
-
-        /** Boxes take their turns, so that most engines serve while some change over; an empty engine does not wait. */
-        void startWhenDue() {
-            if (starting || abandoned) {
-                return;
-            }
-            starting = true;
-            long wait = lastReport.heldVersion() == 0 ? 0 : Math.max(0, turnMillis() - clock.millis());
-            reactor.delayBackground(wait, this::verifyAndStart);
+        @Override
+        public WeightsDialect dialect() {
+            return dialect;
         }
 
-        private long turnMillis() {
-            List<PieceHolder> boxes = boxes();
-            int rank = boxes.indexOf(self());
-            double share = boxes.isEmpty() ? 0 : Math.max(0, rank) / (double) boxes.size();
-            return namedMillis + (long) (settings.deadlineMillis() * (START_FROM_SHARE + START_SPREAD_SHARE * share));
+        @Override
+        public PieceRouting routing(int version) {
+            return PieceRouting.of(self(), boxes(), version);
         }
 
-        private void verifyAndStart() {
-            verify(0)
-                    .then(nothing -> callEngine(dialect.order(), dialect.startOrder(model, version)))
-                    .whenComplete((answer, failure) -> {
-                        log.write(
-                                DecisionKind.WEIGHTS,
-                                "event",
-                                failure == null ? "start ordered" : "start failed",
-                                "version",
-                                version,
-                                "error",
-                                failure == null ? "" : failure.getMessage());
-                        reactor.delayBackground(
-                                failure == null ? LOCAL_CALL_MILLIS : RETRY_MILLIS, () -> starting = false);
-                    });
+        @Override
+        public Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body) {
+            return succeeding(calls.call(settings.engineAddress().toSocketAddress(), head, body, LOCAL_CALL_MILLIS));
         }
 
-        /** Reads every piece back and lays it down again where it turned bad. */
-        private Promise<Void> verify(int piece) {
-            if (piece == pieces.length) {
-                return Promise.complete();
+        @Override
+        public Promise<HttpCalls.Answer> callOrigin(HttpHead head) {
+            Optional<Service> origin = published.configuration().origin();
+            if (origin.isEmpty()) {
+                return Promise.ofException(new IOException("no origin of weights"));
             }
-            return callEngine(dialect.readBack(model, piece), NOTHING)
-                    .map(HttpCalls.Answer::body)
-                    .then(
-                            bytes -> matches(bytes, manifest.digests().get(piece))
-                                    ? Promise.complete()
-                                    : stage(piece).then(() -> verifyOnce(piece)),
-                            failure -> stage(piece).then(() -> verifyOnce(piece)))
-                    .then(() -> verify(piece + 1));
+            Address address = Address.parse(origin.get().originAddress());
+            return succeeding(calls.call(address.toSocketAddress(), head, NOTHING, ORIGIN_CALL_MILLIS));
         }
 
-        private Promise<Void> verifyOnce(int piece) {
-            return callEngine(dialect.readBack(model, piece), NOTHING)
-                    .then(answer -> matches(answer.body(), manifest.digests().get(piece))
-                            ? Promise.complete()
-                            : Promise.ofException(new IOException("piece " + piece + " does not stay good")));
+        private Promise<HttpCalls.Answer> succeeding(Promise<HttpCalls.Answer> call) {
+            return call.then(answer -> answer.isSuccess()
+                    ? Promise.of(answer)
+                    : Promise.ofException(
+                            new IOException("answered " + answer.head().status())));
         }
 
-        // ---- handing on
-
-        Promise<NodeReply> pieceWhenHeld(int piece, long waitMillis) {
-            if (pieces != null && piece < pieces.length && pieces[piece] != null) {
-                return Promise.of(new NodeReply.Piece(pieces[piece]));
-            }
-            SettablePromise<NodeReply> reply = new SettablePromise<>();
-            waiters.add(new Waiter(piece, reply));
-            return Promises.timeout(waitMillis, reply)
-                    .then(given -> Promise.of(given), failure -> Promise.of(new NodeReply.Piece(null)));
+        @Override
+        public Promise<byte[]> askNeighbour(String box, NodeRequest.GetPiece request) {
+            return clients.ask(Address.parse(box), request, request.waitMillis() + NEIGHBOUR_MARGIN_MILLIS)
+                    .map(reply -> reply instanceof NodeReply.Piece piece ? piece.bytes() : null);
         }
-
-        private record Waiter(int piece, SettablePromise<NodeReply> reply) {}
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSettings.java
@@ -11,6 +11,7 @@
  * @param engineAddress where its engine is called, not null
  * @param service the service that its engine belongs to, not null
  * @param deadlineMillis within which a named version must be everywhere
+ * @param linkBytesPerSecond the rate of the box's link
  */
 public record WeightsSettings(
         String process,
@@ -18,4 +19,5 @@
         Address nodeAddress,
         Address engineAddress,
         String service,
-        long deadlineMillis) {}
+        long deadlineMillis,
+        long linkBytesPerSecond) {}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
@@ -0,0 +1,37 @@
+package org.bankturn.daemon.weights;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import org.bankturn.daemon.http.HttpCalls;
+import org.bankturn.daemon.http.HttpHead;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.time.Clock;
+import org.bankturn.weights.PieceRouting;
+
+/** What a copy of weights needs from the process around it. */
+interface WeightsSurroundings {
+    /** Returns the reactor whose thread all of this runs on. */
+    Eventloop reactor();
+
+    /** Returns the time. */
+    Clock clock();
+
+    /** Returns the decision log. */
+    DecisionLog log();
+
+    /** Returns how engines and origins are spoken to. */
+    WeightsDialect dialect();
+
+    /** Returns the plan for a version as of now. */
+    PieceRouting routing(int version);
+
+    /** Calls the engine on this box; fails unless it says success. */
+    Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body);
+
+    /** Calls the origin of weights; fails unless it says success. */
+    Promise<HttpCalls.Answer> callOrigin(HttpHead head);
+
+    /** Asks a neighbour for a piece; gives null if it has none yet, and fails if it does not answer. */
+    Promise<byte[]> askNeighbour(String box, NodeRequest.GetPiece request);
+}
