--- a/core/src/test/java/org/bankturn/agreement/MemberGroup.java
+++ b/core/src/test/java/org/bankturn/agreement/MemberGroup.java
@@ -24,9 +24,15 @@
     final Map<Long, Member> leaders = new HashMap<>();
     final List<Outbound> bag = new ArrayList<>();
     private final List<Member> first;
+    private final AgreementSettings settings;
     private long lives = 1;
 
     MemberGroup(long seed, String... boxes) {
+        this(SETTINGS, seed, boxes);
+    }
+
+    MemberGroup(AgreementSettings settings, long seed, String... boxes) {
+        this.settings = settings;
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         first = List.of(boxes).stream().map(box -> new Member(box, 1, box)).toList();
         for (Member member : first) {
@@ -38,13 +44,23 @@
     private void start(Member member) {
         running.put(
                 member.box(),
-                Agreement.recover(member, disks.get(member.box()), SETTINGS, clock, random, asking -> true));
+                Agreement.recover(member, disks.get(member.box()), settings, clock, random, asking -> true));
     }
 
     void restart(String box) {
         start(running.get(box).self());
     }
 
+    void stop(String box) {
+        running.remove(box);
+    }
+
+    /** Starts a stopped box with the disk that it had. */
+    void startAgain(Member member) {
+        start(member);
+    }
+
+    /** Starts a box with an empty disk, under a name that may be new. */
     void loseDisk(String box) {
         lives++;
         disks.put(box, new StoredAgreement(Vote.NONE, Snapshot.initial(List.of()), List.of()));
@@ -55,7 +71,8 @@
         clock.advance(10);
         for (Agreement member : List.copyOf(running.values())) {
             member.tick();
-            if (member.members().stream().noneMatch(member.self()::equals)) {
+            boolean outside = member.members().stream().noneMatch(member.self()::equals);
+            if (outside || member.leader().isEmpty()) {
                 member.askToJoin(first);
             }
             carryOut(member);
@@ -71,6 +88,10 @@
         int fate = faulty ? random.nextInt(10) : 9;
         Outbound outbound = fate == 0 ? bag.get(chosen) : bag.remove(chosen);
         Agreement member = running.get(outbound.to().box());
+        if (member == null) {
+            bag.remove(outbound);
+            return;
+        }
         boolean sameLife =
                 member.self().equals(outbound.to()) || outbound.message() instanceof AgreementMessage.JoinRequest;
         if (fate != 1 && sameLife) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.bankturn.daemon.gateway.EventSplitter.Event;
+import org.bankturn.daemon.gateway.TargetTable.Choice;
 import org.bankturn.daemon.gateway.TargetTable.Wanted;
 import org.bankturn.daemon.http.AnswerListener;
 import org.bankturn.daemon.http.HopFailure;
@@ -29,6 +30,15 @@
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
     private static final int MOST_FAILED_CONNECTIONS = 4;
     private static final long COME_BACK_MILLIS = 300;
+    private static final long COME_BACK_AT_MOST_MILLIS = 1_500;
+    private static final long COME_BACK_WITHOUT_TARGET_MILLIS = 1_000;
+    private static final double TOO_LATE_SHARE = 1.0;
+    private static final double HALF = 0.5;
+    private static final long LEAST_SILENCE_MILLIS = 700;
+    private static final double SILENT_OBJECTIVES = 1.8;
+    private static final long SILENCE_IN_STREAM_MILLIS = 1_300;
+    private static final double LEAST_PREDICTED_MILLIS = 50;
+    private static final double PLAIN_ANSWER_MILLIS = 100;
     private static final long FULL_TARGET_MILLIS = 100;
     private static final long LEAST_REMAINING_MILLIS = 20;
     private static final long MOST_REST_UNREPEATABLE_MILLIS = 600;
@@ -47,6 +57,7 @@
     private boolean earlierMayHaveRun;
     private String lastEvent;
     private Attempt attempt;
+    private long comeBackMillis = COME_BACK_MILLIS;
 
     ForwardedRequest(Gateway gateway, ServerExchange exchange, CallerTerms terms, Route route, Account account) {
         this.gateway = gateway;
@@ -91,20 +102,44 @@
             return;
         }
         int version = gateway.leastVersion(service);
-        Optional<TargetState> target = gateway.targets().choose(new Wanted(service, version, tried));
-        if (target.isEmpty()) {
+        Optional<Choice> choice = choose(version);
+        if (choice.isEmpty()) {
+            comeBackMillis = COME_BACK_WITHOUT_TARGET_MILLIS;
             giveUp("no target left");
             return;
         }
+        if (sends == 0 && isTooLate(choice.get())) {
+            comeBackMillis = comeBackAfter(choice.get());
+            giveUp("would begin after " + Math.round(choice.get().predictedMillis()) + " ms");
+            return;
+        }
         if (sends > 0 && !gateway.retryBudget(service.name()).tryRetry()) {
             giveUp("retry budget used up");
             return;
         }
-        tried.add(target.get().sighting().id());
-        attempt = new Attempt(target.get(), Math.max(0, version));
+        sendTo(choice.get(), version);
+    }
+
+    private Optional<Choice> choose(int version) {
+        return gateway.targets().choose(new Wanted(service, version, terms.promptTokens(), tried));
+    }
+
+    private void sendTo(Choice choice, int version) {
+        tried.add(choice.target().sighting().id());
+        attempt = new Attempt(choice, Math.max(0, version));
         attempt.begin();
     }
 
+    /** Returns true if even the best target would begin so late that the request is better refused now. */
+    private boolean isTooLate(Choice choice) {
+        return service.engine() != null && choice.predictedMillis() > route.objectiveMillis() * TOO_LATE_SHARE;
+    }
+
+    private long comeBackAfter(Choice choice) {
+        double over = choice.predictedMillis() - route.objectiveMillis() * HALF;
+        return Math.max(COME_BACK_MILLIS, Math.min(COME_BACK_AT_MOST_MILLIS, Math.round(over)));
+    }
+
     private void retry(String reason) {
         gateway.log()
                 .write(
@@ -133,7 +168,7 @@
         boolean timeUp = endMillis - now() < LEAST_REMAINING_MILLIS;
         int status = !mayHaveRun ? 503 : timeUp ? 504 : 502;
         logEnd(mayHaveRun ? DecisionKind.FAILED : DecisionKind.REFUSED, status, reason);
-        exchange.answer(gateway.dialect().ownAnswer(status, terms, mayHaveRun ? 0 : COME_BACK_MILLIS), NOTHING);
+        exchange.answer(gateway.dialect().ownAnswer(status, terms, mayHaveRun ? 0 : comeBackMillis), NOTHING);
     }
 
     private void logEnd(DecisionKind kind, int status, String reason) {
@@ -184,7 +219,9 @@
     /** One target's turn at the request. */
     private final class Attempt implements AnswerListener {
         private final TargetState target;
+        private final double predictedMillis;
         private final int version;
+        private final long beganMillis = now();
         private final ByteArrayOutputStream content = new ByteArrayOutputStream();
         private final EventSplitter events = new EventSplitter();
         private TargetConnection connection;
@@ -192,14 +229,16 @@
         private TargetAnswer answer;
         private boolean promptPending = true;
         private boolean over;
+        private long heardMillis;
 
-        Attempt(TargetState target, int version) {
-            this.target = target;
+        Attempt(Choice choice, int version) {
+            this.target = choice.target();
+            this.predictedMillis = choice.predictedMillis();
             this.version = version;
         }
 
         void begin() {
-            target.begin(terms.promptTokens());
+            target.begin(terms.promptTokens(), beganMillis);
             long mostRest = route.kind().mayRepeat() ? Long.MAX_VALUE : MOST_REST_UNREPEATABLE_MILLIS;
             TargetConnection rested = target.takeResting(now(), mostRest);
             Promise<TargetConnection> connected = rested != null
@@ -242,6 +281,45 @@
             HttpHead framed = hasBody ? sent.with("Content-Length", Integer.toString(exchange.body().length)) : sent;
             connection.send(
                     joined(framed, exchange.body()), exchange.head().first().equals("HEAD"), this);
+            heardMillis = now();
+            watchSilence();
+        }
+
+        /** Takes a request that may be repeated away from a target that says nothing for long. */
+        private void watchSilence() {
+            if (!route.kind().mayRepeat()) {
+                return;
+            }
+            long wait = Math.max(1, heardMillis + silenceBound() - now());
+            gateway.reactor().delayBackground(wait, this::checkSilence);
+        }
+
+        private void checkSilence() {
+            if (over) {
+                return;
+            }
+            if (now() - heardMillis < silenceBound()) {
+                watchSilence();
+                return;
+            }
+            if (!mayGoElsewhere()) {
+                return;
+            }
+            finish(false);
+            target.failed(now());
+            earlierMayHaveRun = true;
+            retry("silent for " + (now() - heardMillis) + " ms");
+        }
+
+        private long silenceBound() {
+            return lastEvent == null
+                    ? Math.max(LEAST_SILENCE_MILLIS, (long) (route.objectiveMillis() * SILENT_OBJECTIVES))
+                    : SILENCE_IN_STREAM_MILLIS;
+        }
+
+        private boolean mayGoElsewhere() {
+            boolean left = sends < route.maximumAttempts() && endMillis - now() > LEAST_REMAINING_MILLIS;
+            return left && choose(gateway.leastVersion(service)).isPresent();
         }
 
         private int urgency() {
@@ -265,6 +343,7 @@
 
         @Override
         public void onPart(byte[] bytes) {
+            heardMillis = now();
             if (!streams()) {
                 content.writeBytes(bytes);
                 return;
@@ -305,7 +384,7 @@
             if (promptPending) {
                 promptPending = false;
                 target.promptRead(terms.promptTokens());
-                target.succeeded(1.0);
+                target.succeeded((now() - beganMillis) / Math.max(LEAST_PREDICTED_MILLIS, predictedMillis));
             }
         }
 
@@ -336,7 +415,7 @@
                 return;
             }
             if (!failed) {
-                target.succeeded(1.0);
+                target.succeeded((now() - beganMillis) / PLAIN_ANSWER_MILLIS);
             }
             if (exchange.hasBegun()) {
                 giveUp("a stream went on with status " + answer.status());
@@ -347,17 +426,15 @@
 
         /** Sends the request to another target, or passes the failure on if there is none or no budget. */
         private void retryOrPass() {
-            Optional<TargetState> other =
-                    gateway.targets().choose(new Wanted(service, gateway.leastVersion(service), tried));
+            int leastVersion = gateway.leastVersion(service);
+            Optional<Choice> other = choose(leastVersion);
             RetryBudget budget = gateway.retryBudget(service.name());
             if (other.isEmpty() || endMillis - now() < LEAST_REMAINING_MILLIS || !budget.tryRetry()) {
                 exchange.answer(head.withoutConnectionFields(), content.toByteArray());
                 return;
             }
             gateway.log().write(DecisionKind.RETRIED, "request", terms.id(), "reason", "status " + answer.status());
-            tried.add(other.get().sighting().id());
-            attempt = new Attempt(other.get(), Math.max(0, gateway.leastVersion(service)));
-            attempt.begin();
+            sendTo(other.get(), leastVersion);
         }
 
         private void endStream() {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.publication.Published;
+import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.publication.NamedWeights;
 import org.bankturn.routing.RetryBudget;
 import org.bankturn.service.Account;
@@ -48,6 +49,7 @@
     private final HttpListener callers;
     private final HttpListener readiness;
     private final TargetTable targets;
+    private final LoadPoller loads;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, TreeMap<Integer, Long>> weightsDueMillis = new HashMap<>();
     private Published published = Published.NOTHING;
@@ -55,17 +57,29 @@
 
     /** Returns a gateway that does not serve yet, not null. */
     public static Gateway of(
-            GatewaySettings settings, RequestDialect dialect, Eventloop reactor, Clock clock, DecisionLog log) {
-        return new Gateway(settings, dialect, reactor, clock, log);
-    }
-
-    private Gateway(GatewaySettings settings, RequestDialect dialect, Eventloop reactor, Clock clock, DecisionLog log) {
+            GatewaySettings settings,
+            RequestDialect dialect,
+            Eventloop reactor,
+            NodeClients clients,
+            Clock clock,
+            DecisionLog log) {
+        return new Gateway(settings, dialect, reactor, clients, clock, log);
+    }
+
+    private Gateway(
+            GatewaySettings settings,
+            RequestDialect dialect,
+            Eventloop reactor,
+            NodeClients clients,
+            Clock clock,
+            DecisionLog log) {
         this.settings = settings;
         this.dialect = dialect;
         this.reactor = reactor;
         this.clock = clock;
         this.log = log;
         this.targets = new TargetTable(clock, settings.dataHall());
+        this.loads = LoadPoller.of(reactor, clients, targets, settings);
         this.callers = HttpListener.create(
                 reactor, clock, settings.callerAddress().toSocketAddress(), this::callerLimits, this::handle);
         this.readiness = HttpListener.create(
@@ -80,6 +94,7 @@
     public void start() throws IOException {
         callers.listen();
         readiness.listen();
+        loads.start();
     }
 
     /** Takes in what is published now. */
@@ -93,6 +108,7 @@
         }
         published = newer;
         targets.update(newer);
+        loads.update(newer);
     }
 
     /** Stops as planned; the promise completes when nothing is under way or time is up. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetState.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetState.java
@@ -5,12 +5,14 @@
 import org.bankturn.daemon.http.TargetConnection;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.EngineLoad;
 
 /** What one gateway knows of a target from its own requests; mutable, confined to one thread. */
 final class TargetState {
     private static final int MOST_RESTING = 24;
     private static final long FIRST_AVOIDANCE_MILLIS = 500;
     private static final long MOST_AVOIDANCE_MILLIS = 4_000;
+    private static final long LOAD_USABLE_MILLIS = 1_200;
     private static final double SMOOTHING = 0.2;
 
     private final Deque<TargetConnection> resting = new ArrayDeque<>();
@@ -21,6 +23,9 @@
     private int failuresInARow;
     private long avoidedUntilMillis;
     private double lateness = 1.0;
+    private EngineLoad load;
+    private long loadMillis;
+    private final Deque<Long> sentMillis = new ArrayDeque<>();
 
     TargetState(TargetSighting sighting) {
         this.sighting = sighting;
@@ -59,11 +64,31 @@
         seenVersion = Math.max(seenVersion, version);
     }
 
-    void begin(int promptTokens) {
+    void begin(int promptTokens, long nowMillis) {
         inFlight++;
+        sentMillis.addLast(nowMillis);
         waitingPromptTokens += promptTokens;
     }
 
+    /** Takes in what the engine said of its load at a moment. */
+    void reported(EngineLoad newer, long atMillis) {
+        load = newer;
+        loadMillis = atMillis;
+        while (!sentMillis.isEmpty() && sentMillis.peekFirst() <= atMillis) {
+            sentMillis.pollFirst();
+        }
+    }
+
+    /** Returns what the engine said of its load lately, null if it did not. */
+    EngineLoad load(long nowMillis) {
+        return nowMillis - loadMillis < LOAD_USABLE_MILLIS ? load : null;
+    }
+
+    /** Returns the requests that were sent since the engine last told its load. */
+    int sentSinceLoad() {
+        return sentMillis.size();
+    }
+
     void promptRead(int promptTokens) {
         waitingPromptTokens -= promptTokens;
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetTable.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetTable.java
@@ -4,8 +4,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.EngineLoad;
+import org.bankturn.routing.FirstEventEstimate;
 import org.bankturn.service.EngineModel;
 import org.bankturn.service.Service;
 import org.bankturn.time.Clock;
@@ -14,9 +18,12 @@
 final class TargetTable {
     private static final double OTHER_HALL_MILLIS = 12;
     private static final double PLAIN_REQUEST_MILLIS = 20;
+    private static final double AVOIDED_MILLIS = 100_000;
+    private static final double SPREAD = 0.3;
 
     private final Clock clock;
     private final String dataHall;
+    private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
     private final Map<String, TargetState> targets = new HashMap<>();
 
     /**
@@ -24,9 +31,18 @@
      *
      * @param service the service, not null
      * @param leastVersion the version of the weights that it must hold, 0 for any, -1 if the service holds none
+     * @param promptTokens the size of its prompt
      * @param excluded the incarnations that were tried, not null
      */
-    record Wanted(Service service, int leastVersion, Set<String> excluded) {}
+    record Wanted(Service service, int leastVersion, int promptTokens, Set<String> excluded) {}
+
+    /**
+     * A target and what is predicted there.
+     *
+     * @param target the target, not null
+     * @param predictedMillis the time until the first event
+     */
+    record Choice(TargetState target, double predictedMillis) {}
 
     TargetTable(Clock clock, String dataHall) {
         this.clock = clock;
@@ -51,29 +67,41 @@
         }
     }
 
-    /** Returns the target that is likely to begin first; one that is avoided only if there is no other. */
-    Optional<TargetState> choose(Wanted wanted) {
-        TargetState best = null;
+    /** Takes in what a target's engine said of its load. */
+    void reported(String id, EngineLoad load, long ageMillis) {
+        TargetState state = targets.get(id);
+        if (state != null) {
+            state.reported(load, clock.millis() - ageMillis);
+        }
+    }
+
+    /**
+     * Returns the target that is likely to begin first; one that is avoided only if there is no other.
+     *
+     * <p>Predictions are spread at random, so that gateways that know the same do not all choose the same.
+     */
+    Optional<Choice> choose(Wanted wanted) {
+        Choice best = null;
         double least = Double.MAX_VALUE;
-        TargetState bestAvoided = null;
-        double leastAvoided = Double.MAX_VALUE;
         long now = clock.millis();
         for (TargetState state : targets.values()) {
             if (!mayTake(state, wanted)) {
                 continue;
             }
-            double cost = cost(state, wanted.service());
-            if (state.isAvoided(now)) {
-                if (cost < leastAvoided) {
-                    leastAvoided = cost;
-                    bestAvoided = state;
-                }
-            } else if (cost < least) {
+            double predicted = predictedMillis(state, wanted, now);
+            double spread = predicted * (1 + SPREAD * random.nextDouble());
+            double cost =
+                    spread + (isNear(state) ? 0 : OTHER_HALL_MILLIS) + (state.isAvoided(now) ? AVOIDED_MILLIS : 0);
+            if (cost < least) {
                 least = cost;
-                best = state;
+                best = new Choice(state, predicted);
             }
         }
-        return Optional.ofNullable(best != null ? best : bestAvoided);
+        return Optional.ofNullable(best);
+    }
+
+    private boolean isNear(TargetState state) {
+        return state.sighting().dataHall().equals(dataHall);
     }
 
     private static boolean mayTake(TargetState state, Wanted wanted) {
@@ -85,17 +113,17 @@
                 && !wanted.excluded().contains(sighting.id());
     }
 
-    /** Returns how long a request would wait there, in milliseconds, as far as this gateway's own requests tell. */
-    private double cost(TargetState state, Service service) {
-        EngineModel engine = service.engine();
-        double own;
+    /** Returns how long a request would wait there for its first event, as far as is known here. */
+    private static double predictedMillis(TargetState state, Wanted wanted, long now) {
+        EngineModel engine = wanted.service().engine();
         if (engine == null) {
-            own = state.inFlight() * PLAIN_REQUEST_MILLIS;
-        } else {
-            own = state.waitingPromptTokens() / engine.promptTokensPerMillisecond()
-                    + state.inFlight() * engine.stepMillis();
+            return (state.inFlight() + 1) * PLAIN_REQUEST_MILLIS * state.lateness();
         }
-        double away = state.sighting().dataHall().equals(dataHall) ? 0 : OTHER_HALL_MILLIS;
-        return (own + 1) * Math.max(0.5, state.lateness()) + away;
+        EngineLoad load = state.load(now);
+        int sentSince = load == null ? state.inFlight() : state.sentSinceLoad();
+        EngineLoad assumed = load == null ? new EngineLoad(0, 0, 0, 0, 1) : load;
+        return FirstEventEstimate.of(engine)
+                        .millis(assumed, sentSince, state.waitingPromptTokens(), wanted.promptTokens())
+                * Math.max(1, state.lateness());
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -141,6 +141,13 @@
         member.stop();
     }
 
+    /** Stops serving; call on the reactor's thread, after {@link #stop()}. */
+    public void close() {
+        listener.close();
+        nodeServer.close();
+        clients.close();
+    }
+
     // ---- the member's folder and group
 
     private GroupMember.Recovered openFolder() throws IOException {
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -92,23 +92,25 @@
     }
 
     private void startGateway() throws IOException {
+        NodeClients clients = NodeClients.on(reactor);
         gateway = Gateway.of(
                 new GatewaySettings(
                         settings.process(),
                         settings.dataHall(),
                         settings.callAddress(),
                         settings.readyAddress(),
+                        settings.nodeAddress().port(),
                         settings.bounds().retryShare(),
                         settings.bounds().retryAllowance(),
                         (long) (settings.bounds().weightsMillis() * WEIGHTS_DEADLINE_SHARE),
                         settings.bounds().stopMillis()),
                 dialects.requests(),
                 reactor,
+                clients,
                 clock,
                 log);
         gateway.start();
-        PublicationFollower.of(followerWiring(NodeClients.on(reactor)), gateway::update)
-                .start();
+        PublicationFollower.of(followerWiring(clients), gateway::update).start();
     }
 
     private void startGroup() throws IOException {
@@ -157,6 +159,9 @@
         if (request instanceof NodeRequest.GetPiece asked) {
             return agent.givePiece(asked);
         }
+        if (request instanceof NodeRequest.GetLoad) {
+            return Promise.of(agent.giveLoad());
+        }
         return Promise.of(new NodeReply.Failed("not for a weights process"));
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -30,10 +30,11 @@
  */
 public final class WeightsAgent {
     private static final byte[] NOTHING = new byte[0];
-    private static final long CHECK_MILLIS = 250;
+    private static final long CHECK_MILLIS = 100;
     private static final long LOCAL_CALL_MILLIS = 1_500;
     private static final long ORIGIN_CALL_MILLIS = 4_000;
     private static final long NEIGHBOUR_MARGIN_MILLIS = 2_500;
+    private static final long LOAD_USABLE_MILLIS = 1_000;
     private static final long START_AGAIN_MILLIS = 1_500;
     private static final long START_RETRY_MILLIS = 150;
     private static final double FIRST_TURN_SHARE = 0.5;
@@ -48,6 +49,7 @@
     private int namedVersion;
     private long namedMillis;
     private boolean starting;
+    private long reportedMillis;
 
     /** Returns an agent that does not run yet, not null. */
     public static WeightsAgent of(
@@ -117,6 +119,7 @@
 
     private void take(EngineReport report) {
         lastReport = report;
+        reportedMillis = around.clock().millis();
         int wanted = Math.max(1, namedVersion);
         if (report.heldVersion() >= wanted || report.busy()) {
             return;
@@ -190,6 +193,13 @@
                 .then(answer -> sender.reply(answer.body()));
     }
 
+    /** Answers a gateway that asks for the engine's load. */
+    public NodeReply giveLoad() {
+        long age = around.clock().millis() - reportedMillis;
+        boolean usable = lastReport != null && age < LOAD_USABLE_MILLIS;
+        return new NodeReply.Load(usable ? lastReport.load() : null, age);
+    }
+
     private List<PieceHolder> boxes() {
         return published.targets().values().stream()
                 .filter(target -> target.service().equals(settings.service()) && !target.draining())
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
@@ -7,6 +7,7 @@
 import org.bankturn.daemon.group.GroupMember;
 import org.bankturn.membership.TargetStatus;
 import org.bankturn.publication.PublicationUpdate;
+import org.bankturn.routing.EngineLoad;
 import org.bankturn.state.command.CommandResult;
 import org.bankturn.state.query.ShowReply;
 import org.bankturn.state.query.StatusReply;
@@ -27,7 +28,8 @@
     @JsonSubTypes.Type(value = NodeReply.PublicationOutcome.class, name = "outcome"),
     @JsonSubTypes.Type(value = NodeReply.Document.class, name = "document"),
     @JsonSubTypes.Type(value = NodeReply.Watched.class, name = "watched"),
-    @JsonSubTypes.Type(value = NodeReply.Piece.class, name = "piece")
+    @JsonSubTypes.Type(value = NodeReply.Piece.class, name = "piece"),
+    @JsonSubTypes.Type(value = NodeReply.Load.class, name = "load")
 })
 public sealed interface NodeReply {
     /** The message was taken in. */
@@ -75,4 +77,7 @@
 
     /** A piece of weights, null if it is not held here. */
     record Piece(byte[] bytes) implements NodeReply {}
+
+    /** What an engine said of its load, null if it said nothing lately, and how long ago. */
+    record Load(EngineLoad load, long ageMillis) implements NodeReply {}
 }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
@@ -25,7 +25,8 @@
     @JsonSubTypes.Type(value = NodeRequest.ReadDocument.class, name = "document"),
     @JsonSubTypes.Type(value = NodeRequest.WatchPublication.class, name = "watch"),
     @JsonSubTypes.Type(value = NodeRequest.NoteHeartbeats.class, name = "beats"),
-    @JsonSubTypes.Type(value = NodeRequest.GetPiece.class, name = "piece")
+    @JsonSubTypes.Type(value = NodeRequest.GetPiece.class, name = "piece"),
+    @JsonSubTypes.Type(value = NodeRequest.GetLoad.class, name = "load")
 })
 public sealed interface NodeRequest {
     /** Carries a message of the agreement group; the reply says nothing. */
@@ -72,4 +73,7 @@
 
     /** Asks for a piece of a version of a model's weights, waiting a while if it is on its way there. */
     record GetPiece(String model, int version, int piece, long waitMillis) implements NodeRequest {}
+
+    /** Asks a target process for its engine's load. */
+    record GetLoad() implements NodeRequest {}
 }
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -21,6 +21,7 @@
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
@@ -51,9 +52,10 @@
         callers = freeAddress();
         ready = freeAddress();
         gateway = Gateway.of(
-                new GatewaySettings("test", "north", callers, ready, 0.5, 960, 1_000, 3_400),
+                new GatewaySettings("test", "north", callers, ready, 1, 0.5, 960, 1_000, 3_400),
                 new PlainDialect(),
                 reactor,
+                NodeClients.on(reactor),
                 clock,
                 DecisionLog.start("test", clock));
         reactor.keepAlive(true);
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -0,0 +1,248 @@
+package org.bankturn.daemon.group;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.publication.PublicationFollower;
+import org.bankturn.daemon.publication.Published;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.service.ClientLimits;
+import org.bankturn.service.DocumentFormat;
+import org.bankturn.service.RequestKind;
+import org.bankturn.service.Route;
+import org.bankturn.service.ServingConfiguration;
+import org.bankturn.service.UnreadableDocumentException;
+import org.bankturn.time.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Control processes on loopback, formed from seeds. */
+@Timeout(60)
+class GroupNodeTest {
+    private static final int BOXES = 3;
+
+    @TempDir
+    private Path folder;
+
+    private final Clock clock = Clock.system();
+    private final DecisionLog log = DecisionLog.start("test", clock);
+    private final HttpClient http = HttpClient.newHttpClient();
+    private final List<Address> seeds = new ArrayList<>();
+    private final List<Address> callAddresses = new ArrayList<>();
+    private final Map<Integer, Running> running = new TreeMap<>();
+
+    private record Running(GroupNode node, Eventloop reactor) {}
+
+    @BeforeEach
+    void form() throws IOException {
+        for (int box = 0; box < BOXES; box++) {
+            seeds.add(freeAddress());
+            callAddresses.add(freeAddress());
+        }
+        for (int box = 0; box < BOXES; box++) {
+            start(box);
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        running.values().forEach(each -> {
+            each.node().stop();
+            each.reactor().breakEventloop();
+        });
+    }
+
+    @Test
+    void a_change_accepted_at_any_box_is_read_at_every_other() throws Exception {
+        assertThat(untilAccepted(0, "/put", "7")).isEqualTo(200);
+        for (int box = 0; box < BOXES; box++) {
+            assertThat(untilRead(box)).isEqualTo("7");
+        }
+    }
+
+    @Test
+    void the_highest_version_wins_and_an_older_one_is_acknowledged_without_effect() throws Exception {
+        assertThat(untilAccepted(0, "/put", "7")).isEqualTo(200);
+        assertThat(untilAccepted(1, "/put", "5")).isEqualTo(200);
+        assertThat(untilAccepted(2, "/put", "7 other")).isEqualTo(200);
+        assertThat(untilRead(2)).isEqualTo("7");
+    }
+
+    @Test
+    void an_invalid_document_is_refused_and_changes_nothing() throws Exception {
+        assertThat(untilAccepted(0, "/put", "7")).isEqualTo(200);
+        assertThat(call(0, "/put", "nonsense").statusCode()).isEqualTo(400);
+        assertThat(call(0, "/put", "8 faulty").statusCode()).isEqualTo(400);
+        assertThat(untilRead(0)).isEqualTo("7");
+    }
+
+    @Test
+    void a_leaving_target_is_leaving_for_a_follower_at_any_other_box_once_acknowledged() throws Exception {
+        AtomicReference<Published> seen = follow(2);
+        assertThat(untilAccepted(0, "/beat/t1/ready/1", "")).isEqualTo(200);
+        assertThat(untilAccepted(1, "/beat/t1/leaving/2", "")).isEqualTo(200);
+        while (!seen.get().targets().containsKey("t1")
+                || !seen.get().targets().get("t1").draining()) {
+            Thread.onSpinWait();
+        }
+        assertThat(untilAccepted(0, "/leave/t1", "")).isEqualTo(200);
+        while (seen.get().targets().containsKey("t1")) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void without_a_majority_nothing_is_acknowledged_and_nothing_read() throws Exception {
+        assertThat(untilAccepted(0, "/put", "7")).isEqualTo(200);
+        stopBox(1);
+        stopBox(2);
+        while (call(0, "/beat/t1/ready/1", "").statusCode() != 503) {
+            Thread.onSpinWait();
+        }
+        assertThat(call(0, "/get", "").statusCode()).isEqualTo(503);
+    }
+
+    @Test
+    void a_restarted_group_holds_what_was_accepted() throws Exception {
+        assertThat(untilAccepted(0, "/put", "7")).isEqualTo(200);
+        for (int box = 0; box < BOXES; box++) {
+            stopBox(box);
+        }
+        for (int box = 0; box < BOXES; box++) {
+            start(box);
+        }
+        assertThat(untilRead(1)).isEqualTo("7");
+    }
+
+    // ---- boxes
+
+    private void start(int box) throws IOException {
+        Eventloop reactor = Eventloop.builder().withThreadName("box-" + box).build();
+        reactor.keepAlive(true);
+        GroupNode node = GroupNode.of(
+                new GroupSettings(
+                        "box-" + box,
+                        "north",
+                        callAddresses.get(box),
+                        seeds.get(box),
+                        folder.resolve("box-" + box).toString(),
+                        true,
+                        seeds,
+                        1_000),
+                () -> seeds,
+                new PlainControlDialect(),
+                new NumberedDocument(),
+                reactor,
+                clock,
+                log);
+        Thread thread = new Thread(reactor, "box-" + box);
+        thread.setDaemon(true);
+        thread.start();
+        reactor.submit(() -> {
+                    node.start();
+                    return Promise.complete();
+                })
+                .join();
+        running.put(box, new Running(node, reactor));
+    }
+
+    private void stopBox(int box) {
+        Running stopped = running.remove(box);
+        stopped.node().stop();
+        CompletableFuture<Void> closed = stopped.reactor().submit(() -> {
+            stopped.node().close();
+            return Promise.complete();
+        });
+        closed.join();
+        stopped.reactor().keepAlive(false);
+        stopped.reactor().breakEventloop();
+    }
+
+    private AtomicReference<Published> follow(int box) {
+        AtomicReference<Published> seen = new AtomicReference<>(Published.NOTHING);
+        Eventloop reactor = running.get(box).reactor();
+        PublicationFollower follower = PublicationFollower.of(
+                new PublicationFollower.Wiring(
+                        reactor,
+                        NodeClients.on(reactor),
+                        () -> List.of(seeds.get(box)),
+                        "north",
+                        new NumberedDocument(),
+                        clock,
+                        log),
+                seen::set);
+        reactor.execute(follower::start);
+        return seen;
+    }
+
+    // ---- calls
+
+    /** Calls as operators do: again until the answer is clear. */
+    private int untilAccepted(int box, String target, String body) throws Exception {
+        int status = 503;
+        while (status == 503) {
+            status = call(box, target, body).statusCode();
+        }
+        return status;
+    }
+
+    private String untilRead(int box) throws Exception {
+        HttpResponse<String> answer = call(box, "/get", "");
+        while (answer.statusCode() == 503) {
+            answer = call(box, "/get", "");
+        }
+        return answer.body();
+    }
+
+    private HttpResponse<String> call(int box, String target, String body) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + callAddresses.get(box) + target))
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        return http.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static Address freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new Address("127.0.0.1", socket.getLocalPort());
+        }
+    }
+
+    /** A document that is only its version, or a version and the word that makes it faulty. */
+    private static final class NumberedDocument implements DocumentFormat {
+        @Override
+        public ServingConfiguration read(byte[] document) throws UnreadableDocumentException {
+            String[] words = new String(document, StandardCharsets.UTF_8).split(" ", -1);
+            try {
+                boolean faulty = words.length > 1 && words[1].equals("faulty");
+                List<Route> routes = faulty
+                        ? List.of(new Route("r", "h", "/", RequestKind.UNSAFE, 1, 1, 0, List.of(), 1, true))
+                        : List.of();
+                return ServingConfiguration.of(
+                        Long.parseLong(words[0]), routes, List.of(), ClientLimits.DEFAULT, List.of());
+            } catch (NumberFormatException e) {
+                throw new UnreadableDocumentException(e.getMessage());
+            }
+        }
+    }
+}
