--- a/core/src/main/java/org/bankturn/routing/EngineLoad.java
+++ b/core/src/main/java/org/bankturn/routing/EngineLoad.java
@@ -8,5 +8,6 @@
  * @param usedTokens tokens in memory that cannot give way
  * @param capacityTokens tokens that fit in memory
  * @param pace how slow it is, 1 is as described
+ * @param changing true while it takes nothing new, because it changes its weights
  */
-public record EngineLoad(int active, int queued, long usedTokens, long capacityTokens, double pace) {}
+public record EngineLoad(int active, int queued, long usedTokens, long capacityTokens, double pace, boolean changing) {}
--- a/core/src/main/java/org/bankturn/weights/PieceRouting.java
+++ b/core/src/main/java/org/bankturn/weights/PieceRouting.java
@@ -70,8 +70,8 @@
         dealt(piece, which).ifPresent(box -> add(sources, box));
     }
 
-    private static void add(List<PieceSource> sources, PieceHolder box) {
-        PieceSource source = new PieceSource.Neighbour(box.box());
+    private void add(List<PieceSource> sources, PieceHolder box) {
+        PieceSource source = new PieceSource.Neighbour(box.box(), holds(box));
         if (!sources.contains(source)) {
             sources.add(source);
         }
--- a/core/src/main/java/org/bankturn/weights/PieceSource.java
+++ b/core/src/main/java/org/bankturn/weights/PieceSource.java
@@ -5,6 +5,11 @@
     /** The origin of weights. */
     record Origin() implements PieceSource {}
 
-    /** Another box, named as in {@link PieceHolder}. */
-    record Neighbour(String box) implements PieceSource {}
+    /**
+     * Another box, named as in {@link PieceHolder}.
+     *
+     * @param box the box, not null
+     * @param holds true if it is thought to hold the version already, so that waiting there makes no sense
+     */
+    record Neighbour(String box, boolean holds) implements PieceSource {}
 }
--- /dev/null
+++ b/core/src/test/java/org/bankturn/routing/FirstEventTest.java
@@ -0,0 +1,51 @@
+package org.bankturn.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.bankturn.service.EngineModel;
+import org.junit.jupiter.api.Test;
+
+class FirstEventTest {
+    private static final EngineModel ENGINE = new EngineModel(16, 317_000, 9.27, 0.02, 0.03, 20.7, 2_048, 5, 92);
+    private final FirstEventEstimate estimate = FirstEventEstimate.of(ENGINE);
+
+    @Test
+    void an_idle_engine_only_reads_the_prompt() {
+        assertThat(estimate.millis(load(0, 0, 1), 0, 0, 2_070)).isBetween(99.0, 101.0);
+    }
+
+    @Test
+    void a_request_beyond_the_places_waits_for_one() {
+        double last = estimate.millis(load(15, 0, 1), 0, 0, 100);
+        double first = estimate.millis(load(16, 0, 1), 0, 0, 100);
+        assertThat(first - last).isGreaterThan(50);
+        assertThat(estimate.millis(load(16, 4, 1), 0, 0, 100)).isGreaterThan(first + 200);
+    }
+
+    @Test
+    void what_was_sent_since_the_report_counts_as_well() {
+        assertThat(estimate.millis(load(10, 0, 1), 8, 0, 100)).isEqualTo(estimate.millis(load(18, 0, 1), 0, 0, 100));
+    }
+
+    @Test
+    void a_slow_engine_takes_longer_in_proportion() {
+        assertThat(estimate.millis(load(4, 0, 3), 0, 0, 100)).isEqualTo(3 * estimate.millis(load(4, 0, 1), 0, 0, 100));
+    }
+
+    @Test
+    void a_correction_learns_from_late_events_and_fades_with_refusals() {
+        PredictionCorrection correction = PredictionCorrection.none();
+        for (int count = 0; count < 30; count++) {
+            correction.observed(100, 300);
+        }
+        assertThat(correction.applyTo(100)).isBetween(290.0, 300.0);
+        for (int count = 0; count < 200; count++) {
+            correction.refused();
+        }
+        assertThat(correction.applyTo(100)).isEqualTo(100);
+    }
+
+    private static EngineLoad load(int active, int queued, double pace) {
+        return new EngineLoad(active, queued, 0, 0, pace, false);
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -32,7 +32,7 @@
     private static final long COME_BACK_MILLIS = 300;
     private static final long COME_BACK_AT_MOST_MILLIS = 1_500;
     private static final long COME_BACK_WITHOUT_TARGET_MILLIS = 1_000;
-    private static final double TOO_LATE_SHARE = 1.0;
+    private static final double TOO_LATE_SHARE = 0.9;
     private static final double HALF = 0.5;
     private static final long LEAST_SILENCE_MILLIS = 700;
     private static final double SILENT_OBJECTIVES = 1.8;
@@ -110,6 +110,7 @@
         }
         if (sends == 0 && isTooLate(choice.get())) {
             comeBackMillis = comeBackAfter(choice.get());
+            gateway.correction(service.name()).refused();
             giveUp("would begin after " + Math.round(choice.get().predictedMillis()) + " ms");
             return;
         }
@@ -132,11 +133,16 @@
 
     /** Returns true if even the best target would begin so late that the request is better refused now. */
     private boolean isTooLate(Choice choice) {
-        return service.engine() != null && choice.predictedMillis() > route.objectiveMillis() * TOO_LATE_SHARE;
+        if (service.engine() == null) {
+            return false;
+        }
+        double expected = gateway.correction(service.name()).applyTo(choice.predictedMillis());
+        return expected > route.objectiveMillis() * TOO_LATE_SHARE;
     }
 
     private long comeBackAfter(Choice choice) {
-        double over = choice.predictedMillis() - route.objectiveMillis() * HALF;
+        double over =
+                gateway.correction(service.name()).applyTo(choice.predictedMillis()) - route.objectiveMillis() * HALF;
         return Math.max(COME_BACK_MILLIS, Math.min(COME_BACK_AT_MOST_MILLIS, Math.round(over)));
     }
 
@@ -384,6 +390,7 @@
             if (promptPending) {
                 promptPending = false;
                 target.promptRead(terms.promptTokens());
+                gateway.correction(service.name()).observed(predictedMillis, now() - beganMillis);
                 target.succeeded((now() - beganMillis) / Math.max(LEAST_PREDICTED_MILLIS, predictedMillis));
             }
         }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.publication.NamedWeights;
+import org.bankturn.routing.PredictionCorrection;
 import org.bankturn.routing.RetryBudget;
 import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
@@ -51,6 +52,7 @@
     private final TargetTable targets;
     private final LoadPoller loads;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final Map<String, PredictionCorrection> corrections = new HashMap<>();
     private final Map<String, TreeMap<Integer, Long>> weightsDueMillis = new HashMap<>();
     private Published published = Published.NOTHING;
     private boolean stopping;
@@ -227,6 +229,11 @@
                 .orElse(0);
     }
 
+    /** Returns what this gateway has learned about its predictions for a service. */
+    PredictionCorrection correction(String service) {
+        return corrections.computeIfAbsent(service, key -> PredictionCorrection.none());
+    }
+
     RetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(service, key -> {
             int percent = Math.max(1, (int) (settings.retryShare() * RETRY_SHARE_USED * 100));
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetState.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetState.java
@@ -84,6 +84,12 @@
         return nowMillis - loadMillis < LOAD_USABLE_MILLIS ? load : null;
     }
 
+    /** Returns true if the engine said lately that it takes nothing new. */
+    boolean isChanging(long nowMillis) {
+        EngineLoad lately = load(nowMillis);
+        return lately != null && lately.changing();
+    }
+
     /** Returns the requests that were sent since the engine last told its load. */
     int sentSinceLoad() {
         return sentMillis.size();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetTable.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetTable.java
@@ -90,8 +90,9 @@
             }
             double predicted = predictedMillis(state, wanted, now);
             double spread = predicted * (1 + SPREAD * random.nextDouble());
-            double cost =
-                    spread + (isNear(state) ? 0 : OTHER_HALL_MILLIS) + (state.isAvoided(now) ? AVOIDED_MILLIS : 0);
+            double cost = spread
+                    + (isNear(state) ? 0 : OTHER_HALL_MILLIS)
+                    + (state.isAvoided(now) || state.isChanging(now) ? AVOIDED_MILLIS : 0);
             if (cost < least) {
                 least = cost;
                 best = new Choice(state, predicted);
@@ -121,7 +122,7 @@
         }
         EngineLoad load = state.load(now);
         int sentSince = load == null ? state.inFlight() : state.sentSinceLoad();
-        EngineLoad assumed = load == null ? new EngineLoad(0, 0, 0, 0, 1) : load;
+        EngineLoad assumed = load == null ? new EngineLoad(0, 0, 0, 0, 1, false) : load;
         return FirstEventEstimate.of(engine)
                         .millis(assumed, sentSince, state.waitingPromptTokens(), wanted.promptTokens())
                 * Math.max(1, state.lateness());
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -32,13 +32,13 @@
     private static final byte[] NOTHING = new byte[0];
     private static final long CHECK_MILLIS = 100;
     private static final long LOCAL_CALL_MILLIS = 1_500;
-    private static final long ORIGIN_CALL_MILLIS = 4_000;
-    private static final long NEIGHBOUR_MARGIN_MILLIS = 2_500;
+    private static final long ORIGIN_CALL_MILLIS = 2_500;
+    private static final long NEIGHBOUR_MARGIN_MILLIS = 1_200;
     private static final long LOAD_USABLE_MILLIS = 1_000;
     private static final long START_AGAIN_MILLIS = 1_500;
     private static final long START_RETRY_MILLIS = 150;
-    private static final double FIRST_TURN_SHARE = 0.5;
-    private static final double TURNS_SHARE = 0.15;
+    private static final double FIRST_TURN_SHARE = 0.62;
+    private static final double TURNS_SHARE = 0.2;
 
     private final WeightsSettings settings;
     private final Around around;
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -8,8 +8,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.wire.NodeRequest;
@@ -18,7 +20,7 @@
 /**
  * One version of a model's weights on its way to this box.
  *
- * <p>Every piece that a neighbour fetches is asked of it at once, and given as soon as it is there; pieces that this box
+ * <p>A neighbour is asked for a few pieces at a time and gives each as soon as it has it; pieces that this box
  * fetches from the origin come one after the other, so that the origin's few connections suffice for all. A piece counts
  * only once its digest matches and it lies beside the engine. WeightsCopy is confined to its reactor's thread.
  */
@@ -27,14 +29,17 @@
     static final int MANIFEST = -1;
 
     private static final long RETRY_MILLIS = 150;
-    private static final long NEIGHBOUR_WAIT_MILLIS = 1_500;
-    private static final int PATIENCE = 3;
+    private static final long NEIGHBOUR_WAIT_MILLIS = 1_000;
+    private static final int PATIENCE = 4;
+    private static final int REQUESTS_TO_ONE_NEIGHBOUR = 4;
+    private static final long AVOIDED_MILLIS = 2_000;
 
     private final WeightsSurroundings around;
     private final String model;
     private final int version;
     private final long beganMillis;
     private final List<Waiter> waiters = new ArrayList<>();
+    private final Map<String, Link> links = new HashMap<>();
     private final Deque<Integer> fromOrigin = new ArrayDeque<>();
     private byte[] manifestBytes;
     private PieceManifest manifest;
@@ -44,6 +49,15 @@
     private boolean abandoned;
     private Runnable whenWhole = () -> {};
 
+    /** What is under way to one neighbour. */
+    private static final class Link {
+        private final Deque<Turn> waiting = new ArrayDeque<>();
+        private int underWay;
+        private long avoidedUntilMillis;
+    }
+
+    private record Turn(int piece, int attempt, int waits, PieceSource.Neighbour from) {}
+
     private record Waiter(int piece, SettablePromise<byte[]> bytes) {}
 
     WeightsCopy(WeightsSurroundings around, String model, int version) {
@@ -108,27 +122,56 @@
 
     // ---- fetching
 
-    /** Fetches a piece; a source that has none yet is asked again a few times, one that fails is passed over. */
+    /** Fetches a piece from the source whose turn it is; a neighbour takes a few requests at a time. */
     private void fetch(int piece, int attempt, int waits) {
         if (abandoned || held(piece) != null) {
             return;
         }
         PieceSource source = around.routing(version).sourceOf(piece, attempt);
         if (source instanceof PieceSource.Neighbour neighbour) {
-            NodeRequest.GetPiece asked = new NodeRequest.GetPiece(model, version, piece, NEIGHBOUR_WAIT_MILLIS);
-            around.askNeighbour(neighbour.box(), asked).whenComplete((bytes, failure) -> {
-                if (failure == null && bytes == null && waits < PATIENCE) {
-                    fetch(piece, attempt, waits + 1);
-                } else {
-                    took(piece, bytes, attempt);
-                }
-            });
+            Link link = links.computeIfAbsent(neighbour.box(), box -> new Link());
+            link.waiting.add(new Turn(piece, attempt, waits, neighbour));
+            askMore(link);
         } else {
             fromOrigin.add(piece);
             fetchFromOrigin();
         }
     }
 
+    private void askMore(Link link) {
+        while (!abandoned && link.underWay < REQUESTS_TO_ONE_NEIGHBOUR && !link.waiting.isEmpty()) {
+            Turn turn = link.waiting.poll();
+            if (held(turn.piece()) != null) {
+                continue;
+            }
+            if (around.clock().millis() < link.avoidedUntilMillis) {
+                fetch(turn.piece(), turn.attempt() + 1, 0);
+                continue;
+            }
+            ask(link, turn);
+        }
+    }
+
+    private void ask(Link link, Turn turn) {
+        link.underWay++;
+        long wait = turn.from().holds() ? 0 : NEIGHBOUR_WAIT_MILLIS;
+        NodeRequest.GetPiece asked = new NodeRequest.GetPiece(model, version, turn.piece(), wait);
+        around.askNeighbour(turn.from().box(), asked).whenComplete((bytes, failure) -> {
+            link.underWay--;
+            if (failure != null) {
+                link.avoidedUntilMillis = around.clock().millis() + AVOIDED_MILLIS;
+            }
+            boolean comesLater =
+                    failure == null && bytes == null && !turn.from().holds();
+            if (comesLater && turn.waits() < PATIENCE) {
+                fetch(turn.piece(), turn.attempt(), turn.waits() + 1);
+            } else {
+                took(turn.piece(), bytes, turn.attempt());
+            }
+            askMore(link);
+        });
+    }
+
     private void fetchFromOrigin() {
         if (originBusy || abandoned || fromOrigin.isEmpty()) {
             return;
