Weights: no two boxes wait for each other

Ruled out: the origin (up in that time) and views that differ, which converge within a wait. Change: after the box of its hall a box turns to the one that goes to the origin, then to the origin. Pieces are waited for apart from their transfer, four transfers at a time.

--- a/core/src/main/java/org/bankturn/weights/PieceRouting.java
+++ b/core/src/main/java/org/bankturn/weights/PieceRouting.java
@@ -44,23 +44,20 @@
         return sources.get(Math.min(attempt, sources.size() - 1));
     }
 
-    /** Returns the sources of a piece, best first; the origin is the last resort. */
+    /**
+     * Returns the sources of a piece, best first; the origin is the last resort.
+     *
+     * <p>Boxes wait only for the box of their hall, and that one only for the box that goes to the origin, whatever
+     * attempt they are at; so no two ever wait for each other.
+     */
     public List<PieceSource> sourcesOf(int piece) {
         List<PieceSource> sources = new ArrayList<>();
         addBest(sources, piece, box -> isOther(box) && holds(box) && inOwnHall(box));
+        addBest(sources, piece, box -> isOther(box) && holds(box));
         Optional<PieceHolder> first = originFetcher(piece);
-        boolean anyHolds = boxes.stream().anyMatch(box -> isOther(box) && holds(box));
-        boolean fetchesFromOrigin = first.filter(this::isSelf).isPresent() && !anyHolds;
-        if (!fetchesFromOrigin) {
-            Optional<PieceHolder> ofHall = hallFetcher(piece, self.dataHall());
-            boolean fetchesForHall = ofHall.filter(this::isSelf).isPresent();
-            if (!fetchesForHall) {
-                ofHall.ifPresent(box -> add(sources, box));
-            }
-            addBest(sources, piece, box -> isOther(box) && holds(box));
-            first.filter(this::isOther).ifPresent(box -> add(sources, box));
-            addBest(sources, piece + 1, box -> isOther(box) && holds(box));
-            addBest(sources, piece + 1, box -> isOther(box) && inOwnHall(box));
+        if (first.filter(this::isOther).isPresent()) {
+            hallFetcher(piece, self.dataHall()).filter(this::isOther).ifPresent(box -> add(sources, box));
+            add(sources, first.get());
         }
         sources.add(new PieceSource.Origin());
         return sources;
--- a/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
+++ b/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
@@ -74,6 +74,32 @@
         }
     }
 
+    /** A box that waited for one that waits for it would hold both up for as long as they are patient. */
+    @Test
+    void no_two_boxes_wait_for_each_other_whatever_attempt_they_are_at() {
+        List<PieceHolder> boxes = boxes(4, 1);
+        for (int piece = 0; piece < PIECES; piece++) {
+            for (PieceHolder box : boxes) {
+                for (PieceSource source : PieceRouting.of(box, boxes, VERSION).sourcesOf(piece)) {
+                    if (source instanceof PieceSource.Neighbour neighbour) {
+                        assertThat(mayWaitFor(neighbour.box(), box.box(), boxes, piece))
+                                .isFalse();
+                    }
+                }
+            }
+        }
+    }
+
+    private static boolean mayWaitFor(String waiting, String other, List<PieceHolder> boxes, int piece) {
+        PieceHolder box = boxes.stream()
+                .filter(each -> each.box().equals(waiting))
+                .findFirst()
+                .orElseThrow();
+        return PieceRouting.of(box, boxes, VERSION).sourcesOf(piece).stream()
+                .anyMatch(source -> source instanceof PieceSource.Neighbour neighbour
+                        && (neighbour.box().equals(other) || mayWaitFor(neighbour.box(), other, boxes, piece)));
+    }
+
     @Test
     void the_origin_is_the_last_resort() {
         List<PieceHolder> boxes = boxes(3, 1);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -390,7 +390,7 @@
             if (promptPending) {
                 promptPending = false;
                 target.promptRead(terms.promptTokens());
-                gateway.correction(service.name()).observed(predictedMillis, now() - beganMillis);
+                gateway.correction(service.name()).observed(predictedMillis, (double) (now() - beganMillis));
                 target.succeeded((now() - beganMillis) / Math.max(LEAST_PREDICTED_MILLIS, predictedMillis));
             }
         }
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -159,6 +159,9 @@
         if (request instanceof NodeRequest.GetPiece asked) {
             return agent.givePiece(asked);
         }
+        if (request instanceof NodeRequest.AwaitPiece asked) {
+            return agent.awaitPiece(asked);
+        }
         if (request instanceof NodeRequest.GetLoad) {
             return Promise.of(agent.giveLoad());
         }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -2,6 +2,7 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
@@ -33,7 +34,9 @@
     private static final long CHECK_MILLIS = 100;
     private static final long LOCAL_CALL_MILLIS = 1_500;
     private static final long ORIGIN_CALL_MILLIS = 2_500;
-    private static final long NEIGHBOUR_MARGIN_MILLIS = 1_200;
+    private static final long NEIGHBOUR_MARGIN_MILLIS = 1_000;
+    private static final long TRANSFER_MILLIS = 2_500;
+    private static final long NOT_COMING_MILLIS = 200;
     private static final long LOAD_USABLE_MILLIS = 1_000;
     private static final long START_AGAIN_MILLIS = 1_500;
     private static final long START_RETRY_MILLIS = 150;
@@ -183,7 +186,7 @@
     /** Answers a neighbour that asks for a piece. */
     public Promise<NodeReply> givePiece(NodeRequest.GetPiece asked) {
         if (copy != null && copy.version() == asked.version()) {
-            return copy.pieceWhenHere(asked.piece(), asked.waitMillis()).then(sender::reply);
+            return sender.reply(copy.piece(asked.piece()));
         }
         boolean lies = lastReport != null && lastReport.heldVersion() == asked.version();
         if (!lies || asked.piece() == WeightsCopy.MANIFEST) {
@@ -193,6 +196,25 @@
                 .then(answer -> sender.reply(answer.body()));
     }
 
+    /** Answers a neighbour that waits for a piece. */
+    public Promise<NodeReply> awaitPiece(NodeRequest.AwaitPiece asked) {
+        boolean coming = copy != null && copy.version() == asked.version();
+        Promise<Boolean> there = coming ? copy.whenHere(asked.piece(), asked.waitMillis()) : notComing(asked);
+        return there.map(NodeReply.PieceThere::new);
+    }
+
+    /** Answers only after the time to wait, since the copy may begin any moment. */
+    private Promise<Boolean> notComing(NodeRequest.AwaitPiece asked) {
+        SettablePromise<Boolean> later = new SettablePromise<>();
+        around.reactor().delayBackground(NOT_COMING_MILLIS, () -> later.set(holds(asked.version())));
+        return later;
+    }
+
+    private boolean holds(int version) {
+        return (copy != null && copy.version() == version && copy.isWhole())
+                || (lastReport != null && lastReport.heldVersion() == version);
+    }
+
     /** Answers a gateway that asks for the engine's load. */
     public NodeReply giveLoad() {
         long age = around.clock().millis() - reportedMillis;
@@ -295,8 +317,14 @@
 
         @Override
         public Promise<byte[]> askNeighbour(String box, NodeRequest.GetPiece request) {
-            return clients.ask(Address.parse(box), request, request.waitMillis() + NEIGHBOUR_MARGIN_MILLIS)
+            return clients.ask(Address.parse(box), request, TRANSFER_MILLIS)
                     .map(reply -> reply instanceof NodeReply.Piece piece ? piece.bytes() : null);
         }
+
+        @Override
+        public Promise<Boolean> awaitNeighbour(String box, NodeRequest.AwaitPiece request) {
+            return clients.ask(Address.parse(box), request, request.waitMillis() + NEIGHBOUR_MARGIN_MILLIS)
+                    .map(reply -> reply instanceof NodeReply.PieceThere told && told.there());
+        }
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -20,7 +20,7 @@
 /**
  * One version of a model's weights on its way to this box.
  *
- * <p>A neighbour is asked for a few pieces at a time and gives each as soon as it has it; pieces that this box
+ * <p>Neighbours say when they have a piece, and a few pieces at a time are then transferred; pieces that this box
  * fetches from the origin come one after the other, so that the origin's few connections suffice for all. A piece counts
  * only once its digest matches and it lies beside the engine. WeightsCopy is confined to its reactor's thread.
  */
@@ -30,8 +30,8 @@
 
     private static final long RETRY_MILLIS = 150;
     private static final long NEIGHBOUR_WAIT_MILLIS = 1_000;
-    private static final int PATIENCE = 4;
-    private static final int REQUESTS_TO_ONE_NEIGHBOUR = 4;
+    private static final int PATIENCE = 12;
+    private static final int TRANSFERS_AT_ONCE = 4;
     private static final long AVOIDED_MILLIS = 2_000;
 
     private final WeightsSurroundings around;
@@ -39,7 +39,9 @@
     private final int version;
     private final long beganMillis;
     private final List<Waiter> waiters = new ArrayList<>();
-    private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
+    private final Deque<Turn> ready = new ArrayDeque<>();
+    private int transfers;
     private final Deque<Integer> fromOrigin = new ArrayDeque<>();
     private byte[] manifestBytes;
     private PieceManifest manifest;
@@ -49,16 +51,9 @@
     private boolean abandoned;
     private Runnable whenWhole = () -> {};
 
-    /** What is under way to one neighbour. */
-    private static final class Link {
-        private final Deque<Turn> waiting = new ArrayDeque<>();
-        private int underWay;
-        private long avoidedUntilMillis;
-    }
-
     private record Turn(int piece, int attempt, int waits, PieceSource.Neighbour from) {}
 
-    private record Waiter(int piece, SettablePromise<byte[]> bytes) {}
+    private record Waiter(int piece, SettablePromise<Boolean> here) {}
 
     WeightsCopy(WeightsSurroundings around, String model, int version) {
         this.around = around;
@@ -91,26 +86,30 @@
 
     void abandon() {
         abandoned = true;
-        waiters.forEach(waiter -> waiter.bytes().trySet(null));
+        waiters.forEach(waiter -> waiter.here().trySet(false));
         waiters.clear();
     }
 
     // ---- handing on
 
-    /** Gives a piece once it is here, or null when {@code waitMillis} are over. */
-    Promise<byte[]> pieceWhenHere(int piece, long waitMillis) {
-        byte[] held = held(piece);
-        if (held != null) {
-            return Promise.of(held);
+    /** Gives a piece, null if it is not here. */
+    byte[] piece(int piece) {
+        return held(piece);
+    }
+
+    /** Gives true once a piece is here, false when {@code waitMillis} are over. */
+    Promise<Boolean> whenHere(int piece, long waitMillis) {
+        if (held(piece) != null) {
+            return Promise.of(true);
         }
         Waiter waiter = new Waiter(piece, new SettablePromise<>());
         waiters.add(waiter);
         around.reactor().delayBackground(waitMillis, () -> {
             if (waiters.remove(waiter)) {
-                waiter.bytes().trySet(null);
+                waiter.here().trySet(false);
             }
         });
-        return waiter.bytes();
+        return waiter.here();
     }
 
     private byte[] held(int piece) {
@@ -122,53 +121,81 @@
 
     // ---- fetching
 
-    /** Fetches a piece from the source whose turn it is; a neighbour takes a few requests at a time. */
+    /** Fetches a piece from the source whose turn it is. */
     private void fetch(int piece, int attempt, int waits) {
         if (abandoned || held(piece) != null) {
             return;
         }
         PieceSource source = around.routing(version).sourceOf(piece, attempt);
         if (source instanceof PieceSource.Neighbour neighbour) {
-            Link link = links.computeIfAbsent(neighbour.box(), box -> new Link());
-            link.waiting.add(new Turn(piece, attempt, waits, neighbour));
-            askMore(link);
+            Turn turn = new Turn(piece, attempt, waits, neighbour);
+            if (isAvoided(neighbour)) {
+                tryNext(turn);
+            } else if (neighbour.holds()) {
+                transferLater(turn);
+            } else {
+                awaitAtNeighbour(turn);
+            }
         } else {
             fromOrigin.add(piece);
             fetchFromOrigin();
         }
     }
 
-    private void askMore(Link link) {
-        while (!abandoned && link.underWay < REQUESTS_TO_ONE_NEIGHBOUR && !link.waiting.isEmpty()) {
-            Turn turn = link.waiting.poll();
-            if (held(turn.piece()) != null) {
-                continue;
+    private boolean isAvoided(PieceSource.Neighbour neighbour) {
+        return around.clock().millis() < avoidedUntilMillis.getOrDefault(neighbour.box(), 0L);
+    }
+
+    private void tryNext(Turn turn) {
+        around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(turn.piece(), turn.attempt() + 1, 0));
+    }
+
+    /** Lets the neighbour say when it has the piece; that costs little, so all pieces are waited for at once. */
+    private void awaitAtNeighbour(Turn turn) {
+        NodeRequest.AwaitPiece asked = new NodeRequest.AwaitPiece(model, version, turn.piece(), NEIGHBOUR_WAIT_MILLIS);
+        around.awaitNeighbour(turn.from().box(), asked).whenComplete((there, failure) -> {
+            if (failure != null) {
+                avoid(turn.from());
+                tryNext(turn);
+            } else if (there) {
+                transferLater(turn);
+            } else if (turn.waits() < PATIENCE) {
+                fetch(turn.piece(), turn.attempt(), turn.waits() + 1);
+            } else {
+                tryNext(turn);
             }
-            if (around.clock().millis() < link.avoidedUntilMillis) {
-                fetch(turn.piece(), turn.attempt() + 1, 0);
-                continue;
+        });
+    }
+
+    private void avoid(PieceSource.Neighbour neighbour) {
+        avoidedUntilMillis.put(neighbour.box(), around.clock().millis() + AVOIDED_MILLIS);
+    }
+
+    private void transferLater(Turn turn) {
+        ready.add(turn);
+        transferMore();
+    }
+
+    /** Transfers a few pieces at a time, so that requests and answers on the same link are not held up for long. */
+    private void transferMore() {
+        while (!abandoned && transfers < TRANSFERS_AT_ONCE && !ready.isEmpty()) {
+            Turn turn = ready.poll();
+            if (held(turn.piece()) == null) {
+                transfer(turn);
             }
-            ask(link, turn);
         }
     }
 
-    private void ask(Link link, Turn turn) {
-        link.underWay++;
-        long wait = turn.from().holds() ? 0 : NEIGHBOUR_WAIT_MILLIS;
-        NodeRequest.GetPiece asked = new NodeRequest.GetPiece(model, version, turn.piece(), wait);
+    private void transfer(Turn turn) {
+        transfers++;
+        NodeRequest.GetPiece asked = new NodeRequest.GetPiece(model, version, turn.piece());
         around.askNeighbour(turn.from().box(), asked).whenComplete((bytes, failure) -> {
-            link.underWay--;
+            transfers--;
             if (failure != null) {
-                link.avoidedUntilMillis = around.clock().millis() + AVOIDED_MILLIS;
-            }
-            boolean comesLater =
-                    failure == null && bytes == null && !turn.from().holds();
-            if (comesLater && turn.waits() < PATIENCE) {
-                fetch(turn.piece(), turn.attempt(), turn.waits() + 1);
-            } else {
-                took(turn.piece(), bytes, turn.attempt());
+                avoid(turn.from());
             }
-            askMore(link);
+            took(turn.piece(), failure == null ? bytes : null, turn.attempt());
+            transferMore();
         });
     }
 
@@ -204,7 +231,7 @@
             around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, attempt + 1, 0));
             return;
         }
-        waiters.removeIf(waiter -> waiter.piece() == piece && waiter.bytes().trySet(bytes));
+        waiters.removeIf(waiter -> waiter.piece() == piece && waiter.here().trySet(true));
         if (piece == MANIFEST) {
             fetchPieces();
         } else {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
@@ -32,6 +32,9 @@
     /** Calls the origin of weights; fails unless it says success. */
     Promise<HttpCalls.Answer> callOrigin(HttpHead head);
 
-    /** Asks a neighbour for a piece; gives null if it has none yet, and fails if it does not answer. */
+    /** Asks a neighbour for a piece; gives null if it has none, and fails if it does not answer. */
     Promise<byte[]> askNeighbour(String box, NodeRequest.GetPiece request);
+
+    /** Waits until a neighbour has a piece; gives false if time ran out, and fails if it does not answer. */
+    Promise<Boolean> awaitNeighbour(String box, NodeRequest.AwaitPiece request);
 }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
@@ -29,7 +29,8 @@
     @JsonSubTypes.Type(value = NodeReply.Document.class, name = "document"),
     @JsonSubTypes.Type(value = NodeReply.Watched.class, name = "watched"),
     @JsonSubTypes.Type(value = NodeReply.Piece.class, name = "piece"),
-    @JsonSubTypes.Type(value = NodeReply.Load.class, name = "load")
+    @JsonSubTypes.Type(value = NodeReply.Load.class, name = "load"),
+    @JsonSubTypes.Type(value = NodeReply.PieceThere.class, name = "there")
 })
 public sealed interface NodeReply {
     /** The message was taken in. */
@@ -78,6 +79,9 @@
     /** A piece of weights, null if it is not held here. */
     record Piece(byte[] bytes) implements NodeReply {}
 
+    /** Whether a piece that was waited for is there now. */
+    record PieceThere(boolean there) implements NodeReply {}
+
     /** What an engine said of its load, null if it said nothing lately, and how long ago. */
     record Load(EngineLoad load, long ageMillis) implements NodeReply {}
 }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
@@ -26,7 +26,8 @@
     @JsonSubTypes.Type(value = NodeRequest.WatchPublication.class, name = "watch"),
     @JsonSubTypes.Type(value = NodeRequest.NoteHeartbeats.class, name = "beats"),
     @JsonSubTypes.Type(value = NodeRequest.GetPiece.class, name = "piece"),
-    @JsonSubTypes.Type(value = NodeRequest.GetLoad.class, name = "load")
+    @JsonSubTypes.Type(value = NodeRequest.GetLoad.class, name = "load"),
+    @JsonSubTypes.Type(value = NodeRequest.AwaitPiece.class, name = "await")
 })
 public sealed interface NodeRequest {
     /** Carries a message of the agreement group; the reply says nothing. */
@@ -71,8 +72,11 @@
     /** Tells the leader which targets were heard from. */
     record NoteHeartbeats(List<String> targets) implements NodeRequest {}
 
-    /** Asks for a piece of a version of a model's weights, waiting a while if it is on its way there. */
-    record GetPiece(String model, int version, int piece, long waitMillis) implements NodeRequest {}
+    /** Asks for a piece of a version of a model's weights. */
+    record GetPiece(String model, int version, int piece) implements NodeRequest {}
+
+    /** Asks to be told when a piece of a version of a model's weights is there. */
+    record AwaitPiece(String model, int version, int piece, long waitMillis) implements NodeRequest {}
 
     /** Asks a target process for its engine's load. */
     record GetLoad() implements NodeRequest {}
