Gateway: an attempt is a class of its own; a stream cut in an event is never whole; the log never holds up

Cause: one class held the request and a target's turn at it (500 lines); a series that ended with its connection in the middle of an event was passed on as whole. Change: Attempt split from ForwardedRequest; half an event at the end counts as a cut; tests of silent targets, of the cut and of a log whose reader does not read. A version is due after 0.86 of its bound instead of 0.92, since a request may wait in an engine's queue.

--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -0,0 +1,295 @@
+package org.bankturn.daemon.gateway;
+
+import io.activej.promise.Promise;
+import java.io.ByteArrayOutputStream;
+import org.bankturn.daemon.gateway.EventSplitter.Event;
+import org.bankturn.daemon.gateway.TargetTable.Choice;
+import org.bankturn.daemon.http.AnswerListener;
+import org.bankturn.daemon.http.HopFailure;
+import org.bankturn.daemon.http.HttpHead;
+import org.bankturn.daemon.http.ServerExchange;
+import org.bankturn.daemon.http.TargetConnection;
+import org.bankturn.service.Route;
+
+/**
+ * One target's turn at a request: sends it, passes the answer on, and tells the request what came of it.
+ *
+ * <p>Attempt is confined to its reactor's thread.
+ */
+final class Attempt implements AnswerListener {
+    private static final long CONNECT_TIMEOUT_MILLIS = 400;
+    private static final long LEAST_SILENCE_MILLIS = 700;
+    private static final double SILENT_OBJECTIVES = 1.8;
+    private static final long SILENCE_IN_STREAM_MILLIS = 1_300;
+    private static final double LEAST_PREDICTED_MILLIS = 50;
+    private static final double PLAIN_ANSWER_MILLIS = 100;
+    private static final long FULL_TARGET_MILLIS = 100;
+    private static final long MOST_REST_UNREPEATABLE_MILLIS = 600;
+    private static final int SERVER_ERROR = 500;
+
+    private final ForwardedRequest request;
+    private final Gateway gateway;
+    private final CallerTerms terms;
+    private final Route route;
+    private final ServerExchange exchange;
+    private final TargetState target;
+    private final double predictedMillis;
+    private final int version;
+    private final long beganMillis;
+    private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+    private final EventSplitter events = new EventSplitter();
+    private TargetConnection connection;
+    private HttpHead head;
+    private TargetAnswer answer;
+    private boolean promptPending = true;
+    private boolean over;
+    private long heardMillis;
+
+    Attempt(ForwardedRequest request, Gateway gateway, Choice choice, int version) {
+        this.request = request;
+        this.gateway = gateway;
+        this.terms = request.terms();
+        this.route = request.route();
+        this.exchange = request.exchange();
+        this.beganMillis = gateway.clock().millis();
+        this.target = choice.target();
+        this.predictedMillis = choice.predictedMillis();
+        this.version = version;
+    }
+
+    void begin() {
+        target.begin(terms.promptTokens(), beganMillis);
+        long mostRest = route.kind().mayRepeat() ? Long.MAX_VALUE : MOST_REST_UNREPEATABLE_MILLIS;
+        TargetConnection rested = target.takeResting(now(), mostRest);
+        Promise<TargetConnection> connected = rested != null
+                ? Promise.of(rested)
+                : TargetConnection.connect(
+                        gateway.reactor(), gateway.clock(), target.address().toSocketAddress(), CONNECT_TIMEOUT_MILLIS);
+        connected.whenComplete(this::connected);
+    }
+
+    private void connected(TargetConnection opened, Exception failure) {
+        if (over) {
+            if (opened != null) {
+                target.rest(opened);
+            }
+            return;
+        }
+        if (failure != null) {
+            onFailure(HopFailure.NOT_CONNECTED);
+            return;
+        }
+        connection = opened;
+        request.sent();
+        HttpHead sent = gateway.dialect()
+                .toTarget(
+                        exchange.head(),
+                        new Forwarding(
+                                request.remainingMillis(),
+                                target.sighting().id(),
+                                request.accountName(),
+                                request.lastEvent(),
+                                version,
+                                request.urgency()));
+        boolean hasBody = exchange.body().length > 0 || !exchange.head().first().equals("GET");
+        HttpHead framed = hasBody ? sent.with("Content-Length", Integer.toString(exchange.body().length)) : sent;
+        connection.send(joined(framed, exchange.body()), exchange.head().first().equals("HEAD"), this);
+        heardMillis = now();
+        watchSilence();
+    }
+
+    /** Takes a request that may be repeated away from a target that says nothing for long. */
+    private void watchSilence() {
+        if (!route.kind().mayRepeat()) {
+            return;
+        }
+        long wait = Math.max(1, heardMillis + silenceBound() - now());
+        gateway.reactor().delayBackground(wait, this::checkSilence);
+    }
+
+    private void checkSilence() {
+        if (over) {
+            return;
+        }
+        if (now() - heardMillis < silenceBound()) {
+            watchSilence();
+            return;
+        }
+        if (!request.mayGoElsewhere()) {
+            return;
+        }
+        finish(false);
+        target.failed(now());
+        request.outcomeUnknown();
+        request.retry("silent for " + (now() - heardMillis) + " ms");
+    }
+
+    private long silenceBound() {
+        return request.lastEvent() == null
+                ? Math.max(LEAST_SILENCE_MILLIS, (long) (route.objectiveMillis() * SILENT_OBJECTIVES))
+                : SILENCE_IN_STREAM_MILLIS;
+    }
+
+    @Override
+    public boolean onHead(HttpHead received) {
+        TargetAnswer read = gateway.dialect().answer(received);
+        if (read.requestId() != null && !read.requestId().equals(terms.id())) {
+            return false;
+        }
+        head = received;
+        answer = read;
+        if (read.weightsVersion() > 0) {
+            target.sawVersion(read.weightsVersion());
+        }
+        return true;
+    }
+
+    @Override
+    public void onPart(byte[] bytes) {
+        heardMillis = now();
+        if (!streams()) {
+            content.writeBytes(bytes);
+            return;
+        }
+        for (Event event : events.add(bytes)) {
+            pass(event);
+        }
+    }
+
+    private boolean streams() {
+        return route.kind().isStream() && answer.status() / 100 == 2;
+    }
+
+    private void pass(Event event) {
+        if (isRepeated(event)) {
+            return;
+        }
+        firstAnswerCame();
+        if (!exchange.hasBegun()) {
+            exchange.beginParts(head.withoutConnectionFields());
+        }
+        exchange.part(event.bytes());
+        request.passed(event.id());
+    }
+
+    private boolean isRepeated(Event event) {
+        String last = request.lastEvent();
+        if (last == null || event.id() == null) {
+            return false;
+        }
+        try {
+            return Long.parseLong(event.id()) <= Long.parseLong(last);
+        } catch (NumberFormatException e) {
+            return event.id().equals(last);
+        }
+    }
+
+    private void firstAnswerCame() {
+        if (promptPending) {
+            promptPending = false;
+            target.promptRead(terms.promptTokens());
+            gateway.correction(request.service().name()).observed(predictedMillis, (double) (now() - beganMillis));
+            target.succeeded((now() - beganMillis) / Math.max(LEAST_PREDICTED_MILLIS, predictedMillis));
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        if (over) {
+            return;
+        }
+        boolean cutInEvent = streams() && events.rest().length > 0;
+        if (cutInEvent) {
+            onFailure(HopFailure.CLOSED);
+            return;
+        }
+        finish(true);
+        if (answer.notRun()) {
+            target.full(now(), FULL_TARGET_MILLIS);
+            request.notRun();
+            request.retry("target did not run it: " + answer.status());
+        } else if (answer.status() >= SERVER_ERROR) {
+            target.failed(now());
+            request.outcomeUnknown();
+            request.failedBy(this);
+        } else if (streams()) {
+            endStream();
+        } else {
+            target.succeeded((now() - beganMillis) / PLAIN_ANSWER_MILLIS);
+            passAnswer();
+        }
+    }
+
+    int status() {
+        return answer.status();
+    }
+
+    /** Passes the target's answer on as it is; a stream that has begun cannot take it up. */
+    void passAnswer() {
+        if (exchange.hasBegun()) {
+            request.giveUp("a stream went on with status " + answer.status());
+        } else {
+            exchange.answer(head.withoutConnectionFields(), content.toByteArray());
+        }
+    }
+
+    private void endStream() {
+        if (!exchange.hasBegun()) {
+            exchange.beginParts(head.withoutConnectionFields());
+        }
+        exchange.endParts();
+    }
+
+    @Override
+    public void onFailure(HopFailure failure) {
+        if (over) {
+            return;
+        }
+        finish(false);
+        target.failed(now());
+        if (failure.isSurelyNotSent()) {
+            request.notConnected();
+            return;
+        }
+        request.outcomeUnknown();
+        if (route.kind().mayRepeat()) {
+            request.retry(failure.name());
+        } else {
+            request.giveUp(failure.name() + " from " + target.sighting().id());
+        }
+    }
+
+    void drop() {
+        if (!over) {
+            finish(false);
+        }
+    }
+
+    private void finish(boolean whole) {
+        over = true;
+        target.end();
+        if (promptPending) {
+            promptPending = false;
+            target.promptRead(terms.promptTokens());
+        }
+        if (connection == null) {
+            return;
+        }
+        if (whole) {
+            target.rest(connection);
+        } else {
+            connection.close();
+        }
+    }
+
+    private long now() {
+        return gateway.clock().millis();
+    }
+
+    private static byte[] joined(HttpHead head, byte[] body) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(body.length + 512);
+        bytes.writeBytes(head.encode());
+        bytes.writeBytes(body);
+        return bytes.toByteArray();
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -1,20 +1,12 @@
 package org.bankturn.daemon.gateway;
 
-import io.activej.promise.Promise;
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.bankturn.daemon.gateway.EventSplitter.Event;
 import org.bankturn.daemon.gateway.TargetTable.Choice;
 import org.bankturn.daemon.gateway.TargetTable.Wanted;
-import org.bankturn.daemon.http.AnswerListener;
-import org.bankturn.daemon.http.HopFailure;
-import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.ServerExchange;
-import org.bankturn.daemon.http.TargetConnection;
 import org.bankturn.daemon.observe.DecisionKind;
-import org.bankturn.routing.RetryBudget;
 import org.bankturn.service.Account;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
@@ -27,21 +19,14 @@
  */
 final class ForwardedRequest {
     private static final byte[] NOTHING = new byte[0];
-    private static final long CONNECT_TIMEOUT_MILLIS = 400;
     private static final int MOST_FAILED_CONNECTIONS = 4;
     private static final long COME_BACK_MILLIS = 300;
     private static final long COME_BACK_AT_MOST_MILLIS = 1_500;
     private static final long COME_BACK_WITHOUT_TARGET_MILLIS = 1_000;
     private static final double TOO_LATE_SHARE = 0.9;
     private static final double HALF = 0.5;
-    private static final long LEAST_SILENCE_MILLIS = 700;
-    private static final double SILENT_OBJECTIVES = 1.8;
-    private static final long SILENCE_IN_STREAM_MILLIS = 1_300;
-    private static final double LEAST_PREDICTED_MILLIS = 50;
-    private static final double PLAIN_ANSWER_MILLIS = 100;
-    private static final long FULL_TARGET_MILLIS = 100;
     private static final long LEAST_REMAINING_MILLIS = 20;
-    private static final long MOST_REST_UNREPEATABLE_MILLIS = 600;
+    private static final int LAST_URGENCY = 9;
 
     private final Gateway gateway;
     private final ServerExchange exchange;
@@ -127,7 +112,7 @@
 
     private void sendTo(Choice choice, int version) {
         tried.add(choice.target().sighting().id());
-        attempt = new Attempt(choice, Math.max(0, version));
+        attempt = new Attempt(this, gateway, choice, Math.max(0, version));
         attempt.begin();
     }
 
@@ -146,7 +131,8 @@
         return Math.max(COME_BACK_MILLIS, Math.min(COME_BACK_AT_MOST_MILLIS, Math.round(over)));
     }
 
-    private void retry(String reason) {
+    /** Sends the request to another target, if one may still have it. */
+    void retry(String reason) {
         gateway.log()
                 .write(
                         lastEvent == null ? DecisionKind.RETRIED : DecisionKind.RESUMED,
@@ -161,7 +147,8 @@
 
     // ---- ends
 
-    private void giveUp(String reason) {
+    /** Gives the final answer at once: refused if it certainly did not run, failed otherwise. */
+    void giveUp(String reason) {
         dropAttempt();
         if (exchange.isFinished()) {
             return;
@@ -215,289 +202,90 @@
         }
     }
 
-    private static byte[] joined(HttpHead head, byte[] body) {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(body.length + 512);
-        bytes.writeBytes(head.encode());
-        bytes.writeBytes(body);
-        return bytes.toByteArray();
-    }
-
-    /** One target's turn at the request. */
-    private final class Attempt implements AnswerListener {
-        private final TargetState target;
-        private final double predictedMillis;
-        private final int version;
-        private final long beganMillis = now();
-        private final ByteArrayOutputStream content = new ByteArrayOutputStream();
-        private final EventSplitter events = new EventSplitter();
-        private TargetConnection connection;
-        private HttpHead head;
-        private TargetAnswer answer;
-        private boolean promptPending = true;
-        private boolean over;
-        private long heardMillis;
-
-        Attempt(Choice choice, int version) {
-            this.target = choice.target();
-            this.predictedMillis = choice.predictedMillis();
-            this.version = version;
-        }
-
-        void begin() {
-            target.begin(terms.promptTokens(), beganMillis);
-            long mostRest = route.kind().mayRepeat() ? Long.MAX_VALUE : MOST_REST_UNREPEATABLE_MILLIS;
-            TargetConnection rested = target.takeResting(now(), mostRest);
-            Promise<TargetConnection> connected = rested != null
-                    ? Promise.of(rested)
-                    : TargetConnection.connect(
-                            gateway.reactor(),
-                            gateway.clock(),
-                            target.address().toSocketAddress(),
-                            CONNECT_TIMEOUT_MILLIS);
-            connected.whenComplete(this::connected);
-        }
-
-        private void connected(TargetConnection opened, Exception failure) {
-            if (over) {
-                if (opened != null) {
-                    target.rest(opened);
-                }
-                return;
-            }
-            if (failure != null) {
-                onFailure(HopFailure.NOT_CONNECTED);
-                return;
-            }
-            connection = opened;
-            sends++;
-            mayHaveRun = true;
-            long remaining = endMillis - now();
-            HttpHead sent = gateway.dialect()
-                    .toTarget(
-                            exchange.head(),
-                            new Forwarding(
-                                    remaining,
-                                    target.sighting().id(),
-                                    account == null ? null : account.name(),
-                                    lastEvent,
-                                    version,
-                                    urgency()));
-            boolean hasBody =
-                    exchange.body().length > 0 || !exchange.head().first().equals("GET");
-            HttpHead framed = hasBody ? sent.with("Content-Length", Integer.toString(exchange.body().length)) : sent;
-            connection.send(
-                    joined(framed, exchange.body()), exchange.head().first().equals("HEAD"), this);
-            heardMillis = now();
-            watchSilence();
-        }
-
-        /** Takes a request that may be repeated away from a target that says nothing for long. */
-        private void watchSilence() {
-            if (!route.kind().mayRepeat()) {
-                return;
-            }
-            long wait = Math.max(1, heardMillis + silenceBound() - now());
-            gateway.reactor().delayBackground(wait, this::checkSilence);
-        }
-
-        private void checkSilence() {
-            if (over) {
-                return;
-            }
-            if (now() - heardMillis < silenceBound()) {
-                watchSilence();
-                return;
-            }
-            if (!mayGoElsewhere()) {
-                return;
-            }
-            finish(false);
-            target.failed(now());
-            earlierMayHaveRun = true;
-            retry("silent for " + (now() - heardMillis) + " ms");
-        }
+    // ---- what an attempt needs and tells
 
-        private long silenceBound() {
-            return lastEvent == null
-                    ? Math.max(LEAST_SILENCE_MILLIS, (long) (route.objectiveMillis() * SILENT_OBJECTIVES))
-                    : SILENCE_IN_STREAM_MILLIS;
-        }
+    ServerExchange exchange() {
+        return exchange;
+    }
 
-        private boolean mayGoElsewhere() {
-            boolean left = sends < route.maximumAttempts() && endMillis - now() > LEAST_REMAINING_MILLIS;
-            return left && choose(gateway.leastVersion(service)).isPresent();
-        }
+    CallerTerms terms() {
+        return terms;
+    }
 
-        private int urgency() {
-            int rank = account != null && account.priority() >= 0 ? account.priority() : route.priority();
-            return Math.max(0, Math.min(9, rank));
-        }
+    Route route() {
+        return route;
+    }
 
-        @Override
-        public boolean onHead(HttpHead received) {
-            TargetAnswer read = gateway.dialect().answer(received);
-            if (read.requestId() != null && !read.requestId().equals(terms.id())) {
-                return false;
-            }
-            head = received;
-            answer = read;
-            if (read.weightsVersion() > 0) {
-                target.sawVersion(read.weightsVersion());
-            }
-            return true;
-        }
+    Service service() {
+        return service;
+    }
 
-        @Override
-        public void onPart(byte[] bytes) {
-            heardMillis = now();
-            if (!streams()) {
-                content.writeBytes(bytes);
-                return;
-            }
-            for (Event event : events.add(bytes)) {
-                pass(event);
-            }
-        }
+    String accountName() {
+        return account == null ? null : account.name();
+    }
 
-        private boolean streams() {
-            return route.kind().isStream() && answer.status() / 100 == 2;
-        }
+    long remainingMillis() {
+        return endMillis - now();
+    }
 
-        private void pass(Event event) {
-            if (isRepeated(event)) {
-                return;
-            }
-            firstAnswerCame();
-            if (!exchange.hasBegun()) {
-                exchange.beginParts(head.withoutConnectionFields());
-            }
-            exchange.part(event.bytes());
-            lastEvent = event.id() != null ? event.id() : lastEvent;
-        }
+    int urgency() {
+        int rank = account != null && account.priority() >= 0 ? account.priority() : route.priority();
+        return Math.max(0, Math.min(LAST_URGENCY, rank));
+    }
 
-        private boolean isRepeated(Event event) {
-            if (lastEvent == null || event.id() == null) {
-                return false;
-            }
-            try {
-                return Long.parseLong(event.id()) <= Long.parseLong(lastEvent);
-            } catch (NumberFormatException e) {
-                return event.id().equals(lastEvent);
-            }
-        }
+    /** Returns the id of the last event that the caller has whole, null if there is none. */
+    String lastEvent() {
+        return lastEvent;
+    }
 
-        private void firstAnswerCame() {
-            if (promptPending) {
-                promptPending = false;
-                target.promptRead(terms.promptTokens());
-                gateway.correction(service.name()).observed(predictedMillis, (double) (now() - beganMillis));
-                target.succeeded((now() - beganMillis) / Math.max(LEAST_PREDICTED_MILLIS, predictedMillis));
-            }
-        }
+    /** The caller has one more whole event. */
+    void passed(String eventId) {
+        lastEvent = eventId != null ? eventId : lastEvent;
+    }
 
-        @Override
-        public void onEnd() {
-            if (over) {
-                return;
-            }
-            finish(true);
-            if (answer.notRun()) {
-                mayHaveRun = earlierMayHaveRun;
-                target.full(now(), FULL_TARGET_MILLIS);
-                retry("target did not run it: " + answer.status());
-                return;
-            }
-            boolean failed = answer.status() >= 500;
-            if (failed) {
-                earlierMayHaveRun = true;
-                target.failed(now());
-                boolean another = route.kind().mayRepeat() && sends < route.maximumAttempts() && !exchange.hasBegun();
-                if (another) {
-                    retryOrPass();
-                    return;
-                }
-            }
-            if (streams()) {
-                endStream();
-                return;
-            }
-            if (!failed) {
-                target.succeeded((now() - beganMillis) / PLAIN_ANSWER_MILLIS);
-            }
-            if (exchange.hasBegun()) {
-                giveUp("a stream went on with status " + answer.status());
-            } else {
-                exchange.answer(head.withoutConnectionFields(), content.toByteArray());
-            }
-        }
+    /** The request is about to leave for a target. */
+    void sent() {
+        sends++;
+        mayHaveRun = true;
+    }
 
-        /** Sends the request to another target, or passes the failure on if there is none or no budget. */
-        private void retryOrPass() {
-            int leastVersion = gateway.leastVersion(service);
-            Optional<Choice> other = choose(leastVersion);
-            RetryBudget budget = gateway.retryBudget(service.name());
-            if (other.isEmpty() || endMillis - now() < LEAST_REMAINING_MILLIS || !budget.tryRetry()) {
-                exchange.answer(head.withoutConnectionFields(), content.toByteArray());
-                return;
-            }
-            gateway.log().write(DecisionKind.RETRIED, "request", terms.id(), "reason", "status " + answer.status());
-            sendTo(other.get(), leastVersion);
-        }
+    /** The target said that it did not run the request. */
+    void notRun() {
+        mayHaveRun = earlierMayHaveRun;
+    }
 
-        private void endStream() {
-            byte[] rest = events.rest();
-            if (!exchange.hasBegun()) {
-                exchange.beginParts(head.withoutConnectionFields());
-            }
-            exchange.part(rest);
-            exchange.endParts();
-        }
+    /** The request may have run at a target, wholly or in part. */
+    void outcomeUnknown() {
+        earlierMayHaveRun = true;
+    }
 
-        @Override
-        public void onFailure(HopFailure failure) {
-            if (over) {
-                return;
-            }
-            finish(false);
-            target.failed(now());
-            if (failure.isSurelyNotSent()) {
-                failedConnections++;
-                if (failedConnections >= MOST_FAILED_CONNECTIONS) {
-                    giveUp("no connection to " + failedConnections + " targets");
-                } else {
-                    sendToNext();
-                }
-                return;
-            }
-            earlierMayHaveRun = true;
-            if (route.kind().mayRepeat()) {
-                retry(failure.name());
-            } else {
-                giveUp(failure.name() + " from " + target.sighting().id());
-            }
+    /** No connection to the target was made, so nothing left. */
+    void notConnected() {
+        failedConnections++;
+        if (failedConnections >= MOST_FAILED_CONNECTIONS) {
+            giveUp("no connection to " + failedConnections + " targets");
+        } else {
+            sendToNext();
         }
+    }
 
-        void drop() {
-            if (!over) {
-                finish(false);
-            }
-        }
+    boolean mayGoElsewhere() {
+        boolean left = sends < route.maximumAttempts() && remainingMillis() > LEAST_REMAINING_MILLIS;
+        return left && choose(gateway.leastVersion(service)).isPresent();
+    }
 
-        private void finish(boolean whole) {
-            over = true;
-            target.end();
-            if (promptPending) {
-                promptPending = false;
-                target.promptRead(terms.promptTokens());
-            }
-            if (connection == null) {
-                return;
-            }
-            if (whole) {
-                target.rest(connection);
-            } else {
-                connection.close();
-            }
+    /** A target answered with a failure of its own, which is passed on unless another target may try. */
+    void failedBy(Attempt failed) {
+        boolean another = route.kind().mayRepeat()
+                && !exchange.hasBegun()
+                && mayGoElsewhere()
+                && gateway.retryBudget(service.name()).tryRetry();
+        if (!another) {
+            failed.passAnswer();
+            return;
         }
+        gateway.log().write(DecisionKind.RETRIED, "request", terms.id(), "reason", "status " + failed.status());
+        int version = gateway.leastVersion(service);
+        choose(version).ifPresentOrElse(choice -> sendTo(choice, version), failed::passAnswer);
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionLog.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionLog.java
@@ -3,6 +3,7 @@
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
 import java.util.Map;
@@ -31,17 +32,24 @@
     private long second;
     private final Clock clock;
     private final String process;
+    private final OutputStream output;
 
     /** Starts a log of the process of that name on standard output. */
     public static DecisionLog start(String process, Clock clock) {
-        DecisionLog log = new DecisionLog(process, clock);
+        return startTo(new FileOutputStream(FileDescriptor.out), process, clock);
+    }
+
+    /** Starts a log of the process of that name on a stream, which may block. */
+    public static DecisionLog startTo(OutputStream output, String process, Clock clock) {
+        DecisionLog log = new DecisionLog(output, process, clock);
         Thread writer = new Thread(log::writeLines, "log");
         writer.setDaemon(true);
         writer.start();
         return log;
     }
 
-    private DecisionLog(String process, Clock clock) {
+    private DecisionLog(OutputStream output, String process, Clock clock) {
+        this.output = output;
         this.process = process;
         this.clock = clock;
     }
@@ -99,7 +107,7 @@
     }
 
     private void writeLines() {
-        try (FileOutputStream output = new FileOutputStream(FileDescriptor.out)) {
+        try {
             while (true) {
                 output.write(queue.take().getBytes(StandardCharsets.UTF_8));
                 long lost = dropped.getAndSet(0);
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -25,7 +25,7 @@
 /** One process that meets an outside platform; its settings say which role it has. */
 public final class ServingProcess {
     private static final long SETTINGS_CHECK_MILLIS = 1_000;
-    private static final double WEIGHTS_DEADLINE_SHARE = 0.92;
+    private static final double WEIGHTS_DEADLINE_SHARE = 0.86;
 
     private final SettingsSource source;
     private final Dialects dialects;
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -206,6 +206,30 @@
         assertThat(answer).doesNotEndWith("0\r\n\r\n");
     }
 
+    @Test
+    void a_stream_that_ends_in_the_middle_of_an_event_is_not_whole() throws Exception {
+        ScriptedTarget one = endingInAnEvent();
+        ScriptedTarget other = endingInAnEvent();
+        publish(RequestKind.RESUMABLE_STREAM, 2, one, other);
+        String answer = call("POST", "a1", "x");
+        assertThat(eventsOf(answer)).containsExactly("1", "2");
+        assertThat(answer).doesNotEndWith("0\r\n\r\n");
+        assertThat(one.heads.size() + other.heads.size()).isEqualTo(2);
+    }
+
+    @Test
+    void a_request_that_may_be_repeated_leaves_a_silent_target() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        ScriptedTarget silent = keep(new ScriptedTarget((number, id, socket) -> {
+            await(never);
+            return false;
+        }));
+        publish(RequestKind.IDEMPOTENT, 2, silent, answering("here", ""));
+        for (int number = 0; number < 3; number++) {
+            assertThat(call("GET", "a" + number, "")).endsWith("here");
+        }
+    }
+
     @Test
     void a_target_is_told_within_half_a_second_when_the_caller_leaves() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
@@ -319,6 +343,22 @@
         return keep(target);
     }
 
+    /** Gives one event more than before, then half of the next, and closes an answer without a length. */
+    private ScriptedTarget endingInAnEvent() throws IOException {
+        Map<String, ScriptedTarget> self = new HashMap<>();
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            String last = ScriptedTarget.field(self.get("target").heads.get(number - 1), "last-event");
+            int next = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+            ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Type: text/event-stream\r\n\r\nid: " + next
+                            + "\ndata: a\n\nid: " + (next + 1) + "\nda");
+            return false;
+        });
+        self.put("target", target);
+        return keep(target);
+    }
+
     private ScriptedTarget keep(ScriptedTarget target) {
         targets.add(target);
         return target;
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/observe/DecisionLogTest.java
@@ -0,0 +1,73 @@
+package org.bankturn.daemon.observe;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import org.bankturn.time.ManualClock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class DecisionLogTest {
+    private final ManualClock clock = ManualClock.startingAt(0);
+    private final CountDownLatch reads = new CountDownLatch(1);
+    private final ByteArrayOutputStream read = new ByteArrayOutputStream();
+
+    /** A pipe whose reader does not read until it is told to. */
+    private final OutputStream pipe = new OutputStream() {
+        @Override
+        public void write(int value) {
+            write(new byte[] {(byte) value}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int from, int length) {
+            try {
+                reads.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            synchronized (read) {
+                read.write(bytes, from, length);
+            }
+        }
+    };
+
+    @Test
+    void a_reader_that_does_not_read_holds_nobody_up_and_what_was_dropped_is_counted() {
+        DecisionLog log = DecisionLog.startTo(pipe, "p", clock);
+        for (int line = 0; line < 5_000; line++) {
+            clock.advance(100);
+            log.write(DecisionKind.REFUSED, "request", "r" + line);
+        }
+        reads.countDown();
+        while (!text().contains("lines_dropped")) {
+            Thread.onSpinWait();
+        }
+        assertThat(text()).contains("\"request\":\"r0\"");
+    }
+
+    @Test
+    void a_flood_of_one_kind_leaves_room_for_the_others() {
+        DecisionLog log = DecisionLog.startTo(pipe, "p", clock);
+        for (int line = 0; line < 500; line++) {
+            log.write(DecisionKind.REFUSED, "request", "r" + line);
+        }
+        log.write(DecisionKind.GROUP, "event", "leads \"now\"");
+        reads.countDown();
+        while (!text().contains("leads")) {
+            Thread.onSpinWait();
+        }
+        assertThat(text().lines().filter(line -> line.contains("refused"))).hasSize(20);
+        assertThat(text()).contains("leads \\\"now\\\"");
+    }
+
+    private String text() {
+        synchronized (read) {
+            return read.toString(StandardCharsets.UTF_8);
+        }
+    }
+}
