Weights: failed sources are told apart, not counted; slow paths to targets count

Change: a source that failed for a piece is remembered by itself; the time that a load report takes counts into the prediction, and an unheard one counts as 400 ms.

--- a/core/src/main/java/org/bankturn/weights/PieceRouting.java
+++ b/core/src/main/java/org/bankturn/weights/PieceRouting.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -36,12 +37,17 @@
     /**
      * Returns where to fetch a piece from.
      *
+     * <p>The plan may change between two failures, so these are told apart by source and not counted: a box that was
+     * wrongly thought to hold the piece may well be the one to wait for later.
+     *
      * @param piece the piece
-     * @param attempt 0 at first, one more after each failure
+     * @param failed the sources that failed for it, not null
      */
-    public PieceSource sourceOf(int piece, int attempt) {
-        List<PieceSource> sources = sourcesOf(piece);
-        return sources.get(Math.min(attempt, sources.size() - 1));
+    public PieceSource sourceOf(int piece, Set<PieceSource> failed) {
+        return sourcesOf(piece).stream()
+                .filter(source -> !failed.contains(source))
+                .findFirst()
+                .orElse(new PieceSource.Origin());
     }
 
     /**
--- a/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
+++ b/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
@@ -21,7 +21,7 @@
             int fromOrigin = 0;
             int betweenHalls = 0;
             for (PieceHolder box : boxes) {
-                PieceSource source = PieceRouting.of(box, boxes, VERSION).sourceOf(piece, 0);
+                PieceSource source = PieceRouting.of(box, boxes, VERSION).sourceOf(piece, Set.of());
                 if (source instanceof PieceSource.Neighbour neighbour) {
                     betweenHalls += hallOf(boxes, neighbour.box()).equals(box.dataHall()) ? 0 : 1;
                 } else {
@@ -39,7 +39,7 @@
         Map<String, Integer> sends = new HashMap<>();
         for (int piece = 0; piece < PIECES; piece++) {
             for (PieceHolder box : boxes) {
-                PieceSource source = PieceRouting.of(box, boxes, VERSION).sourceOf(piece, 0);
+                PieceSource source = PieceRouting.of(box, boxes, VERSION).sourceOf(piece, Set.of());
                 if (source instanceof PieceSource.Neighbour neighbour) {
                     sends.merge(neighbour.box(), 1, Integer::sum);
                 }
@@ -65,7 +65,7 @@
         PieceHolder empty = new PieceHolder("north-new", "north", 0);
         boxes.add(empty);
         for (int piece = 0; piece < PIECES; piece++) {
-            PieceSource source = PieceRouting.of(empty, boxes, VERSION).sourceOf(piece, 0);
+            PieceSource source = PieceRouting.of(empty, boxes, VERSION).sourceOf(piece, Set.of());
             assertThat(source)
                     .isInstanceOfSatisfying(
                             PieceSource.Neighbour.class,
@@ -100,6 +100,26 @@
                         && (neighbour.box().equals(other) || mayWaitFor(neighbour.box(), other, boxes, piece)));
     }
 
+    /** After a power loss the list still names holders that lost everything; that must not send all boxes to the origin. */
+    @Test
+    void holders_that_turn_out_to_hold_nothing_do_not_send_more_boxes_to_the_origin() {
+        List<PieceHolder> stale = boxes(4, VERSION);
+        List<PieceHolder> fresh = boxes(4, 0);
+        for (int piece = 0; piece < PIECES; piece++) {
+            int fromOrigin = 0;
+            for (PieceHolder box : fresh) {
+                Set<PieceSource> failed = new HashSet<>();
+                for (int attempt = 0; attempt < 2; attempt++) {
+                    failed.add(PieceRouting.of(box, stale, VERSION).sourceOf(piece, failed));
+                }
+                fromOrigin += PieceRouting.of(box, fresh, VERSION).sourceOf(piece, failed) instanceof PieceSource.Origin
+                        ? 1
+                        : 0;
+            }
+            assertThat(fromOrigin).isEqualTo(1);
+        }
+    }
+
     @Test
     void the_origin_is_the_last_resort() {
         List<PieceHolder> boxes = boxes(3, 1);
@@ -113,7 +133,7 @@
         Set<String> seen = new HashSet<>();
         PieceHolder at = start;
         while (seen.add(at.box())) {
-            PieceSource source = PieceRouting.of(at, boxes, VERSION).sourceOf(piece, 0);
+            PieceSource source = PieceRouting.of(at, boxes, VERSION).sourceOf(piece, Set.of());
             if (!(source instanceof PieceSource.Neighbour neighbour)) {
                 return true;
             }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -81,7 +81,7 @@
         this.clock = clock;
         this.log = log;
         this.targets = new TargetTable(clock, settings.dataHall());
-        this.loads = LoadPoller.of(reactor, clients, targets, settings);
+        this.loads = LoadPoller.of(reactor, clock, clients, targets, settings);
         this.callers = HttpListener.create(
                 reactor, clock, settings.callerAddress().toSocketAddress(), this::callerLimits, this::handle);
         this.readiness = HttpListener.create(
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
@@ -9,10 +9,13 @@
 import org.bankturn.daemon.wire.NodeReply;
 import org.bankturn.daemon.wire.NodeRequest;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.time.Clock;
 
 /**
  * Asks the processes beside engines for their load, more often in the gateway's own data hall than across halls.
  *
+ * <p>How long an answer takes tells how slow the path is; requests on it would be held up as well.
+ *
  * <p>LoadPoller is confined to its reactor's thread.
  */
 final class LoadPoller {
@@ -21,6 +24,7 @@
     private static final long ANSWER_MILLIS = 600;
 
     private final Eventloop reactor;
+    private final Clock clock;
     private final NodeClients clients;
     private final TargetTable targets;
     private final GatewaySettings settings;
@@ -28,12 +32,15 @@
     private Published published = Published.NOTHING;
     private boolean started;
 
-    static LoadPoller of(Eventloop reactor, NodeClients clients, TargetTable targets, GatewaySettings settings) {
-        return new LoadPoller(reactor, clients, targets, settings);
+    static LoadPoller of(
+            Eventloop reactor, Clock clock, NodeClients clients, TargetTable targets, GatewaySettings settings) {
+        return new LoadPoller(reactor, clock, clients, targets, settings);
     }
 
-    private LoadPoller(Eventloop reactor, NodeClients clients, TargetTable targets, GatewaySettings settings) {
+    private LoadPoller(
+            Eventloop reactor, Clock clock, NodeClients clients, TargetTable targets, GatewaySettings settings) {
         this.reactor = reactor;
+        this.clock = clock;
         this.clients = clients;
         this.targets = targets;
         this.settings = settings;
@@ -65,9 +72,13 @@
         }
         boolean near = target.dataHall().equals(settings.dataHall());
         Address process = new Address(Address.parse(target.address()).host(), settings.nodePort());
+        long askedMillis = clock.millis();
         clients.ask(process, new NodeRequest.GetLoad(), ANSWER_MILLIS).whenComplete((reply, failure) -> {
+            long tookMillis = clock.millis() - askedMillis;
             if (failure == null && reply instanceof NodeReply.Load told && told.load() != null) {
-                targets.reported(id, told.load(), told.ageMillis());
+                targets.reported(id, told.load(), told.ageMillis(), tookMillis);
+            } else {
+                targets.unheard(id, tookMillis);
             }
             reactor.delayBackground(near ? OWN_HALL_MILLIS : OTHER_HALL_MILLIS, () -> poll(id));
         });
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetState.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetState.java
@@ -25,6 +25,7 @@
     private double lateness = 1.0;
     private EngineLoad load;
     private long loadMillis;
+    private long pathMillis;
     private final Deque<Long> sentMillis = new ArrayDeque<>();
 
     TargetState(TargetSighting sighting) {
@@ -90,6 +91,16 @@
         return lately != null && lately.changing();
     }
 
+    /** Takes in how long the process beside the engine took to answer. */
+    void pathTook(long millis) {
+        pathMillis = millis;
+    }
+
+    /** Returns how long the way there and back took last. */
+    long pathMillis() {
+        return pathMillis;
+    }
+
     /** Returns the requests that were sent since the engine last told its load. */
     int sentSinceLoad() {
         return sentMillis.size();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetTable.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetTable.java
@@ -20,6 +20,7 @@
     private static final double PLAIN_REQUEST_MILLIS = 20;
     private static final double AVOIDED_MILLIS = 100_000;
     private static final double SPREAD = 0.3;
+    private static final long UNHEARD_MILLIS = 400;
 
     private final Clock clock;
     private final String dataHall;
@@ -68,10 +69,19 @@
     }
 
     /** Takes in what a target's engine said of its load. */
-    void reported(String id, EngineLoad load, long ageMillis) {
+    void reported(String id, EngineLoad load, long ageMillis, long tookMillis) {
         TargetState state = targets.get(id);
         if (state != null) {
-            state.reported(load, clock.millis() - ageMillis);
+            state.reported(load, clock.millis() - tookMillis / 2 - ageMillis);
+            state.pathTook(tookMillis);
+        }
+    }
+
+    /** Takes in that nothing was heard of a target's engine for a while. */
+    void unheard(String id, long tookMillis) {
+        TargetState state = targets.get(id);
+        if (state != null) {
+            state.pathTook(Math.max(UNHEARD_MILLIS, tookMillis));
         }
     }
 
@@ -124,7 +134,8 @@
         int sentSince = load == null ? state.inFlight() : state.sentSinceLoad();
         EngineLoad assumed = load == null ? new EngineLoad(0, 0, 0, 0, 1, false) : load;
         return FirstEventEstimate.of(engine)
-                        .millis(assumed, sentSince, state.waitingPromptTokens(), wanted.promptTokens())
-                * Math.max(1, state.lateness());
+                                .millis(assumed, sentSince, state.waitingPromptTokens(), wanted.promptTokens())
+                        * Math.max(1, state.lateness())
+                + state.pathMillis();
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -9,9 +9,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.wire.NodeRequest;
@@ -31,6 +33,7 @@
     private static final long RETRY_MILLIS = 150;
     private static final long NEIGHBOUR_WAIT_MILLIS = 1_000;
     private static final int PATIENCE = 12;
+    private static final int LONG_WAITS = 2;
     private static final int TRANSFERS_AT_ONCE = 4;
     private static final long AVOIDED_MILLIS = 2_000;
 
@@ -40,6 +43,7 @@
     private final long beganMillis;
     private final List<Waiter> waiters = new ArrayList<>();
     private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
+    private final Map<Integer, Set<PieceSource>> failed = new HashMap<>();
     private final Deque<Turn> ready = new ArrayDeque<>();
     private int transfers;
     private final Deque<Integer> fromOrigin = new ArrayDeque<>();
@@ -51,7 +55,7 @@
     private boolean abandoned;
     private Runnable whenWhole = () -> {};
 
-    private record Turn(int piece, int attempt, int waits, PieceSource.Neighbour from) {}
+    private record Turn(int piece, int waits, PieceSource.Neighbour from) {}
 
     private record Waiter(int piece, SettablePromise<Boolean> here) {}
 
@@ -81,7 +85,7 @@
     }
 
     void begin() {
-        fetch(MANIFEST, 0, 0);
+        fetch(MANIFEST, 0);
     }
 
     void abandon() {
@@ -122,13 +126,13 @@
     // ---- fetching
 
     /** Fetches a piece from the source whose turn it is. */
-    private void fetch(int piece, int attempt, int waits) {
+    private void fetch(int piece, int waits) {
         if (abandoned || held(piece) != null) {
             return;
         }
-        PieceSource source = around.routing(version).sourceOf(piece, attempt);
+        PieceSource source = around.routing(version).sourceOf(piece, failedFor(piece));
         if (source instanceof PieceSource.Neighbour neighbour) {
-            Turn turn = new Turn(piece, attempt, waits, neighbour);
+            Turn turn = new Turn(piece, waits, neighbour);
             if (isAvoided(neighbour)) {
                 tryNext(turn);
             } else if (neighbour.holds()) {
@@ -142,12 +146,17 @@
         }
     }
 
+    private Set<PieceSource> failedFor(int piece) {
+        return failed.computeIfAbsent(piece, key -> new HashSet<>());
+    }
+
     private boolean isAvoided(PieceSource.Neighbour neighbour) {
         return around.clock().millis() < avoidedUntilMillis.getOrDefault(neighbour.box(), 0L);
     }
 
     private void tryNext(Turn turn) {
-        around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(turn.piece(), turn.attempt() + 1, 0));
+        failedFor(turn.piece()).add(turn.from());
+        around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(turn.piece(), 0));
     }
 
     /** Lets the neighbour say when it has the piece; that costs little, so all pieces are waited for at once. */
@@ -160,13 +169,28 @@
             } else if (there) {
                 transferLater(turn);
             } else if (turn.waits() < PATIENCE) {
-                fetch(turn.piece(), turn.attempt(), turn.waits() + 1);
+                logLongWait(turn);
+                fetch(turn.piece(), turn.waits() + 1);
             } else {
                 tryNext(turn);
             }
         });
     }
 
+    private void logLongWait(Turn turn) {
+        if (turn.waits() == LONG_WAITS) {
+            around.log()
+                    .write(
+                            DecisionKind.WEIGHTS,
+                            "event",
+                            "long wait",
+                            "piece",
+                            turn.piece(),
+                            "neighbour",
+                            turn.from().box());
+        }
+    }
+
     private void avoid(PieceSource.Neighbour neighbour) {
         avoidedUntilMillis.put(neighbour.box(), around.clock().millis() + AVOIDED_MILLIS);
     }
@@ -194,7 +218,9 @@
             if (failure != null) {
                 avoid(turn.from());
             }
-            took(turn.piece(), failure == null ? bytes : null, turn.attempt());
+            if (!took(turn.piece(), failure == null ? bytes : null)) {
+                tryNext(turn);
+            }
             transferMore();
         });
     }
@@ -217,19 +243,21 @@
                 .map(HttpCalls.Answer::body)
                 .whenComplete((bytes, failure) -> {
                     originBusy = false;
-                    took(piece, failure == null ? bytes : null, 0);
+                    if (!took(piece, failure == null ? bytes : null)) {
+                        around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, 0));
+                    }
                     fetchFromOrigin();
                 });
     }
 
-    private void took(int piece, byte[] bytes, int attempt) {
+    /** Takes in a piece; returns false if it is missing or spoilt and must come from elsewhere. */
+    private boolean took(int piece, byte[] bytes) {
         if (abandoned || held(piece) != null) {
-            return;
+            return true;
         }
         boolean good = bytes != null && (piece == MANIFEST ? readManifest(bytes) : matches(piece, bytes));
         if (!good) {
-            around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, attempt + 1, 0));
-            return;
+            return false;
         }
         waiters.removeIf(waiter -> waiter.piece() == piece && waiter.here().trySet(true));
         if (piece == MANIFEST) {
@@ -238,6 +266,7 @@
             pieces[piece] = bytes;
             stage(piece);
         }
+        return true;
     }
 
     private boolean readManifest(byte[] bytes) {
@@ -253,7 +282,7 @@
 
     private void fetchPieces() {
         for (int piece = 0; piece < pieces.length; piece++) {
-            fetch(piece, 0, 0);
+            fetch(piece, 0);
         }
     }
 
