Group: heartbeats and watchers are parts of their own; a test lets its ports go

Cause: GroupNode held four concerns; GroupNodeTest.a_restarted_group_holds_what_was_accepted failed twice in three runs with 'Address already in use'. Ruled out: ports taken by outgoing connections (moved out of their range, failed again). Cause found: the test broke a reactor off before its selector let go of the closed port; it now lets the reactor end. Change: HeartbeatTable (pure, in core) and Watchers split out.

--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -5,13 +5,8 @@
 import io.activej.promise.SettablePromise;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -36,7 +31,7 @@
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.publication.PublicationState;
 import org.bankturn.publication.PublicationUpdate;
-import org.bankturn.registry.TargetRecord;
+import org.bankturn.registry.HeartbeatTable;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.DocumentFormat;
 import org.bankturn.service.ServingConfiguration;
@@ -70,13 +65,11 @@
     private final NodeServer nodeServer;
     private final HttpListener listener;
     private final GroupMember member;
-    private final Set<Watcher> watchers = new HashSet<>();
+    private final Watchers watchers;
     private final Set<String> heardTargets = new LinkedHashSet<>();
-    private final Map<String, Long> heartbeats = new HashMap<>();
+    private final HeartbeatTable heartbeats;
     private boolean ledBefore;
 
-    private record Watcher(long haveIndex, SettablePromise<NodeReply> reply) {}
-
     /**
      * Creates a control process that does not run yet.
      *
@@ -114,6 +107,8 @@
         this.reactor = reactor;
         this.clock = clock;
         this.log = log;
+        this.watchers = new Watchers(reactor);
+        this.heartbeats = HeartbeatTable.of(clock, HEARTBEATS_MISSED * settings.heartbeatMillis());
         this.clients = NodeClients.on(reactor);
         this.nodeServer = NodeServer.create(reactor, settings.nodeAddress(), this::answer);
         this.listener = HttpListener.create(
@@ -196,7 +191,7 @@
 
     private void applied(PublicationState state) {
         long index = state.index();
-        reactor.execute(() -> wakeWatchers(index));
+        reactor.execute(() -> watchers.wake(index));
     }
 
     // ---- calls of operators and targets
@@ -360,45 +355,24 @@
             return watch(watch);
         }
         if (request instanceof NodeRequest.NoteHeartbeats noted) {
-            noteHeartbeats(noted.targets());
+            heartbeats.heard(noted.targets());
             return Promise.of(new NodeReply.Received());
         }
         return Promise.of(new NodeReply.Failed("not for a control process"));
     }
 
     private Promise<NodeReply> watch(NodeRequest.WatchPublication watch) {
-        return ask(member.query(PublicationState::index)).then(index -> {
-            if (index > watch.haveIndex()) {
-                return watched(watch.haveIndex());
-            }
-            SettablePromise<NodeReply> reply = new SettablePromise<>();
-            Watcher watcher = new Watcher(watch.haveIndex(), reply);
-            watchers.add(watcher);
-            reactor.delayBackground(watch.waitMillis(), () -> {
-                if (watchers.remove(watcher)) {
-                    reply.set(watchedNothing());
-                }
-            });
-            return reply;
-        });
-    }
-
-    private void wakeWatchers(long index) {
-        List<Watcher> waiting = new ArrayList<>();
-        watchers.removeIf(watcher -> watcher.haveIndex() < index && waiting.add(watcher));
-        for (Watcher watcher : waiting) {
-            watched(watcher.haveIndex()).whenComplete(watcher.reply()::set, watcher.reply()::setException);
-        }
+        return ask(member.query(PublicationState::index))
+                .then(index -> index > watch.haveIndex()
+                        ? Promise.of(true)
+                        : watchers.await(watch.haveIndex(), watch.waitMillis()))
+                .then(newer -> newer ? watched(watch.haveIndex()) : Promise.of(reply(null)));
     }
 
     private Promise<NodeReply> watched(long haveIndex) {
         return ask(member.query(state -> state.updateSince(haveIndex))).map(this::reply);
     }
 
-    private NodeReply watchedNothing() {
-        return reply(null);
-    }
-
     private NodeReply reply(PublicationUpdate update) {
         GroupView view = member.view();
         return new NodeReply.Watched(
@@ -423,7 +397,7 @@
         List<String> heard = List.copyOf(heardTargets);
         heardTargets.clear();
         if (view.leads()) {
-            noteHeartbeats(heard);
+            heartbeats.heard(heard);
             removeSilentTargets();
         } else if (view.leader() != null && !heard.isEmpty()) {
             clients.tell(Address.parse(view.leader().address()), new NodeRequest.NoteHeartbeats(heard));
@@ -431,32 +405,20 @@
         ledBefore = view.leads();
     }
 
-    private void noteHeartbeats(List<String> targets) {
-        long now = clock.millis();
-        targets.forEach(target -> heartbeats.put(target, now));
-    }
-
     private void removeSilentTargets() {
         if (!ledBefore) {
-            heartbeats.clear();
+            heartbeats.restart();
         }
-        ask(member.query(state -> state.registry().all())).whenResult(this::removeSilentOf);
+        ask(member.query(state -> state.registry().all())).whenResult(targets -> {
+            List<String> listed =
+                    targets.stream().map(target -> target.sighting().id()).toList();
+            heartbeats.silentAmong(listed).forEach(this::removeSilent);
+        });
     }
 
-    private void removeSilentOf(Collection<TargetRecord> targets) {
-        long now = clock.millis();
-        Set<String> known = new HashSet<>();
-        for (TargetRecord each : targets) {
-            String id = each.sighting().id();
-            known.add(id);
-            long last = heartbeats.computeIfAbsent(id, key -> now);
-            if (now - last > HEARTBEATS_MISSED * settings.heartbeatMillis()) {
-                heartbeats.remove(id);
-                log.write(DecisionKind.TARGET, "target", id, "event", "silent", "silent_ms", now - last);
-                ask(member.submit(new PublicationCommand.RemoveTarget(id, false)));
-            }
-        }
-        heartbeats.keySet().retainAll(known);
+    private void removeSilent(String target) {
+        log.write(DecisionKind.TARGET, "target", target, "event", "silent");
+        ask(member.submit(new PublicationCommand.RemoveTarget(target, false)));
     }
 
     private <T> Promise<T> ask(CompletableFuture<T> future) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -8,8 +8,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -21,6 +19,7 @@
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.Account;
@@ -49,8 +48,8 @@
 
     @BeforeEach
     void startGateway() throws Exception {
-        callers = freeAddress();
-        ready = freeAddress();
+        callers = FreeAddresses.next();
+        ready = FreeAddresses.next();
         gateway = Gateway.of(
                 new GatewaySettings("test", "north", callers, ready, 1, 0.5, 960, 1_000, 3_400),
                 new PlainDialect(),
@@ -444,10 +443,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    private static Address freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        }
-    }
 }
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -5,8 +5,6 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -23,6 +21,7 @@
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.service.ClientLimits;
 import org.bankturn.service.DocumentFormat;
@@ -52,13 +51,13 @@
     private final List<Address> callAddresses = new ArrayList<>();
     private final Map<Integer, Running> running = new TreeMap<>();
 
-    private record Running(GroupNode node, Eventloop reactor) {}
+    private record Running(GroupNode node, Eventloop reactor, Thread thread) {}
 
     @BeforeEach
     void form() throws IOException {
         for (int box = 0; box < BOXES; box++) {
-            seeds.add(freeAddress());
-            callAddresses.add(freeAddress());
+            seeds.add(FreeAddresses.next());
+            callAddresses.add(FreeAddresses.next());
         }
         for (int box = 0; box < BOXES; box++) {
             start(box);
@@ -164,7 +163,7 @@
                     return Promise.complete();
                 })
                 .join();
-        running.put(box, new Running(node, reactor));
+        running.put(box, new Running(node, reactor, thread));
     }
 
     private void stopBox(int box) {
@@ -176,7 +175,17 @@
         });
         closed.join();
         stopped.reactor().keepAlive(false);
-        stopped.reactor().breakEventloop();
+        stopped.reactor().execute(() -> {});
+        joinFully(stopped.thread());
+    }
+
+    /** A selector lets go of a closed port only in its next round, so the reactor must come to its end by itself. */
+    private static void joinFully(Thread thread) {
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private AtomicReference<Published> follow(int box) {
@@ -222,12 +231,6 @@
         return http.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
-    private static Address freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        }
-    }
-
     /** A document that is only its version, or a version and the word that makes it faulty. */
     private static final class NumberedDocument implements DocumentFormat {
         @Override
