--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -186,14 +186,14 @@
     /** Answers a neighbour that asks for a piece. */
     public Promise<NodeReply> givePiece(NodeRequest.GetPiece asked) {
         if (copy != null && copy.version() == asked.version()) {
-            return sender.reply(copy.piece(asked.piece()));
+            return sender.reply(copy.piece(asked.piece()), around.engineServes());
         }
         boolean lies = lastReport != null && lastReport.heldVersion() == asked.version();
         if (!lies || asked.piece() == WeightsCopy.MANIFEST) {
             return Promise.of(new NodeReply.Piece(null));
         }
         return around.callEngine(around.dialect().readBack(asked.model(), asked.piece()), NOTHING)
-                .then(answer -> sender.reply(answer.body()));
+                .then(answer -> sender.reply(answer.body(), around.engineServes()));
     }
 
     /** Answers a neighbour that waits for a piece. */
@@ -288,6 +288,11 @@
             return dialect;
         }
 
+        @Override
+        public boolean engineServes() {
+            return lastReport != null && lastReport.heldVersion() > 0;
+        }
+
         @Override
         public PieceRouting routing(int version) {
             return PieceRouting.of(self(), boxes(), version);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -34,7 +34,8 @@
     private static final long NEIGHBOUR_WAIT_MILLIS = 1_000;
     private static final int PATIENCE = 12;
     private static final int LONG_WAITS = 2;
-    private static final int TRANSFERS_AT_ONCE = 4;
+    private static final int TRANSFERS_BESIDE_REQUESTS = 4;
+    private static final int TRANSFERS_ALONE = 8;
     private static final long AVOIDED_MILLIS = 2_000;
 
     private final WeightsSurroundings around;
@@ -202,7 +203,8 @@
 
     /** Transfers a few pieces at a time, so that requests and answers on the same link are not held up for long. */
     private void transferMore() {
-        while (!abandoned && transfers < TRANSFERS_AT_ONCE && !ready.isEmpty()) {
+        int atOnce = around.engineServes() ? TRANSFERS_BESIDE_REQUESTS : TRANSFERS_ALONE;
+        while (!abandoned && transfers < atOnce && !ready.isEmpty()) {
             Turn turn = ready.poll();
             if (held(turn.piece()) == null) {
                 transfer(turn);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
@@ -23,6 +23,9 @@
     /** Returns how engines and origins are spoken to. */
     WeightsDialect dialect();
 
+    /** Returns true if the engine on this box holds weights, so that its requests share the link. */
+    boolean engineServes();
+
     /** Returns the plan for a version as of now. */
     PieceRouting routing(int version);
 
