Agreement: replication table, membership changes and outbox are parts of their own

Cause: Agreement.java had 661 lines and mixed elections, replication, membership and what waits to be stored. Ruled out: moving elections out as well; they share the term, the vote and the role with every message. Change: ReplicationTable, MembershipChanges and Outbox beside it; no behaviour is meant to change.

--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -1,10 +1,8 @@
 package org.bankturn.agreement;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -17,7 +15,6 @@
 import org.bankturn.agreement.AgreementMessage.SnapshotRequest;
 import org.bankturn.agreement.AgreementMessage.VoteReply;
 import org.bankturn.agreement.AgreementMessage.VoteRequest;
-import org.bankturn.agreement.Ready.Outbound;
 import org.bankturn.time.Clock;
 
 /**
@@ -30,9 +27,6 @@
  * <p>Agreement is mutable and not thread-safe; one thread owns it.
  */
 public final class Agreement {
-    private static final int SILENT_TIMEOUTS_TO_REPLACE = 3;
-    private static final int SILENT_TIMEOUTS_TO_REMOVE = 8;
-
     private final Member self;
     private final Clock clock;
     private final UniformRandomProvider random;
@@ -49,13 +43,9 @@
     private long leaderHeardMillis = Long.MIN_VALUE / 2;
     private long heartbeatDueMillis;
     private final Set<Member> votes = new HashSet<>();
-    private final Map<Member, Replication> replications = new HashMap<>();
-    private Member joiner;
-
-    private boolean voteChanged;
-    private Snapshot installed;
-    private final List<LogEntry> unstored = new ArrayList<>();
-    private final List<Outbound> messages = new ArrayList<>();
+    private final ReplicationTable replications = new ReplicationTable();
+    private final MembershipChanges changes;
+    private final Outbox outbox = new Outbox();
     private long handedOutIndex;
 
     /**
@@ -91,6 +81,7 @@
         this.clock = clock;
         this.random = random;
         this.admissible = admissible;
+        this.changes = new MembershipChanges(settings, replications);
         this.log = new AgreementLog(stored.snapshot(), stored.entries());
         this.term = stored.vote().term();
         this.votedFor = stored.vote().votedFor();
@@ -152,10 +143,7 @@
             return leaderHeardMillis;
         }
         List<Long> heard = new ArrayList<>();
-        for (Member peer : peers()) {
-            Replication replication = replications.get(peer);
-            heard.add(replication == null ? Long.MIN_VALUE / 2 : replication.heardMillis());
-        }
+        peers().forEach(peer -> heard.add(replications.heardMillis(peer)));
         heard.add(clock.millis());
         heard.sort((one, other) -> Long.compare(other, one));
         return heard.get(members().size() / 2);
@@ -210,7 +198,7 @@
         }
         Member furthest = null;
         for (Member member : peers()) {
-            if (furthest == null || matchOf(member) > matchOf(furthest)) {
+            if (furthest == null || replications.matchIndex(member) > replications.matchIndex(furthest)) {
                 furthest = member;
             }
         }
@@ -273,16 +261,7 @@
      */
     public Ready ready() {
         List<LogEntry> committed = log.between(handedOutIndex + 1, commitIndex);
-        Ready ready = new Ready(
-                voteChanged ? new Vote(term, votedFor) : null,
-                installed,
-                List.copyOf(unstored),
-                List.copyOf(messages),
-                committed);
-        voteChanged = false;
-        installed = null;
-        unstored.clear();
-        messages.clear();
+        Ready ready = outbox.take(new Vote(term, votedFor), committed);
         handedOutIndex = commitIndex;
         return ready;
     }
@@ -300,7 +279,7 @@
             role = Role.CANDIDATE;
             term++;
             votedFor = self;
-            voteChanged = true;
+            outbox.voteChanged();
         }
         long asked = trial ? term + 1 : term;
         for (Member peer : peers()) {
@@ -322,7 +301,7 @@
         boolean granted = request.term() == term && free && upToDate;
         if (granted && votedFor == null) {
             votedFor = request.from();
-            voteChanged = true;
+            outbox.voteChanged();
         }
         if (granted) {
             restartElectionTimer();
@@ -358,12 +337,9 @@
     private void becomeLeader() {
         role = Role.LEADER;
         leader = self;
-        joiner = null;
-        replications.clear();
+        changes.restart();
         long now = clock.millis();
-        for (Member peer : peers()) {
-            replications.put(peer, new Replication(log.lastIndex() + 1, now));
-        }
+        replications.restart(peers(), log.lastIndex() + 1, now);
         heartbeatDueMillis = now + settings.heartbeatMillis();
         appendAsLeader(new byte[0], null);
     }
@@ -372,14 +348,14 @@
         if (newTerm > term) {
             term = newTerm;
             votedFor = null;
-            voteChanged = true;
+            outbox.voteChanged();
         }
         if (role != Role.FOLLOWER) {
             restartElectionTimer();
         }
         role = Role.FOLLOWER;
         leader = newLeader;
-        joiner = null;
+        changes.restart();
     }
 
     private void restartElectionTimer() {
@@ -397,26 +373,20 @@
         if (now >= heartbeatDueMillis) {
             heartbeatDueMillis = now + settings.heartbeatMillis();
             replicateToAll();
-            admitJoiner();
-            removeSilentMember();
+            changeMembers(now);
         }
     }
 
     private boolean heardFromMajority(long now) {
-        Set<Member> heard = new HashSet<>();
+        Set<Member> heard = replications.heardAfter(now - settings.electionTimeoutMillis());
         heard.add(self);
-        replications.forEach((member, replication) -> {
-            if (now - replication.heardMillis() < settings.electionTimeoutMillis()) {
-                heard.add(member);
-            }
-        });
         return isMajority(heard);
     }
 
     private void appendAsLeader(byte[] command, List<Member> members) {
         LogEntry entry = new LogEntry(log.lastIndex() + 1, term, command, members);
         log.append(entry);
-        unstored.add(entry);
+        outbox.store(entry);
         replicateToAll();
         advanceCommit();
     }
@@ -425,14 +395,11 @@
         for (Member peer : peers()) {
             sendAppend(peer);
         }
-        if (joiner != null) {
-            sendAppend(joiner);
-        }
+        changes.joiner().ifPresent(this::sendAppend);
     }
 
     private void sendAppend(Member to) {
-        Replication replication =
-                replications.computeIfAbsent(to, key -> new Replication(log.lastIndex() + 1, clock.millis()));
+        Replication replication = replications.findOrBegin(to, log.lastIndex() + 1, clock.millis());
         if (replication.nextIndex() <= log.snapshot().index()) {
             sendSnapshot(to, replication);
             return;
@@ -454,7 +421,7 @@
     }
 
     private void onAppendReply(AppendReply reply) {
-        Replication replication = replications.get(reply.from());
+        Replication replication = replications.find(reply.from()).orElse(null);
         if (role != Role.LEADER || reply.term() != term || replication == null) {
             return;
         }
@@ -473,7 +440,9 @@
 
     private void advanceCommit() {
         for (long index = log.lastIndex(); index > commitIndex && log.termAt(index) == term; index--) {
-            if (isMajority(holdersOf(index))) {
+            Set<Member> holders = replications.holdersOf(index);
+            holders.add(self);
+            if (isMajority(holders)) {
                 commitIndex = index;
                 stepDownIfRemoved();
                 return;
@@ -481,17 +450,6 @@
         }
     }
 
-    private Set<Member> holdersOf(long index) {
-        Set<Member> holders = new HashSet<>();
-        holders.add(self);
-        replications.forEach((member, replication) -> {
-            if (replication.matchIndex() >= index) {
-                holders.add(member);
-            }
-        });
-        return holders;
-    }
-
     private void stepDownIfRemoved() {
         boolean removed = !isVoter(self) && log.membersAt(commitIndex).equals(members());
         if (removed) {
@@ -525,10 +483,10 @@
         }
         if (log.holds(entry.index())) {
             log.cutFrom(entry.index());
-            unstored.removeIf(waiting -> waiting.index() >= entry.index());
+            outbox.dropFrom(entry.index());
         }
         log.append(entry);
-        unstored.add(entry);
+        outbox.store(entry);
     }
 
     private void onSnapshotRequest(SnapshotRequest request) {
@@ -539,8 +497,7 @@
         Snapshot snapshot = request.snapshot();
         if (snapshot.index() > commitIndex) {
             log.replaceBy(snapshot);
-            unstored.clear();
-            installed = snapshot;
+            outbox.install(snapshot);
             commitIndex = snapshot.index();
             handedOutIndex = snapshot.index();
         }
@@ -565,70 +522,23 @@
     // ---- members
 
     private void onJoinRequest(JoinRequest request) {
-        boolean known = isVoter(request.from()) || request.from().equals(joiner);
-        if (role != Role.LEADER || known || joiner != null || !admissible.test(request.from())) {
-            return;
+        boolean free = changes.joiner().isEmpty() && !isVoter(request.from());
+        if (role == Role.LEADER && free && admissible.test(request.from())) {
+            changes.begin(request.from(), log.lastIndex() + 1, clock.millis());
+            sendAppend(request.from());
         }
-        joiner = request.from();
-        replications.put(joiner, new Replication(log.lastIndex() + 1, clock.millis()));
-        sendAppend(joiner);
     }
 
-    /** Takes the next of two steps: removes the member that the joiner was, then adds the joiner. */
-    private void admitJoiner() {
-        if (joiner == null) {
-            return;
-        }
-        if (isVoter(joiner)) {
-            joiner = null;
-            return;
-        }
-        Replication replication = replications.get(joiner);
-        if (clock.millis() - replication.heardMillis() > settings.electionTimeoutMillis()) {
-            replications.remove(joiner);
-            joiner = null;
-            return;
-        }
-        boolean caughtUp = replication.matchIndex() >= commitIndex;
+    /** Admits a joiner or removes a silent member, one step at a time, each committed before the next. */
+    private void changeMembers(long now) {
+        changes.reviewJoiner(members(), now);
         boolean changing = !log.membersAt(commitIndex).equals(members());
-        if (!caughtUp || changing || !isEstablishedLeader()) {
+        if (changing || !isEstablishedLeader()) {
             return;
         }
-        List<Member> changed = new ArrayList<>(members());
-        boolean hadFormerLife = changed.removeIf(member -> member.box().equals(joiner.box()));
-        if (!hadFormerLife && !removeSilent(changed, SILENT_TIMEOUTS_TO_REPLACE)) {
-            changed.add(joiner);
-        }
-        appendAsLeader(new byte[0], List.copyOf(changed));
-    }
-
-    /** Takes out a member that is long silent, so that a larger group does not need a majority that counts it. */
-    private void removeSilentMember() {
-        boolean changing = !log.membersAt(commitIndex).equals(members());
-        if (changing || joiner != null || members().size() <= settings.leastMembers() || !isEstablishedLeader()) {
-            return;
-        }
-        List<Member> changed = new ArrayList<>(members());
-        if (removeSilent(changed, SILENT_TIMEOUTS_TO_REMOVE)) {
-            appendAsLeader(new byte[0], List.copyOf(changed));
-        }
-    }
-
-    private boolean removeSilent(List<Member> from, int electionTimeouts) {
-        long now = clock.millis();
-        if (from.size() < settings.leastMembers()) {
-            return false;
-        }
-        for (Member member : peers()) {
-            Replication replication = replications.get(member);
-            boolean silent = replication != null
-                    && now - replication.heardMillis() > electionTimeouts * settings.electionTimeoutMillis();
-            if (silent) {
-                from.remove(member);
-                return true;
-            }
-        }
-        return false;
+        changes.admission(members(), peers(), commitIndex, now)
+                .or(() -> changes.removal(members(), peers(), now))
+                .ifPresent(changed -> appendAsLeader(new byte[0], changed));
     }
 
     private boolean isVoter(Member member) {
@@ -645,13 +555,8 @@
         return members().stream().filter(member -> !member.equals(self)).toList();
     }
 
-    private long matchOf(Member member) {
-        Replication replication = replications.get(member);
-        return replication == null ? 0 : replication.matchIndex();
-    }
-
     private void send(Member to, AgreementMessage message) {
-        messages.add(new Outbound(to, message));
+        outbox.send(to, message);
     }
 
     @Override
--- /dev/null
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -0,0 +1,100 @@
+package org.bankturn.agreement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides on a leader which box joins the group next and which member leaves it, one change at a time.
+ *
+ * <p>A box that lost its disk first takes the place of the member it was; a box that is new takes the place of a member
+ * that is silent, and only otherwise makes the group larger. MembershipChanges is mutable and belongs to one
+ * {@link Agreement}.
+ */
+final class MembershipChanges {
+    private static final int SILENT_TIMEOUTS_TO_REPLACE = 3;
+    private static final int SILENT_TIMEOUTS_TO_REMOVE = 8;
+
+    private final AgreementSettings settings;
+    private final ReplicationTable replications;
+    private Member joiner;
+
+    MembershipChanges(AgreementSettings settings, ReplicationTable replications) {
+        this.settings = settings;
+        this.replications = replications;
+    }
+
+    /** Returns the box that copies the log without a vote and waits to be admitted, not null. */
+    Optional<Member> joiner() {
+        return Optional.ofNullable(joiner);
+    }
+
+    /** Forgets the joiner; called when leadership begins or ends. */
+    void restart() {
+        joiner = null;
+    }
+
+    void begin(Member joining, long nextIndex, long nowMillis) {
+        joiner = joining;
+        replications.begin(joining, nextIndex, nowMillis);
+    }
+
+    /** Lets go of a joiner that is a member by now, or that fell silent. */
+    void reviewJoiner(List<Member> members, long nowMillis) {
+        if (joiner == null) {
+            return;
+        }
+        boolean admitted = members.contains(joiner);
+        boolean silent = nowMillis - replications.heardMillis(joiner) > settings.electionTimeoutMillis();
+        if (silent && !admitted) {
+            replications.remove(joiner);
+        }
+        if (silent || admitted) {
+            joiner = null;
+        }
+    }
+
+    /**
+     * Takes the next of two steps of admission: removes the member that the joiner was, then adds the joiner.
+     *
+     * @return the members after the step, empty if there is no joiner that holds all that is committed
+     */
+    Optional<List<Member>> admission(List<Member> members, List<Member> peers, long commitIndex, long nowMillis) {
+        if (joiner == null || replications.matchIndex(joiner) < commitIndex) {
+            return Optional.empty();
+        }
+        List<Member> changed = new ArrayList<>(members);
+        boolean hadFormerLife = changed.removeIf(member -> member.box().equals(joiner.box()));
+        if (!hadFormerLife && !removeSilent(changed, peers, SILENT_TIMEOUTS_TO_REPLACE, nowMillis)) {
+            changed.add(joiner);
+        }
+        return Optional.of(List.copyOf(changed));
+    }
+
+    /** Takes out a member that is long silent, so that a larger group does not need a majority that counts it. */
+    Optional<List<Member>> removal(List<Member> members, List<Member> peers, long nowMillis) {
+        List<Member> changed = new ArrayList<>(members);
+        boolean removed = joiner == null
+                && members.size() > settings.leastMembers()
+                && removeSilent(changed, peers, SILENT_TIMEOUTS_TO_REMOVE, nowMillis);
+        return removed ? Optional.of(List.copyOf(changed)) : Optional.empty();
+    }
+
+    private boolean removeSilent(List<Member> from, List<Member> peers, int electionTimeouts, long nowMillis) {
+        if (from.size() < settings.leastMembers()) {
+            return false;
+        }
+        for (Member member : peers) {
+            boolean silent = replications
+                    .find(member)
+                    .filter(replication ->
+                            nowMillis - replication.heardMillis() > electionTimeouts * settings.electionTimeoutMillis())
+                    .isPresent();
+            if (silent) {
+                from.remove(member);
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bankturn/agreement/ReplicationTable.java
@@ -0,0 +1,73 @@
+package org.bankturn.agreement;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * How far each other member has come, as a leader knows it.
+ *
+ * <p>ReplicationTable is mutable and belongs to one {@link Agreement}.
+ */
+final class ReplicationTable {
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
+    private final Map<Member, Replication> replications = new HashMap<>();
+
+    /** Forgets everything and assumes that every peer may have come as far as the log. */
+    void restart(List<Member> peers, long nextIndex, long nowMillis) {
+        replications.clear();
+        peers.forEach(peer -> replications.put(peer, new Replication(nextIndex, nowMillis)));
+    }
+
+    Optional<Replication> find(Member member) {
+        return Optional.ofNullable(replications.get(member));
+    }
+
+    Replication findOrBegin(Member member, long nextIndex, long nowMillis) {
+        return replications.computeIfAbsent(member, key -> new Replication(nextIndex, nowMillis));
+    }
+
+    void begin(Member member, long nextIndex, long nowMillis) {
+        replications.put(member, new Replication(nextIndex, nowMillis));
+    }
+
+    void remove(Member member) {
+        replications.remove(member);
+    }
+
+    /** Returns when a member was last heard, in milliseconds; long ago if it is not known. */
+    long heardMillis(Member member) {
+        return find(member).map(Replication::heardMillis).orElse(NEVER_MILLIS);
+    }
+
+    /** Returns the index up to which a member surely holds the log, 0 if it is not known. */
+    long matchIndex(Member member) {
+        return find(member).map(Replication::matchIndex).orElse(0L);
+    }
+
+    /** Returns the members heard after a moment, not null. */
+    Set<Member> heardAfter(long millis) {
+        Set<Member> heard = new HashSet<>();
+        replications.forEach((member, replication) -> {
+            if (replication.heardMillis() > millis) {
+                heard.add(member);
+            }
+        });
+        return heard;
+    }
+
+    /** Returns the members that surely hold an entry, not null. */
+    Set<Member> holdersOf(long index) {
+        Set<Member> holders = new HashSet<>();
+        replications.forEach((member, replication) -> {
+            if (replication.matchIndex() >= index) {
+                holders.add(member);
+            }
+        });
+        return holders;
+    }
+}
