--- a/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
@@ -3,16 +3,9 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -24,6 +17,9 @@
 import org.bankturn.agreement.Role;
 import org.bankturn.codec.MessagePackCodec;
 import org.bankturn.configuration.ConfigurationHolder;
+import org.bankturn.daemon.member.MemberLoop;
+import org.bankturn.daemon.member.MemberState;
+import org.bankturn.daemon.member.MemberTiming;
 import org.bankturn.lease.LeaseExpiry;
 import org.bankturn.result.ResultCode;
 import org.bankturn.state.ReplicatedState;
@@ -33,10 +29,9 @@
 import org.bankturn.time.Clock;
 
 /**
- * Runs one member of the agreement group: stores before it sends, applies what is committed, answers proposals.
+ * One member of the group that holds the operators' configuration, leases and origin grants.
  *
- * <p>All of it happens on one thread, which takes everything that has queued up, stores it with one sync, then sends. A
- * failed write or sync stops the process.
+ * <p>Commands are decided and applied on the thread of its {@link MemberLoop}. A failed write or sync stops the process.
  *
  * <p>ControlMember's public methods are thread-safe.
  */
@@ -48,21 +43,13 @@
 
     private final Agreement agreement;
     private final AgreementStorage storage;
-    private ReplicatedState state;
     private final ConfigurationHolder holder;
     private final Clock clock;
     private final ControlWiring wiring;
     private final LeaseExpiry leaseExpiry = new LeaseExpiry();
-    private final BlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
-    private final Map<Long, Proposal> proposals = new HashMap<>();
-    private final Thread thread;
-    private volatile boolean stopping;
+    private final MemberLoop<CommandResult> loop;
+    private ReplicatedState state;
     private volatile View view;
-    private long appliedIndex;
-    private long joinAskedMillis;
-    private boolean wasLeading;
-
-    private record Proposal(long term, long dueMillis, CompletableFuture<CommandResult> result) {}
 
     /**
      * What the member needs from the process around it.
@@ -121,16 +108,17 @@
         this.holder = holder;
         this.clock = clock;
         this.wiring = wiring;
-        this.state = ReplicatedState.restore(agreement.snapshot().state());
-        this.appliedIndex = agreement.snapshot().index();
-        holder.advanceTo(state.configuration());
-        publishView();
-        this.thread = new Thread(this::run, "control");
+        Controlling controlling = new Controlling();
+        MemberTiming timing = new MemberTiming(
+                TICK_MILLIS, PROPOSAL_TIMEOUT_MILLIS, JOIN_RETRY_MILLIS, false, wiring.snapshotEvery());
+        this.loop = MemberLoop.of(controlling, timing, clock, "control");
+        controlling.restore(agreement.snapshot().state());
+        controlling.publishView(agreement);
     }
 
     /** Starts the member's thread. */
     public void start() {
-        thread.start();
+        loop.start();
     }
 
     /** Returns what is known of the member, not null. */
@@ -144,7 +132,7 @@
      * @param message the message, not null
      */
     public void receive(AgreementMessage message) {
-        queue.add(() -> agreement.receive(message));
+        loop.receive(message);
     }
 
     /**
@@ -155,7 +143,7 @@
      */
     public CompletableFuture<CommandResult> submit(Command command) {
         CompletableFuture<CommandResult> result = new CompletableFuture<>();
-        queue.add(() -> propose(command, result));
+        loop.execute(() -> propose(command, result));
         return result;
     }
 
@@ -166,98 +154,16 @@
      * @return what the query gave
      */
     public <T> CompletableFuture<T> query(Function<ReplicatedState, T> query) {
-        CompletableFuture<T> result = new CompletableFuture<>();
-        queue.add(() -> result.complete(query.apply(state)));
-        return result;
+        return loop.query(() -> query.apply(state));
     }
 
     /** Hands leadership over and stops the thread. */
     public void stop() {
-        queue.add(agreement::transferLeadership);
-        queue.add(() -> stopping = true);
-        try {
-            thread.join(2 * PROPOSAL_TIMEOUT_MILLIS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        loop.stop(2 * PROPOSAL_TIMEOUT_MILLIS);
     }
 
     // ---- the member's thread
 
-    private void run() {
-        try {
-            while (!stopping) {
-                runQueued();
-                agreement.tick();
-                askToJoinIfOutside();
-                carryOut(agreement.ready());
-                failOverdueProposals();
-                publishView();
-            }
-        } catch (IOException e) {
-            LOG.log(Level.ERROR, ResultCode.SYNC_FAILED.number() + " " + ResultCode.SYNC_FAILED.description(), e);
-            wiring.fatal().apply(e);
-        }
-    }
-
-    private void runQueued() {
-        List<Runnable> waiting = new ArrayList<>();
-        try {
-            Runnable first = queue.poll(TICK_MILLIS, TimeUnit.MILLISECONDS);
-            if (first != null) {
-                waiting.add(first);
-                queue.drainTo(waiting);
-            }
-        } catch (InterruptedException e) {
-            stopping = true;
-        }
-        waiting.forEach(Runnable::run);
-    }
-
-    private void askToJoinIfOutside() {
-        boolean outside = agreement.members().stream().noneMatch(agreement.self()::equals);
-        long now = clock.millis();
-        if (outside && now - joinAskedMillis >= JOIN_RETRY_MILLIS) {
-            joinAskedMillis = now;
-            agreement.askToJoin(wiring.contacts());
-        }
-    }
-
-    private void carryOut(Ready ready) throws IOException {
-        if (ready.mustSync()) {
-            storage.store(ready);
-        }
-        for (Ready.Outbound outbound : ready.messages()) {
-            wiring.send().accept(outbound.to(), outbound.message());
-        }
-        if (ready.installed() != null) {
-            state = ReplicatedState.restore(ready.installed().state());
-            appliedIndex = ready.installed().index();
-            holder.advanceTo(state.configuration());
-        }
-        for (LogEntry entry : ready.committed()) {
-            apply(entry);
-        }
-        if (appliedIndex - agreement.snapshot().index() >= wiring.snapshotEvery()) {
-            storage.compact(agreement.compact(appliedIndex, state.snapshot()));
-        }
-    }
-
-    private void apply(LogEntry entry) {
-        appliedIndex = entry.index();
-        CommandResult result = new CommandResult.Done();
-        if (entry.command().length > 0) {
-            Command command = MessagePackCodec.instance().decode(entry.command(), Command.class);
-            result = state.apply(entry.index(), command);
-            holder.advanceTo(state.configuration());
-        }
-        Proposal proposal = proposals.remove(entry.index());
-        if (proposal != null) {
-            boolean mine = proposal.term() == entry.term();
-            proposal.result().complete(mine ? result : notDone(ResultCode.NO_QUORUM));
-        }
-    }
-
     private void propose(Command command, CompletableFuture<CommandResult> result) {
         if (agreement.role() == Role.LEADER && !agreement.isEstablishedLeader()) {
             result.complete(notDone(ResultCode.NOT_LEADER));
@@ -278,13 +184,9 @@
             result.complete(new CommandResult.OriginGranted(List.of()));
             return;
         }
-        OptionalLong index = agreement.propose(MessagePackCodec.instance().encode(stamped));
-        if (index.isEmpty()) {
+        if (!loop.propose(MessagePackCodec.instance().encode(stamped), result)) {
             result.complete(notDone(ResultCode.NOT_LEADER));
-            return;
         }
-        long due = clock.millis() + PROPOSAL_TIMEOUT_MILLIS;
-        proposals.put(index.getAsLong(), new Proposal(agreement.term(), due, result));
     }
 
     private boolean mustWait(Command.AcquireLease acquire, CompletableFuture<CommandResult> result) {
@@ -312,22 +214,6 @@
                 .orElse(0L);
     }
 
-    private void failOverdueProposals() {
-        boolean leading = agreement.role() == Role.LEADER;
-        if (leading != wasLeading) {
-            wasLeading = leading;
-            leaseExpiry.restart();
-            LOG.log(
-                    Level.INFO,
-                    agreement.self().box() + (leading ? " leads" : " follows") + ", term " + agreement.term());
-        }
-        long now = clock.millis();
-        proposals.values().removeIf(proposal -> {
-            boolean lost = !leading || proposal.term() != agreement.term() || now >= proposal.dueMillis();
-            return lost && proposal.result().complete(notDone(ResultCode.NO_QUORUM));
-        });
-    }
-
     private CommandResult notDone(ResultCode code) {
         String address = agreement
                 .leader()
@@ -337,12 +223,73 @@
         return new CommandResult.NotDone(code, address);
     }
 
-    private void publishView() {
-        view = new View(
-                agreement.role(),
-                agreement.term(),
-                agreement.leader().orElse(null),
-                agreement.members(),
-                agreement.isEstablishedLeader());
+    /** The replicated state, as the loop drives it. */
+    private final class Controlling implements MemberState<CommandResult> {
+        @Override
+        public Recovered recover() {
+            return new Recovered(agreement, storage);
+        }
+
+        @Override
+        public void restore(byte[] snapshot) {
+            state = ReplicatedState.restore(snapshot);
+            holder.advanceTo(state.configuration());
+        }
+
+        @Override
+        public byte[] snapshot() {
+            return state.snapshot();
+        }
+
+        @Override
+        public CommandResult apply(LogEntry entry) {
+            if (entry.command().length == 0) {
+                return new CommandResult.Done();
+            }
+            Command command = MessagePackCodec.instance().decode(entry.command(), Command.class);
+            CommandResult result = state.apply(entry.index(), command);
+            holder.advanceTo(state.configuration());
+            return result;
+        }
+
+        @Override
+        public void advanced() {
+            // every entry and every snapshot has been told to the holder already
+        }
+
+        @Override
+        public CommandResult unknown(Agreement at) {
+            return notDone(ResultCode.NO_QUORUM);
+        }
+
+        @Override
+        public void send(Ready.Outbound message) {
+            wiring.send().accept(message.to(), message.message());
+        }
+
+        @Override
+        public List<Member> contacts() {
+            return wiring.contacts();
+        }
+
+        @Override
+        public void leadershipChanged(Agreement at) {
+            leaseExpiry.restart();
+            String event = at.role() == Role.LEADER ? " leads" : " follows";
+            LOG.log(Level.INFO, at.self().box() + event + ", term " + at.term());
+        }
+
+        @Override
+        public void publishView(Agreement at) {
+            view = new View(at.role(), at.term(), at.leader().orElse(null), at.members(), at.isEstablishedLeader());
+        }
+
+        @Override
+        public boolean storageFailed(IOException failure) {
+            ResultCode code = ResultCode.SYNC_FAILED;
+            LOG.log(Level.ERROR, code.number() + " " + code.description(), failure);
+            wiring.fatal().apply(failure);
+            return false;
+        }
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -9,6 +9,8 @@
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.ServerExchange;
 import org.bankturn.daemon.http.TargetConnection;
+import org.bankturn.daemon.observe.DecisionField;
+import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.service.Route;
 
 /**
@@ -119,7 +121,7 @@
             return;
         }
         finish(false);
-        target.failed(now());
+        targetFailed("silent");
         request.outcomeUnknown();
         request.retry("silent for " + (now() - heardMillis) + " ms");
     }
@@ -188,6 +190,7 @@
         if (promptPending) {
             promptPending = false;
             target.promptRead(terms.promptTokens());
+            gateway.metrics().firstEvent(request.service().name(), now() - exchange.receivedMillis());
             gateway.correction(request.service().name()).observed(predictedMillis, (double) (now() - beganMillis));
             target.succeeded((now() - beganMillis) / Math.max(LEAST_PREDICTED_MILLIS, predictedMillis));
         }
@@ -209,7 +212,7 @@
             request.notRun();
             request.retry("target did not run it: " + answer.status());
         } else if (answer.status() >= SERVER_ERROR) {
-            target.failed(now());
+            targetFailed("status " + answer.status());
             request.outcomeUnknown();
             request.failedBy(this);
         } else if (streams()) {
@@ -220,6 +223,24 @@
         }
     }
 
+    /** Avoids the target for a while and says so. */
+    private void targetFailed(String reason) {
+        long avoidedMillis = target.failed(now());
+        gateway.metrics().targetFailed(request.service().name());
+        gateway.log()
+                .line(DecisionKind.HEALTH)
+                .with(DecisionField.TARGET, targetId())
+                .with(DecisionField.REQUEST, terms.id())
+                .with(DecisionField.REASON, reason)
+                .with(DecisionField.FAILURES, target.failuresInARow())
+                .with(DecisionField.AVOIDED_MS, avoidedMillis)
+                .write();
+    }
+
+    String targetId() {
+        return target.sighting().id();
+    }
+
     int status() {
         return answer.status();
     }
@@ -230,6 +251,7 @@
             request.giveUp("a stream went on with status " + answer.status());
         } else {
             exchange.answer(head.withoutConnectionFields(), content.toByteArray());
+            request.answered(answer.status());
         }
     }
 
@@ -238,6 +260,7 @@
             exchange.beginParts(head.withoutConnectionFields());
         }
         exchange.endParts();
+        request.answered(answer.status());
     }
 
     @Override
@@ -246,7 +269,7 @@
             return;
         }
         finish(false);
-        target.failed(now());
+        targetFailed(failure.name());
         if (failure.isSurelyNotSent()) {
             request.notConnected();
             return;
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -6,7 +6,9 @@
 import org.bankturn.daemon.gateway.TargetTable.Choice;
 import org.bankturn.daemon.gateway.TargetTable.Wanted;
 import org.bankturn.daemon.http.ServerExchange;
+import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.RequestOutcome;
 import org.bankturn.service.Account;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
@@ -133,15 +135,13 @@
 
     /** Sends the request to another target, if one may still have it. */
     void retry(String reason) {
+        gateway.metrics().retried(service.name());
         gateway.log()
-                .write(
-                        lastEvent == null ? DecisionKind.RETRIED : DecisionKind.RESUMED,
-                        "request",
-                        terms.id(),
-                        "reason",
-                        reason,
-                        "sends",
-                        sends);
+                .line(lastEvent == null ? DecisionKind.RETRIED : DecisionKind.RESUMED)
+                .with(DecisionField.REQUEST, terms.id())
+                .with(DecisionField.REASON, reason)
+                .with(DecisionField.SENDS, sends)
+                .write();
         sendToNext();
     }
 
@@ -154,34 +154,47 @@
             return;
         }
         if (exchange.hasBegun()) {
-            logEnd(DecisionKind.FAILED, 0, reason);
+            ended(RequestOutcome.FAILED, 0, reason);
             exchange.abort();
             return;
         }
         boolean timeUp = endMillis - now() < LEAST_REMAINING_MILLIS;
         int status = !mayHaveRun ? 503 : timeUp ? 504 : 502;
-        logEnd(mayHaveRun ? DecisionKind.FAILED : DecisionKind.REFUSED, status, reason);
+        ended(mayHaveRun ? RequestOutcome.FAILED : RequestOutcome.REFUSED, status, reason);
         exchange.answer(gateway.dialect().ownAnswer(status, terms, mayHaveRun ? 0 : comeBackMillis), NOTHING);
     }
 
-    private void logEnd(DecisionKind kind, int status, String reason) {
+    /** The target's whole answer was passed on. */
+    void answered(int status) {
+        ended(RequestOutcome.ANSWERED, status, "answered by " + attempt.targetId());
+    }
+
+    private void ended(RequestOutcome outcome, int status, String reason) {
+        long heldMillis = now() - exchange.receivedMillis();
+        gateway.metrics().requestEnded(service.name(), outcome, heldMillis);
+        if (outcome == RequestOutcome.ANSWERED && !gateway.isSampled()) {
+            return;
+        }
         gateway.log()
-                .write(
-                        kind,
-                        "request",
-                        terms.id(),
-                        "route",
-                        route.name(),
-                        "status",
-                        status,
-                        "reason",
-                        reason,
-                        "sends",
-                        sends,
-                        "may_have_run",
-                        mayHaveRun,
-                        "held_ms",
-                        now() - exchange.receivedMillis());
+                .line(kindOf(outcome))
+                .with(DecisionField.REQUEST, terms.id())
+                .with(DecisionField.ROUTE, route.name())
+                .with(DecisionField.STATUS, status)
+                .with(DecisionField.REASON, reason)
+                .with(DecisionField.SENDS, sends)
+                .with(DecisionField.MAY_HAVE_RUN, mayHaveRun)
+                .with(DecisionField.VERSION, gateway.leastVersion(service))
+                .with(DecisionField.HELD_MS, heldMillis)
+                .write();
+    }
+
+    private static DecisionKind kindOf(RequestOutcome outcome) {
+        return switch (outcome) {
+            case ANSWERED -> DecisionKind.ANSWERED;
+            case REFUSED, DENIED -> DecisionKind.REFUSED;
+            case FAILED -> DecisionKind.FAILED;
+            case CANCELLED -> DecisionKind.CANCELLED;
+        };
     }
 
     private void timeOut() {
@@ -191,7 +204,7 @@
     }
 
     private void callerLeft() {
-        logEnd(DecisionKind.CANCELLED, 0, "caller left");
+        ended(RequestOutcome.CANCELLED, 0, "caller left");
         dropAttempt();
     }
 
@@ -284,7 +297,11 @@
             failed.passAnswer();
             return;
         }
-        gateway.log().write(DecisionKind.RETRIED, "request", terms.id(), "reason", "status " + failed.status());
+        gateway.log()
+                .line(DecisionKind.RETRIED)
+                .with(DecisionField.REQUEST, terms.id())
+                .with(DecisionField.REASON, "status " + failed.status())
+                .write();
         int version = gateway.leastVersion(service);
         choose(version).ifPresentOrElse(choice -> sendTo(choice, version), failed::passAnswer);
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -13,8 +13,11 @@
 import org.bankturn.daemon.http.HttpListener;
 import org.bankturn.daemon.http.ServerExchange;
 import org.bankturn.daemon.http.ServerLimits;
+import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.RequestOutcome;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.publication.NamedWeights;
@@ -41,12 +44,15 @@
     private static final double RETRY_SHARE_USED = 0.8;
     private static final int GATEWAYS_AT_MOST = 48;
     private static final long DUE_AFTER_START_MILLIS = 2_000;
+    private static final int ANSWERS_PER_LINE = 64;
+    private static final String NO_SERVICE = "none";
 
     private final GatewaySettings settings;
     private final RequestDialect dialect;
     private final Eventloop reactor;
     private final Clock clock;
     private final DecisionLog log;
+    private final ServingMetrics metrics;
     private final HttpListener callers;
     private final HttpListener readiness;
     private final TargetTable targets;
@@ -56,6 +62,7 @@
     private final Map<String, TreeMap<Integer, Long>> weightsDueMillis = new HashMap<>();
     private Published published = Published.NOTHING;
     private boolean stopping;
+    private long answered;
 
     /** Returns a gateway that does not serve yet, not null. */
     public static Gateway of(
@@ -64,8 +71,9 @@
             Eventloop reactor,
             NodeClients clients,
             Clock clock,
-            DecisionLog log) {
-        return new Gateway(settings, dialect, reactor, clients, clock, log);
+            DecisionLog log,
+            ServingMetrics metrics) {
+        return new Gateway(settings, dialect, reactor, clients, clock, log, metrics);
     }
 
     private Gateway(
@@ -74,12 +82,14 @@
             Eventloop reactor,
             NodeClients clients,
             Clock clock,
-            DecisionLog log) {
+            DecisionLog log,
+            ServingMetrics metrics) {
         this.settings = settings;
         this.dialect = dialect;
         this.reactor = reactor;
         this.clock = clock;
         this.log = log;
+        this.metrics = metrics;
         this.targets = new TargetTable(clock, settings.dataHall());
         this.loads = LoadPoller.of(reactor, clock, clients, targets, settings);
         this.callers = HttpListener.create(
@@ -130,7 +140,10 @@
         }
         boolean done = noticed && callers.underWay() == 0;
         if (done || waited >= settings.stopMillis() - STOP_MARGIN_MILLIS) {
-            log.write(DecisionKind.STOP, "waited_ms", waited, "under_way", callers.underWay());
+            log.line(DecisionKind.STOP)
+                    .with(DecisionField.WAITED_MS, waited)
+                    .with(DecisionField.UNDER_WAY, callers.underWay())
+                    .write();
             callers.close();
             readiness.close();
             stopped.set(null);
@@ -184,7 +197,13 @@
     }
 
     private void answer(ServerExchange exchange, CallerTerms terms, int status, String reason) {
-        log.write(DecisionKind.REFUSED, "request", terms.id(), "status", status, "reason", reason);
+        log.line(DecisionKind.REFUSED)
+                .with(DecisionField.REQUEST, terms.id())
+                .with(DecisionField.STATUS, status)
+                .with(DecisionField.REASON, reason)
+                .write();
+        RequestOutcome outcome = status == 503 ? RequestOutcome.REFUSED : RequestOutcome.DENIED;
+        metrics.requestEnded(NO_SERVICE, outcome, clock.millis() - exchange.receivedMillis());
         exchange.answer(dialect.ownAnswer(status, terms, status == 503 ? COME_BACK_MILLIS : 0), NOTHING);
     }
 
@@ -206,6 +225,15 @@
         return log;
     }
 
+    ServingMetrics metrics() {
+        return metrics;
+    }
+
+    /** Returns true for one answered request in some, whose line is then written. */
+    boolean isSampled() {
+        return answered++ % ANSWERS_PER_LINE == 0;
+    }
+
     TargetTable targets() {
         return targets;
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetState.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetState.java
@@ -120,11 +120,12 @@
         lateness += SMOOTHING * (Math.min(10, tookAgainstPredicted) - lateness);
     }
 
-    /** Avoids the target for a while that grows with each failure in a row. */
-    void failed(long nowMillis) {
+    /** Avoids the target for a while that grows with each failure in a row, and returns how long. */
+    long failed(long nowMillis) {
         failuresInARow++;
-        long avoidance = FIRST_AVOIDANCE_MILLIS << Math.min(4, failuresInARow - 1);
-        avoidedUntilMillis = nowMillis + Math.min(MOST_AVOIDANCE_MILLIS, avoidance);
+        long avoidance = Math.min(MOST_AVOIDANCE_MILLIS, FIRST_AVOIDANCE_MILLIS << Math.min(4, failuresInARow - 1));
+        avoidedUntilMillis = nowMillis + avoidance;
+        return avoidance;
     }
 
     /** Avoids the target for a short while because it is full. */
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -21,8 +21,11 @@
 import org.bankturn.daemon.http.HttpListener;
 import org.bankturn.daemon.http.ServerExchange;
 import org.bankturn.daemon.http.ServerLimits;
+import org.bankturn.daemon.member.MemberState;
+import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.daemon.wire.NodeReply;
@@ -60,6 +63,7 @@
     private final DocumentFormat format;
     private final Clock clock;
     private final DecisionLog log;
+    private final ServingMetrics metrics;
     private final Eventloop reactor;
     private final NodeClients clients;
     private final NodeServer nodeServer;
@@ -80,6 +84,7 @@
      * @param reactor its reactor, not null
      * @param clock the time, not null
      * @param log the decision log, not null
+     * @param metrics the metrics, not null
      */
     public static GroupNode of(
             GroupSettings settings,
@@ -88,8 +93,9 @@
             DocumentFormat format,
             Eventloop reactor,
             Clock clock,
-            DecisionLog log) {
-        return new GroupNode(settings, seeds, dialect, format, reactor, clock, log);
+            DecisionLog log,
+            ServingMetrics metrics) {
+        return new GroupNode(settings, seeds, dialect, format, reactor, clock, log, metrics);
     }
 
     private GroupNode(
@@ -99,7 +105,8 @@
             DocumentFormat format,
             Eventloop reactor,
             Clock clock,
-            DecisionLog log) {
+            DecisionLog log,
+            ServingMetrics metrics) {
         this.settings = settings;
         this.seeds = seeds;
         this.dialect = dialect;
@@ -107,6 +114,7 @@
         this.reactor = reactor;
         this.clock = clock;
         this.log = log;
+        this.metrics = metrics;
         this.watchers = new Watchers(reactor);
         this.heartbeats = HeartbeatTable.of(clock, HEARTBEATS_MISSED * settings.heartbeatMillis());
         this.clients = NodeClients.on(reactor);
@@ -145,7 +153,7 @@
 
     // ---- the member's folder and group
 
-    private GroupMember.Recovered openFolder() throws IOException {
+    private MemberState.Recovered openFolder() throws IOException {
         FolderDevice device = FolderDevice.open(Path.of(settings.dataFolder()));
         Optional<Long> incarnation = AgreementStorage.readIncarnation(device);
         AgreementStorage storage = incarnation.isPresent() ? AgreementStorage.recover(device) : prepareFolder(device);
@@ -157,7 +165,7 @@
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(),
                 joining -> true);
-        return new GroupMember.Recovered(agreement, storage);
+        return new MemberState.Recovered(agreement, storage);
     }
 
     /** A box that may form the group starts from the seeds; any other starts outside and asks to join. */
@@ -201,20 +209,20 @@
         decide(call).whenComplete((answer, failure) -> {
             ControlAnswer given =
                     failure == null ? answer : new ControlAnswer.Unavailable(String.valueOf(failure.getMessage()));
-            logAnswer(call, given);
+            note(call, given, clock.millis() - exchange.receivedMillis());
             exchange.answer(dialect.head(given), dialect.body(given));
         });
     }
 
-    private void logAnswer(ControlCall call, ControlAnswer given) {
+    private void note(ControlCall call, ControlAnswer given, long tookMillis) {
+        String name = call.getClass().getSimpleName();
+        metrics.controlCall(name, given.getClass().getSimpleName(), tookMillis);
         boolean quiet = given instanceof ControlAnswer.Accepted && call instanceof ControlCall.Heartbeat;
         if (!quiet) {
-            log.write(
-                    DecisionKind.CHANGE,
-                    "call",
-                    call.getClass().getSimpleName(),
-                    "answer",
-                    given instanceof ControlAnswer.Document ? "Document" : given);
+            log.line(DecisionKind.CHANGE)
+                    .with(DecisionField.CALL, name)
+                    .with(DecisionField.ANSWER, given instanceof ControlAnswer.Document ? "Document" : given)
+                    .write();
         }
     }
 
@@ -403,6 +411,7 @@
             clients.tell(Address.parse(view.leader().address()), new NodeRequest.NoteHeartbeats(heard));
         }
         ledBefore = view.leads();
+        metrics.leads(ledBefore);
     }
 
     private void removeSilentTargets() {
@@ -417,7 +426,10 @@
     }
 
     private void removeSilent(String target) {
-        log.write(DecisionKind.TARGET, "target", target, "event", "silent");
+        log.line(DecisionKind.TARGET)
+                .with(DecisionField.TARGET, target)
+                .with(DecisionField.EVENT, "silent")
+                .write();
         ask(member.submit(new PublicationCommand.RemoveTarget(target, false)));
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -0,0 +1,80 @@
+package org.bankturn.daemon.observe;
+
+import java.util.Locale;
+
+/** The name of a value in a line of the decision log. */
+public enum DecisionField {
+    /** The address of the process or target concerned. */
+    ADDRESS,
+    /** The answer that was given. */
+    ANSWER,
+    /** For how long a target is avoided, in milliseconds. */
+    AVOIDED_MS,
+    /** The kind of call that was made. */
+    CALL,
+    /** What was lost or regained. */
+    DEPENDENCY,
+    /** What went wrong, in words. */
+    ERROR,
+    /** What happened, in a word or two. */
+    EVENT,
+    /** How many failures came in a row. */
+    FAILURES,
+    /** The process that something was learned from. */
+    FROM,
+    /** The data hall that the process is in. */
+    HALL,
+    /** How long a request was held, in milliseconds. */
+    HELD_MS,
+    /** The index of a publication. */
+    INDEX,
+    /** The index of the last entry of the log. */
+    LAST,
+    /** True if the request may have run at a target. */
+    MAY_HAVE_RUN,
+    /** The number of members of the group. */
+    MEMBERS,
+    /** The model whose weights are meant. */
+    MODEL,
+    /** The neighbour that a piece comes from. */
+    NEIGHBOUR,
+    /** What came of it. */
+    OUTCOME,
+    /** The number of a piece of weights. */
+    PIECE,
+    /** Why it was decided so. */
+    REASON,
+    /** The request's id, as the caller gave it. */
+    REQUEST,
+    /** The role of the process. */
+    ROLE,
+    /** The route of the request. */
+    ROUTE,
+    /** The control boxes that the settings name. */
+    SEEDS,
+    /** To how many targets the request was sent. */
+    SENDS,
+    /** The status that was answered, 0 if there was none. */
+    STATUS,
+    /** The target concerned, by its incarnation. */
+    TARGET,
+    /** The number of targets known. */
+    TARGETS,
+    /** The term of the group. */
+    TERM,
+    /** How long something took, in milliseconds. */
+    TOOK_MS,
+    /** How many requests were under way. */
+    UNDER_WAY,
+    /** The version of the document or of the weights. */
+    VERSION,
+    /** How long something was waited for, in milliseconds. */
+    WAITED_MS;
+
+    private final String label = name().toLowerCase(Locale.ROOT);
+
+    /** Returns the name that stands in the log, not null. */
+    public String label() {
+        return label;
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -14,6 +14,8 @@
     LOST,
     /** A dependency was regained. */
     REGAINED,
+    /** A request got its target's whole answer; only one in some is written. */
+    ANSWERED,
     /** A request was refused without having run. */
     REFUSED,
     /** A request failed, or its outcome is unknown. */
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionLine.java
@@ -0,0 +1,63 @@
+package org.bankturn.daemon.observe;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+
+/**
+ * One line of a {@link DecisionLog} while its fields are put together.
+ *
+ * <p>DecisionLine is mutable and confined to the thread that asked for it.
+ */
+public final class DecisionLine {
+    private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
+    private static final int USUAL_LENGTH = 192;
+
+    private final DecisionLog log;
+    private final StringBuilder text;
+
+    /** Begins a line that is written. */
+    static DecisionLine begin(DecisionLog log, long atMillis, String process, DecisionKind kind) {
+        StringBuilder text = new StringBuilder(USUAL_LENGTH);
+        text.append("{\"at\":").append(atMillis).append(",\"process\":\"");
+        ENCODER.quoteAsString(process, text);
+        text.append("\",\"kind\":\"").append(kind.label()).append('"');
+        return new DecisionLine(log, text);
+    }
+
+    /** Returns a line that is over its budget and goes nowhere. */
+    static DecisionLine dropped(DecisionLog log) {
+        return new DecisionLine(log, null);
+    }
+
+    private DecisionLine(DecisionLog log, StringBuilder text) {
+        this.log = log;
+        this.text = text;
+    }
+
+    /**
+     * Adds a field and returns this line.
+     *
+     * @param field its name, not null
+     * @param value a number or truth value as such, anything else as text
+     */
+    public DecisionLine with(DecisionField field, Object value) {
+        if (text == null) {
+            return this;
+        }
+        text.append(",\"").append(field.label()).append("\":");
+        if (value instanceof Number || value instanceof Boolean) {
+            text.append(value);
+        } else {
+            text.append('"');
+            ENCODER.quoteAsString(String.valueOf(value), text);
+            text.append('"');
+        }
+        return this;
+    }
+
+    /** Hands the line to the log, which writes it later or drops and counts it. */
+    public void write() {
+        if (text != null) {
+            log.offer(text.append("}\n").toString());
+        }
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionLog.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionLog.java
@@ -28,6 +28,8 @@
 
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(QUEUED_LINES);
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong droppedInAll = new AtomicLong();
+    private final AtomicLong written = new AtomicLong();
     private final Map<DecisionKind, Integer> writtenThisSecond = new EnumMap<>(DecisionKind.class);
     private long second;
     private final Clock clock;
@@ -55,31 +57,42 @@
     }
 
     /**
-     * Writes a line unless its kind has used up its budget.
+     * Begins a line; it goes nowhere if its kind has used up its budget.
      *
      * @param kind what was decided, not null
-     * @param fields names and values by turns: what it was decided on, and the outcome
+     * @return the line, to be given what the decision was made on and then written, not null
      */
-    public void write(DecisionKind kind, Object... fields) {
+    public DecisionLine line(DecisionKind kind) {
         long now = clock.millis();
         if (!withinBudget(kind, now)) {
-            dropped.incrementAndGet();
-            return;
+            countDropped();
+            return DecisionLine.dropped(this);
         }
-        StringBuilder line = new StringBuilder(160);
-        line.append("{\"at\":").append(now);
-        line.append(",\"process\":\"").append(process);
-        line.append("\",\"kind\":\"").append(kind.label()).append('"');
-        for (int position = 0; position + 1 < fields.length; position += 2) {
-            line.append(",\"").append(fields[position]).append("\":");
-            appendValue(line, fields[position + 1]);
-        }
-        line.append("}\n");
-        if (!queue.offer(line.toString())) {
-            dropped.incrementAndGet();
+        return DecisionLine.begin(this, now, process, kind);
+    }
+
+    /** Returns how many lines were written since the start. */
+    public long written() {
+        return written.get();
+    }
+
+    /** Returns how many lines were dropped since the start. */
+    public long dropped() {
+        return droppedInAll.get();
+    }
+
+    /** Takes a whole line and never waits. */
+    void offer(String line) {
+        if (!queue.offer(line)) {
+            countDropped();
         }
     }
 
+    private void countDropped() {
+        dropped.incrementAndGet();
+        droppedInAll.incrementAndGet();
+    }
+
     private synchronized boolean withinBudget(DecisionKind kind, long now) {
         if (now / SECOND_MILLIS != second) {
             second = now / SECOND_MILLIS;
@@ -88,28 +101,11 @@
         return writtenThisSecond.merge(kind, 1, Integer::sum) <= LINES_A_SECOND;
     }
 
-    private static void appendValue(StringBuilder line, Object value) {
-        if (value instanceof Number || value instanceof Boolean) {
-            line.append(value);
-            return;
-        }
-        line.append('"');
-        String text = String.valueOf(value);
-        for (int position = 0; position < text.length(); position++) {
-            char each = text.charAt(position);
-            if (each == '"' || each == '\\') {
-                line.append('\\').append(each);
-            } else {
-                line.append(each < ' ' ? ' ' : each);
-            }
-        }
-        line.append('"');
-    }
-
     private void writeLines() {
         try {
             while (true) {
                 output.write(queue.take().getBytes(StandardCharsets.UTF_8));
+                written.incrementAndGet();
                 long lost = dropped.getAndSet(0);
                 if (lost > 0) {
                     String line = "{\"at\":" + clock.millis() + ",\"process\":\"" + process
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -0,0 +1,145 @@
+package org.bankturn.daemon.observe;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * The counters and latency histograms of one process that meets an outside platform.
+ *
+ * <p>Names begin with {@code bankturn_}; durations are in seconds, sizes in bytes. ServingMetrics is thread-safe.
+ */
+public final class ServingMetrics {
+    private static final double[] SECONDS = {0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8};
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter requests;
+    private final Counter retries;
+    private final Counter targetFailures;
+    private final Counter pieceBytes;
+    private final Counter piecesRejected;
+    private final Histogram heldSeconds;
+    private final Histogram firstEventSeconds;
+    private final Histogram controlSeconds;
+    private final Gauge publicationIndex;
+    private final Gauge documentVersion;
+    private final Gauge targets;
+    private final Gauge leads;
+
+    /** Returns metrics that also tell how much the log has written and dropped, not null. */
+    public static ServingMetrics of(DecisionLog log) {
+        return new ServingMetrics(log);
+    }
+
+    private ServingMetrics(DecisionLog log) {
+        requests = counter("requests", "Requests by service and outcome.", "service", "outcome");
+        retries = counter("retries", "Requests sent to a further target, by service.", "service");
+        targetFailures = counter("target_failures", "Failures seen at targets, by service.", "service");
+        pieceBytes = counter("piece_bytes", "Bytes of good pieces of weights, by source.", "source");
+        piecesRejected = counter("pieces_rejected", "Pieces missing or spoilt, by source.", "source");
+        heldSeconds = histogram("held_seconds", "Time a request was held, by outcome.", "outcome");
+        firstEventSeconds = histogram("first_event_seconds", "Time to a stream's first event, by service.", "service");
+        controlSeconds = histogram("control_seconds", "Time to answer a call, by call and answer.", "call", "answer");
+        publicationIndex = gauge("publication_index", "Index of the publication in force here.");
+        documentVersion = gauge("document_version", "Version of the operators' document in force here.");
+        targets = gauge("targets", "Targets known here.");
+        leads = gauge("leads", "1 if this process leads its group.");
+        CounterWithCallback.builder()
+                .name("bankturn_log_lines")
+                .help("Lines of the decision log, written and dropped.")
+                .labelNames("outcome")
+                .callback(lines -> {
+                    lines.call((double) log.written(), "written");
+                    lines.call((double) log.dropped(), "dropped");
+                })
+                .register(registry);
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder()
+                .name("bankturn_" + name)
+                .help(help)
+                .labelNames(labels)
+                .register(registry);
+    }
+
+    private Histogram histogram(String name, String help, String... labels) {
+        return Histogram.builder()
+                .name("bankturn_" + name)
+                .help(help)
+                .labelNames(labels)
+                .classicOnly()
+                .classicUpperBounds(SECONDS)
+                .register(registry);
+    }
+
+    private Gauge gauge(String name, String help) {
+        return Gauge.builder().name("bankturn_" + name).help(help).register(registry);
+    }
+
+    /** Counts a request that got its final answer, or whose caller left. */
+    public void requestEnded(String service, RequestOutcome outcome, long heldMillis) {
+        requests.labelValues(service, outcome.label()).inc();
+        heldSeconds.labelValues(outcome.label()).observe((double) heldMillis / MILLIS_PER_SECOND);
+    }
+
+    /** Takes in the time until the first event of a stream. */
+    public void firstEvent(String service, long millis) {
+        firstEventSeconds.labelValues(service).observe((double) millis / MILLIS_PER_SECOND);
+    }
+
+    /** Counts a request that is sent to a further target. */
+    public void retried(String service) {
+        retries.labelValues(service).inc();
+    }
+
+    /** Counts a failure seen at a target. */
+    public void targetFailed(String service) {
+        targetFailures.labelValues(service).inc();
+    }
+
+    /** Takes in a good piece of weights. */
+    public void pieceTaken(String source, long bytes) {
+        pieceBytes.labelValues(source).inc(bytes);
+    }
+
+    /** Counts a piece of weights that did not come, or came spoilt. */
+    public void pieceRejected(String source) {
+        piecesRejected.labelValues(source).inc();
+    }
+
+    /** Takes in a call of an operator or target and its answer. */
+    public void controlCall(String call, String answer, long millis) {
+        controlSeconds.labelValues(call, answer).observe((double) millis / MILLIS_PER_SECOND);
+    }
+
+    /** Takes in what is published here. */
+    public void published(long index, long version, int knownTargets) {
+        publicationIndex.set((double) index);
+        documentVersion.set((double) version);
+        targets.set(knownTargets);
+    }
+
+    /** Takes in whether this process leads its group. */
+    public void leads(boolean leading) {
+        leads.set(leading ? 1 : 0);
+    }
+
+    /** Returns every metric in the Prometheus text format, not null. */
+    public byte[] text() {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(text, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toByteArray();
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
@@ -10,8 +10,10 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.bankturn.codec.Deflated;
+import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.daemon.wire.NodeReply;
@@ -41,6 +43,7 @@
     private final DocumentFormat format;
     private final Clock clock;
     private final DecisionLog log;
+    private final ServingMetrics metrics;
     private final Consumer<Published> listener;
     private final Map<Address, String> hallOf = new HashMap<>();
     private final Set<Address> members = new LinkedHashSet<>();
@@ -61,6 +64,7 @@
      * @param format reads operators' documents, not null
      * @param clock the time, not null
      * @param log the decision log, not null
+     * @param metrics the metrics, not null
      */
     public record Wiring(
             NioReactor reactor,
@@ -69,7 +73,8 @@
             String dataHall,
             DocumentFormat format,
             Clock clock,
-            DecisionLog log) {}
+            DecisionLog log,
+            ServingMetrics metrics) {}
 
     /** Returns a follower that tells {@code listener} of each change; it does not run yet. */
     public static PublicationFollower of(Wiring wiring, Consumer<Published> listener) {
@@ -84,6 +89,7 @@
         this.format = wiring.format();
         this.clock = wiring.clock();
         this.log = wiring.log();
+        this.metrics = wiring.metrics();
         this.listener = listener;
     }
 
@@ -158,26 +164,31 @@
             try {
                 configuration = format.read(Deflated.inflate(update.document()));
             } catch (UnreadableDocumentException e) {
-                log.write(DecisionKind.PUBLISHED, "outcome", "unreadable", "error", e.getMessage());
+                log.line(DecisionKind.PUBLISHED)
+                        .with(DecisionField.OUTCOME, "unreadable")
+                        .with(DecisionField.ERROR, e.getMessage())
+                        .write();
                 return;
             }
         }
         published = published.after(update, configuration);
-        log.write(
-                DecisionKind.PUBLISHED,
-                "index",
-                published.index(),
-                "version",
-                configuration == null ? 0 : configuration.version(),
-                "targets",
-                published.targets().size(),
-                "from",
-                from);
+        log.line(DecisionKind.PUBLISHED)
+                .with(DecisionField.INDEX, published.index())
+                .with(DecisionField.VERSION, configuration == null ? 0 : configuration.version())
+                .with(DecisionField.TARGETS, published.targets().size())
+                .with(DecisionField.FROM, from)
+                .write();
+        long version = configuration == null ? 0 : configuration.version();
+        metrics.published(published.index(), version, published.targets().size());
         listener.accept(published);
     }
 
     private void lost(Address asked, String reason) {
-        log.write(DecisionKind.LOST, "dependency", "control", "address", asked, "reason", reason);
+        log.line(DecisionKind.LOST)
+                .with(DecisionField.DEPENDENCY, "control")
+                .with(DecisionField.ADDRESS, asked)
+                .with(DecisionField.REASON, reason)
+                .write();
         tried.add(asked);
         current = null;
         Address other = next();
--- a/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
@@ -15,6 +15,7 @@
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.weights.WeightsAgent;
@@ -46,11 +47,13 @@
     public static void run(Dialects dialects, List<Call> calls) throws IOException, InterruptedException {
         Clock clock = Clock.system();
         DecisionLog log = DecisionLog.start("rehearsal", clock);
+        ServingMetrics metrics = ServingMetrics.of(log);
         Eventloop reactor = Eventloop.builder().withThreadName("rehearsal").build();
         reactor.keepAlive(true);
         new Thread(reactor, "rehearsal").start();
         Address control = freeAddress();
         Address node = freeAddress();
+        Address measured = freeAddress();
         Path folder = Files.createTempDirectory("rehearsal");
         GroupNode group = GroupNode.of(
                 new GroupSettings(
@@ -60,7 +63,8 @@
                 dialects.document(),
                 reactor,
                 clock,
-                log);
+                log,
+                metrics);
         NodeClients clients = NodeClients.on(reactor);
         Gateway gateway = Gateway.of(
                 new GatewaySettings(
@@ -69,17 +73,19 @@
                 reactor,
                 clients,
                 clock,
-                log);
+                log,
+                metrics);
         WeightsAgent agent = WeightsAgent.of(
                 new WeightsSettings("rehearsal", HALL, node, control, "service", STOP_MILLIS, Integer.MAX_VALUE),
                 dialects.weights(),
                 reactor,
                 clients,
                 clock,
-                log);
+                log,
+                metrics);
         PublicationFollower follower = PublicationFollower.of(
                 new PublicationFollower.Wiring(
-                        reactor, clients, () -> List.of(node), HALL, dialects.document(), clock, log),
+                        reactor, clients, () -> List.of(node), HALL, dialects.document(), clock, log, metrics),
                 published -> {
                     gateway.update(published);
                     agent.update(published);
@@ -90,11 +96,17 @@
                     gateway.start();
                     agent.start();
                     follower.start();
+                    MetricsServer.of(reactor, clock, measured, metrics).listen();
                     return Promise.complete();
                 })
                 .join();
         for (int round = 0; round < 2; round++) {
             Thread.sleep(LENGTH_MILLIS / 2);
+            reactor.execute(() -> caller.call(
+                    measured.toSocketAddress(),
+                    HttpHead.request("GET", "/metrics", List.of()),
+                    new byte[0],
+                    CALL_MILLIS));
             for (Call call : calls) {
                 reactor.execute(() -> caller.call(
                         control.toSocketAddress(),
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -9,8 +9,10 @@
 import org.bankturn.daemon.gateway.GatewaySettings;
 import org.bankturn.daemon.group.GroupNode;
 import org.bankturn.daemon.group.GroupSettings;
+import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.weights.WeightsAgent;
@@ -33,6 +35,7 @@
     private final Eventloop reactor =
             Eventloop.builder().withThreadName("serving").build();
     private final DecisionLog log;
+    private final ServingMetrics metrics;
     private volatile ServingSettings settings;
     private long stamp;
     private Gateway gateway;
@@ -48,6 +51,7 @@
         this.source = source;
         this.dialects = dialects;
         this.log = DecisionLog.start(settings.process(), clock);
+        this.metrics = ServingMetrics.of(log);
     }
 
     /** Starts the process; the future completes when it listens. */
@@ -57,15 +61,23 @@
         new Thread(reactor, "serving").start();
         return reactor.submit(() -> {
             startRole();
+            if (settings.metricsAddress() != null) {
+                MetricsServer.of(reactor, clock, settings.metricsAddress(), metrics)
+                        .listen();
+            }
             checkSettingsLater();
-            log.write(DecisionKind.START, "role", settings.role(), "hall", settings.dataHall(), "seeds", seeds());
+            log.line(DecisionKind.START)
+                    .with(DecisionField.ROLE, settings.role())
+                    .with(DecisionField.HALL, settings.dataHall())
+                    .with(DecisionField.SEEDS, seeds())
+                    .write();
             return Promise.complete();
         });
     }
 
     /** Stops as planned and returns when nothing is under way, or time is up. */
     public void stop() {
-        log.write(DecisionKind.STOP, "event", "planned stop");
+        log.line(DecisionKind.STOP).with(DecisionField.EVENT, "planned stop").write();
         if (gateway != null) {
             reactor.submit(gateway::stop).join();
         }
@@ -108,7 +120,8 @@
                 reactor,
                 clients,
                 clock,
-                log);
+                log,
+                metrics);
         gateway.start();
         PublicationFollower.of(followerWiring(clients), gateway::update).start();
     }
@@ -129,7 +142,8 @@
                 dialects.document(),
                 reactor,
                 clock,
-                log);
+                log,
+                metrics);
         group.start();
     }
 
@@ -148,7 +162,8 @@
                 reactor,
                 clients,
                 clock,
-                log);
+                log,
+                metrics);
         NodeServer server = NodeServer.create(reactor, settings.nodeAddress(), request -> answer(agent, request));
         server.listen();
         PublicationFollower.of(followerWiring(clients), agent::update).start();
@@ -170,7 +185,7 @@
 
     private PublicationFollower.Wiring followerWiring(NodeClients clients) {
         return new PublicationFollower.Wiring(
-                reactor, clients, this::seeds, settings.dataHall(), dialects.document(), clock, log);
+                reactor, clients, this::seeds, settings.dataHall(), dialects.document(), clock, log, metrics);
     }
 
     // ---- settings that change
@@ -182,7 +197,10 @@
                     readSettings();
                 }
             } catch (IOException e) {
-                log.write(DecisionKind.RELOAD, "outcome", "unreadable", "error", e.getMessage());
+                log.line(DecisionKind.RELOAD)
+                        .with(DecisionField.OUTCOME, "unreadable")
+                        .with(DecisionField.ERROR, e.getMessage())
+                        .write();
             }
             checkSettingsLater();
         });
@@ -194,14 +212,23 @@
             SettingsSource.Result read = source.read();
             if (read.settings() == null) {
                 for (DocumentError error : read.errors()) {
-                    log.write(DecisionKind.RELOAD, "outcome", "refused", "error", error);
+                    log.line(DecisionKind.RELOAD)
+                            .with(DecisionField.OUTCOME, "refused")
+                            .with(DecisionField.ERROR, error)
+                            .write();
                 }
                 return;
             }
             settings = read.settings();
-            log.write(DecisionKind.RELOAD, "outcome", "taken up", "seeds", seeds());
+            log.line(DecisionKind.RELOAD)
+                    .with(DecisionField.OUTCOME, "taken up")
+                    .with(DecisionField.SEEDS, seeds())
+                    .write();
         } catch (IOException e) {
-            log.write(DecisionKind.RELOAD, "outcome", "unreadable", "error", e.getMessage());
+            log.line(DecisionKind.RELOAD)
+                    .with(DecisionField.OUTCOME, "unreadable")
+                    .with(DecisionField.ERROR, e.getMessage())
+                    .write();
         }
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
@@ -13,6 +13,7 @@
  * @param callAddress where callers, or operators and targets, connect; null for a target process
  * @param readyAddress where the platform asks whether it is ready; null unless it is an entry process
  * @param nodeAddress where other processes call, not null
+ * @param metricsAddress where metrics are served, null if they are not
  * @param dataFolder where its files lie; null unless it is a control process
  * @param formsGroup true only at the very first start of all control boxes
  * @param seeds node addresses of control boxes, not null
@@ -28,6 +29,7 @@
         Address callAddress,
         Address readyAddress,
         Address nodeAddress,
+        Address metricsAddress,
         String dataFolder,
         boolean formsGroup,
         List<Address> seeds,
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -8,8 +8,10 @@
 import java.util.Optional;
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.http.HttpHead;
+import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.wire.NodeClients;
@@ -61,8 +63,9 @@
             Eventloop reactor,
             NodeClients clients,
             Clock clock,
-            DecisionLog log) {
-        return new WeightsAgent(settings, dialect, reactor, clients, clock, log);
+            DecisionLog log,
+            ServingMetrics metrics) {
+        return new WeightsAgent(settings, dialect, reactor, clients, clock, log, metrics);
     }
 
     private WeightsAgent(
@@ -71,9 +74,10 @@
             Eventloop reactor,
             NodeClients clients,
             Clock clock,
-            DecisionLog log) {
+            DecisionLog log,
+            ServingMetrics metrics) {
         this.settings = settings;
-        this.around = new Around(reactor, clock, log, dialect, clients, HttpCalls.on(reactor, clock));
+        this.around = new Around(reactor, clock, log, metrics, dialect, clients, HttpCalls.on(reactor, clock));
         this.sender = new PieceSender(reactor, clock, settings.linkBytesPerSecond());
     }
 
@@ -140,7 +144,11 @@
         if (copy != null) {
             copy.abandon();
         }
-        around.log().write(DecisionKind.WEIGHTS, "event", "copy begun", "version", version);
+        around.log()
+                .line(DecisionKind.WEIGHTS)
+                .with(DecisionField.EVENT, "copy begun")
+                .with(DecisionField.VERSION, version)
+                .write();
         copy = new WeightsCopy(around, layout().orElseThrow().model(), version);
         copy.whenWhole(this::startInTurn);
         copy.begin();
@@ -161,14 +169,11 @@
                         wait,
                         () -> started.verifyAndStart().whenComplete((answer, failure) -> {
                             around.log()
-                                    .write(
-                                            DecisionKind.WEIGHTS,
-                                            "event",
-                                            failure == null ? "start ordered" : "start failed",
-                                            "version",
-                                            started.version(),
-                                            "error",
-                                            failure == null ? "" : failure.getMessage());
+                                    .line(DecisionKind.WEIGHTS)
+                                    .with(DecisionField.EVENT, failure == null ? "start ordered" : "start failed")
+                                    .with(DecisionField.VERSION, started.version())
+                                    .with(DecisionField.ERROR, failure == null ? "" : failure.getMessage())
+                                    .write();
                             long pause = failure == null ? START_AGAIN_MILLIS : START_RETRY_MILLIS;
                             around.reactor().delayBackground(pause, () -> starting = false);
                         }));
@@ -249,6 +254,7 @@
         private final Eventloop reactor;
         private final Clock clock;
         private final DecisionLog log;
+        private final ServingMetrics metrics;
         private final WeightsDialect dialect;
         private final NodeClients clients;
         private final HttpCalls calls;
@@ -257,12 +263,14 @@
                 Eventloop reactor,
                 Clock clock,
                 DecisionLog log,
+                ServingMetrics metrics,
                 WeightsDialect dialect,
                 NodeClients clients,
                 HttpCalls calls) {
             this.reactor = reactor;
             this.clock = clock;
             this.log = log;
+            this.metrics = metrics;
             this.dialect = dialect;
             this.clients = clients;
             this.calls = calls;
@@ -283,6 +291,11 @@
             return log;
         }
 
+        @Override
+        public ServingMetrics metrics() {
+            return metrics;
+        }
+
         @Override
         public WeightsDialect dialect() {
             return dialect;
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.bankturn.daemon.http.HttpCalls;
+import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.wire.NodeRequest;
 import org.bankturn.weights.PieceSource;
@@ -37,6 +38,8 @@
     private static final int TRANSFERS_BESIDE_REQUESTS = 4;
     private static final int TRANSFERS_ALONE = 8;
     private static final long AVOIDED_MILLIS = 2_000;
+    private static final String FROM_NEIGHBOUR = "neighbour";
+    private static final String FROM_ORIGIN = "origin";
 
     private final WeightsSurroundings around;
     private final String model;
@@ -181,14 +184,11 @@
     private void logLongWait(Turn turn) {
         if (turn.waits() == LONG_WAITS) {
             around.log()
-                    .write(
-                            DecisionKind.WEIGHTS,
-                            "event",
-                            "long wait",
-                            "piece",
-                            turn.piece(),
-                            "neighbour",
-                            turn.from().box());
+                    .line(DecisionKind.WEIGHTS)
+                    .with(DecisionField.EVENT, "long wait")
+                    .with(DecisionField.PIECE, turn.piece())
+                    .with(DecisionField.NEIGHBOUR, turn.from().box())
+                    .write();
         }
     }
 
@@ -220,7 +220,7 @@
             if (failure != null) {
                 avoid(turn.from());
             }
-            if (!took(turn.piece(), failure == null ? bytes : null)) {
+            if (!took(turn.piece(), failure == null ? bytes : null, FROM_NEIGHBOUR)) {
                 tryNext(turn);
             }
             transferMore();
@@ -245,7 +245,7 @@
                 .map(HttpCalls.Answer::body)
                 .whenComplete((bytes, failure) -> {
                     originBusy = false;
-                    if (!took(piece, failure == null ? bytes : null)) {
+                    if (!took(piece, failure == null ? bytes : null, FROM_ORIGIN)) {
                         around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, 0));
                     }
                     fetchFromOrigin();
@@ -253,14 +253,16 @@
     }
 
     /** Takes in a piece; returns false if it is missing or spoilt and must come from elsewhere. */
-    private boolean took(int piece, byte[] bytes) {
+    private boolean took(int piece, byte[] bytes, String source) {
         if (abandoned || held(piece) != null) {
             return true;
         }
         boolean good = bytes != null && (piece == MANIFEST ? readManifest(bytes) : matches(piece, bytes));
         if (!good) {
+            around.metrics().pieceRejected(source);
             return false;
         }
+        around.metrics().pieceTaken(source, bytes.length);
         waiters.removeIf(waiter -> waiter.piece() == piece && waiter.here().trySet(true));
         if (piece == MANIFEST) {
             fetchPieces();
@@ -320,14 +322,11 @@
             return;
         }
         around.log()
-                .write(
-                        DecisionKind.WEIGHTS,
-                        "event",
-                        "copy whole",
-                        "version",
-                        version,
-                        "took_ms",
-                        around.clock().millis() - beganMillis);
+                .line(DecisionKind.WEIGHTS)
+                .with(DecisionField.EVENT, "copy whole")
+                .with(DecisionField.VERSION, version)
+                .with(DecisionField.TOOK_MS, around.clock().millis() - beganMillis)
+                .write();
         whenWhole.run();
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
@@ -5,6 +5,7 @@
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.wire.NodeRequest;
 import org.bankturn.time.Clock;
 import org.bankturn.weights.PieceRouting;
@@ -20,6 +21,9 @@
     /** Returns the decision log. */
     DecisionLog log();
 
+    /** Returns the metrics. */
+    ServingMetrics metrics();
+
     /** Returns how engines and origins are spoken to. */
     WeightsDialect dialect();
 
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.FreeAddresses;
@@ -50,13 +51,15 @@
     void startGateway() throws Exception {
         callers = FreeAddresses.next();
         ready = FreeAddresses.next();
+        DecisionLog log = DecisionLog.start("test", clock);
         gateway = Gateway.of(
                 new GatewaySettings("test", "north", callers, ready, 1, 0.5, 960, 1_000, 3_400),
                 new PlainDialect(),
                 reactor,
                 NodeClients.on(reactor),
                 clock,
-                DecisionLog.start("test", clock));
+                log,
+                ServingMetrics.of(log));
         reactor.keepAlive(true);
         new Thread(reactor, "gateway-test").start();
         reactor.submit(() -> {
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
@@ -46,6 +47,7 @@
 
     private final Clock clock = Clock.system();
     private final DecisionLog log = DecisionLog.start("test", clock);
+    private final ServingMetrics metrics = ServingMetrics.of(log);
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<Address> seeds = new ArrayList<>();
     private final List<Address> callAddresses = new ArrayList<>();
@@ -154,7 +156,8 @@
                 new NumberedDocument(),
                 reactor,
                 clock,
-                log);
+                log,
+                metrics);
         Thread thread = new Thread(reactor, "box-" + box);
         thread.setDaemon(true);
         thread.start();
@@ -199,7 +202,8 @@
                         "north",
                         new NumberedDocument(),
                         clock,
-                        log),
+                        log,
+                        metrics),
                 seen::set);
         reactor.execute(follower::start);
         return seen;
--- a/daemon/src/test/java/org/bankturn/daemon/observe/DecisionLogTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/observe/DecisionLogTest.java
@@ -41,7 +41,9 @@
         DecisionLog log = DecisionLog.startTo(pipe, "p", clock);
         for (int line = 0; line < 5_000; line++) {
             clock.advance(100);
-            log.write(DecisionKind.REFUSED, "request", "r" + line);
+            log.line(DecisionKind.REFUSED)
+                    .with(DecisionField.REQUEST, "r" + line)
+                    .write();
         }
         reads.countDown();
         while (!text().contains("lines_dropped")) {
@@ -54,9 +56,11 @@
     void a_flood_of_one_kind_leaves_room_for_the_others() {
         DecisionLog log = DecisionLog.startTo(pipe, "p", clock);
         for (int line = 0; line < 500; line++) {
-            log.write(DecisionKind.REFUSED, "request", "r" + line);
+            log.line(DecisionKind.REFUSED)
+                    .with(DecisionField.REQUEST, "r" + line)
+                    .write();
         }
-        log.write(DecisionKind.GROUP, "event", "leads \"now\"");
+        log.line(DecisionKind.GROUP).with(DecisionField.EVENT, "leads \"now\"").write();
         reads.countDown();
         while (!text().contains("leads")) {
             Thread.onSpinWait();
