Weights: pieces from several neighbours, deputies, origin first; late in a stop nothing new is taken

Boxes that were still copying the former version fetched nothing of the named one, and all others waited for them. 3. A frozen or slow neighbour took every transfer slot; a box that did not answer was waited for piece by piece. 4. Callers were told to come back after 1 s while no box held the weights, and were refused again. Ruled out: the time limits (they passed only because the origin let go of dead connections after 15 s); a second copy of the plan at the control group. Change: PieceFetcher, Neighbours and PieceTaker out of WeightsCopy; a following version is fetched while the former one is finished; pieces of the origin are asked for before the manifest is here and before pieces of neighbours; every other wait goes to another box of the hall; deputies; at most 40 in 100 of the origin's connections, closed when idle for 1 s; a restarted member that knows of no leader asks for votes soon; AdmissionPolicy refuses the less urgent kinds first; 503 late in a stop, and a fresh connection is not closed as resting. The test of late requests failed first (connection refused when the stop's time was over).

--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -27,6 +27,8 @@
  * <p>Agreement is mutable and not thread-safe; one thread owns it.
  */
 public final class Agreement {
+    private static final int FIRST_ELECTION_DIVISOR = 4;
+
     private final Member self;
     private final Clock clock;
     private final UniformRandomProvider random;
@@ -42,6 +44,7 @@
     private long electionDeadlineMillis;
     private long leaderHeardMillis = Long.MIN_VALUE / 2;
     private long heartbeatDueMillis;
+    private boolean everHeardLeader;
     private final Set<Member> votes = new HashSet<>();
     private final ReplicationTable replications = new ReplicationTable();
     private final MembershipChanges changes;
@@ -337,6 +340,7 @@
     private void becomeLeader() {
         role = Role.LEADER;
         leader = self;
+        everHeardLeader = true;
         changes.restart();
         long now = clock.millis();
         replications.restart(peers(), log.lastIndex() + 1, now);
@@ -358,9 +362,11 @@
         changes.restart();
     }
 
+    /** A member that has heard of no leader since it started asks soon: who knows of one will deny it a trial vote. */
     private void restartElectionTimer() {
-        long spread = random.nextLong(settings.electionTimeoutMillis());
-        electionDeadlineMillis = clock.millis() + settings.electionTimeoutMillis() + spread;
+        long timeout = settings.electionTimeoutMillis();
+        long shortest = everHeardLeader ? timeout : Math.max(1, timeout / FIRST_ELECTION_DIVISOR);
+        electionDeadlineMillis = clock.millis() + shortest + random.nextLong(shortest);
     }
 
     // ---- replication, on the leader
@@ -516,6 +522,7 @@
     private void followLeader(Member from) {
         becomeFollower(term, from);
         leaderHeardMillis = clock.millis();
+        everHeardLeader = true;
         restartElectionTimer();
     }
 
--- /dev/null
+++ b/core/src/main/java/org/bankturn/routing/AdmissionPolicy.java
@@ -0,0 +1,35 @@
+package org.bankturn.routing;
+
+/**
+ * Says how late a request may be expected to begin before it is refused.
+ *
+ * <p>A request that would miss its objective is better refused at once, so that its caller can come back. When engines
+ * fill up, the kinds that are less urgent are refused first, which keeps places for the more urgent ones.
+ *
+ * <p>AdmissionPolicy has no state.
+ */
+public final class AdmissionPolicy {
+    private static final double MOST_URGENT_SHARE = 0.9;
+    private static final double SHARE_PER_RANK = 0.85;
+    private static final int LAST_RANK = 3;
+
+    private AdmissionPolicy() {}
+
+    /**
+     * Returns the latest beginning that is still admitted.
+     *
+     * @param objectiveMillis the request's objective
+     * @param urgency its rank, 0 is most urgent
+     * @param mostUrgent the rank of the most urgent kind that the same targets serve
+     * @return milliseconds
+     * @throws IllegalArgumentException if an argument is negative
+     */
+    public static double latestMillis(long objectiveMillis, int urgency, int mostUrgent) {
+        if (objectiveMillis < 0 || urgency < 0 || mostUrgent < 0) {
+            throw new IllegalArgumentException("objective, urgency and most urgent must be 0 or more, not "
+                    + objectiveMillis + ", " + urgency + ", " + mostUrgent);
+        }
+        int rank = Math.min(LAST_RANK, Math.max(0, urgency - mostUrgent));
+        return objectiveMillis * MOST_URGENT_SHARE * Math.pow(SHARE_PER_RANK, rank);
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -9,6 +9,7 @@
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.RequestOutcome;
+import org.bankturn.routing.AdmissionPolicy;
 import org.bankturn.service.Account;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
@@ -24,8 +25,11 @@
     private static final int MOST_FAILED_CONNECTIONS = 4;
     private static final long COME_BACK_MILLIS = 300;
     private static final long COME_BACK_AT_MOST_MILLIS = 1_500;
-    private static final long COME_BACK_WITHOUT_TARGET_MILLIS = 1_000;
-    private static final double TOO_LATE_SHARE = 0.9;
+    private static final long COME_BACK_AFTER_ALL_MILLIS = 1_000;
+
+    /** Targets that must still be given weights, or that are still to start, are not there within a second or two. */
+    private static final long COME_BACK_WITHOUT_TARGET_MILLIS = 5_000;
+
     private static final double HALF = 0.5;
     private static final long LEAST_REMAINING_MILLIS = 20;
     private static final int LAST_URGENCY = 9;
@@ -91,7 +95,7 @@
         int version = gateway.leastVersion(service);
         Optional<Choice> choice = choose(version);
         if (choice.isEmpty()) {
-            comeBackMillis = COME_BACK_WITHOUT_TARGET_MILLIS;
+            comeBackMillis = tried.isEmpty() ? COME_BACK_WITHOUT_TARGET_MILLIS : COME_BACK_AFTER_ALL_MILLIS;
             giveUp("no target left");
             return;
         }
@@ -124,7 +128,8 @@
             return false;
         }
         double expected = gateway.correction(service.name()).applyTo(choice.predictedMillis());
-        return expected > route.objectiveMillis() * TOO_LATE_SHARE;
+        int mostUrgent = gateway.mostUrgent(service);
+        return expected > AdmissionPolicy.latestMillis(route.objectiveMillis(), route.priority(), mostUrgent);
     }
 
     private long comeBackAfter(Choice choice) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -59,9 +59,11 @@
     private final LoadPoller loads;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, PredictionCorrection> corrections = new HashMap<>();
+    private final Map<String, Integer> mostUrgent = new HashMap<>();
     private final Map<String, TreeMap<Integer, Long>> weightsDueMillis = new HashMap<>();
     private Published published = Published.NOTHING;
     private boolean stopping;
+    private boolean takenOut;
     private long answered;
 
     /** Returns a gateway that does not serve yet, not null. */
@@ -119,6 +121,7 @@
                     .putIfAbsent(named.version(), due);
         }
         published = newer;
+        mostUrgent.clear();
         targets.update(newer);
         loads.update(newer);
     }
@@ -136,6 +139,7 @@
         long waited = clock.millis() - since;
         boolean noticed = waited >= PLATFORM_NOTICES_MILLIS;
         if (noticed) {
+            takenOut = true;
             callers.closeResting();
         }
         boolean done = noticed && callers.underWay() == 0;
@@ -172,8 +176,8 @@
     private void handle(ServerExchange exchange) {
         CallerTerms terms = dialect.terms(exchange.head());
         ServingConfiguration configuration = published.configuration();
-        if (configuration == null) {
-            answer(exchange, terms, 503, "no configuration known");
+        if (configuration == null || takenOut) {
+            answer(exchange, terms, 503, takenOut ? "stops as planned" : "no configuration known");
             return;
         }
         Optional<Route> route = configuration.route(terms.host(), terms.path());
@@ -262,6 +266,18 @@
         return corrections.computeIfAbsent(service, key -> PredictionCorrection.none());
     }
 
+    /** Returns the rank of the most urgent kind of request that a service runs. */
+    int mostUrgent(Service service) {
+        return mostUrgent.computeIfAbsent(
+                service.name(),
+                name -> published.configuration().routes().stream()
+                        .filter(route -> route.services().stream()
+                                .anyMatch(weighted -> weighted.service().equals(name)))
+                        .mapToInt(Route::priority)
+                        .min()
+                        .orElse(0));
+    }
+
     RetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(service, key -> {
             int percent = Math.max(1, (int) (settings.retryShare() * RETRY_SHARE_USED * 100));
--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
@@ -18,6 +18,8 @@
  * <p>HttpCalls is confined to its reactor's thread.
  */
 public final class HttpCalls {
+    private static final long REST_MILLIS = 1_000;
+
     private final NioReactor reactor;
     private final Clock clock;
     private final Map<InetSocketAddress, Deque<TargetConnection>> resting = new HashMap<>();
@@ -55,6 +57,21 @@
      * @return the answer; fails if there is no whole one in time
      */
     public Promise<Answer> call(InetSocketAddress address, HttpHead head, byte[] body, long timeoutMillis) {
+        return call(address, head, body, timeoutMillis, timeoutMillis);
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param address where to, not null
+     * @param head the request's head without framing, not null
+     * @param body its body, not null
+     * @param connectMillis how long to wait for a connection
+     * @param timeoutMillis how long to wait for the whole answer
+     * @return the answer; fails if there is no whole one in time
+     */
+    public Promise<Answer> call(
+            InetSocketAddress address, HttpHead head, byte[] body, long connectMillis, long timeoutMillis) {
         HttpHead framed = head.with("Content-Length", Integer.toString(body.length));
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(body.length + 256);
         bytes.writeBytes(framed.encode());
@@ -63,11 +80,23 @@
         reactor.delayBackground(timeoutMillis, call::timeOut);
         TargetConnection rested = takeRested(address);
         Promise<TargetConnection> connected =
-                rested != null ? Promise.of(rested) : TargetConnection.connect(reactor, clock, address, timeoutMillis);
+                rested != null ? Promise.of(rested) : TargetConnection.connect(reactor, clock, address, connectMillis);
         connected.whenComplete((connection, failure) -> call.connected(connection, failure, bytes.toByteArray()));
         return call.result;
     }
 
+    /** Keeps a connection for the next call, but not for long: a callee may take few, and counts those it lost as well. */
+    private void rest(InetSocketAddress address, TargetConnection connection) {
+        Deque<TargetConnection> kept = resting.computeIfAbsent(address, key -> new ArrayDeque<>());
+        kept.add(connection);
+        reactor.delayBackground(REST_MILLIS, () -> {
+            boolean rested = clock.millis() - connection.restingSince() >= REST_MILLIS;
+            if (rested && kept.remove(connection)) {
+                connection.close();
+            }
+        });
+    }
+
     private TargetConnection takeRested(InetSocketAddress address) {
         Deque<TargetConnection> kept = resting.getOrDefault(address, new ArrayDeque<>());
         while (!kept.isEmpty()) {
@@ -124,7 +153,7 @@
         @Override
         public void onEnd() {
             if (connection.isUsable()) {
-                resting.computeIfAbsent(address, key -> new ArrayDeque<>()).add(connection);
+                rest(address, connection);
             }
             result.trySet(new Answer(answer, content.toByteArray()));
         }
--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -13,6 +13,7 @@
 
 /** One caller's connection: reads a request whole, waits for its answer, then takes the next; confined to one thread. */
 final class ServerConnection {
+    private static final long REST_MILLIS = 300;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final int MOST_BYTES_AHEAD = 64 << 10;
 
@@ -56,8 +57,10 @@
         return listener.isDraining();
     }
 
+    /** Closes a connection that has carried nothing for a moment; one that was just made may be about to. */
     void closeIfResting() {
-        if (!isBusy() && received.size() == 0) {
+        boolean rests = clock.millis() - quietSince >= REST_MILLIS;
+        if (rests && !isBusy() && received.size() == 0) {
             close();
         }
     }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -4,6 +4,10 @@
 
 /** The name of a value in a line of the decision log. */
 public enum DecisionField {
+    /** How many pieces wait for their neighbour's transfer. */
+    AT_NEIGHBOURS,
+    /** How many pieces wait for the origin. */
+    AT_ORIGIN,
     /** The address of the process or target concerned. */
     ADDRESS,
     /** The answer that was given. */
@@ -42,6 +46,8 @@
     OUTCOME,
     /** The number of a piece of weights. */
     PIECE,
+    /** How many pieces of weights are here. */
+    PIECES,
     /** Why it was decided so. */
     REASON,
     /** The request's id, as the caller gave it. */
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
@@ -0,0 +1,259 @@
+package org.bankturn.daemon.weights;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.bankturn.daemon.http.HttpCalls;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.weights.PieceSource;
+import org.bankturn.weights.PieceSource.Neighbour;
+
+/**
+ * Fetches the pieces of one version from neighbours and from the origin, each from the source whose turn it is.
+ *
+ * <p>Neighbours that do not hold the version yet say when they have a piece; every other time another box of the hall is
+ * asked, so that a slow box holds nobody up for long. A few pieces at a time are then transferred, at most two from one
+ * box. Few pieces at a time are asked of the origin, so that its few connections suffice for all boxes. PieceFetcher is confined to its reactor's thread.
+ */
+final class PieceFetcher {
+    /** The number under which the manifest travels. */
+    static final int MANIFEST = -1;
+
+    /** How the origin is called in metrics. */
+    static final String FROM_ORIGIN = "origin";
+
+    private static final long RETRY_MILLIS = 150;
+    private static final long NEIGHBOUR_WAIT_MILLIS = 500;
+    private static final int PATIENCE = 24;
+    private static final int TRANSFERS_BESIDE_REQUESTS = 5;
+    private static final int TRANSFERS_ALONE = 8;
+    private static final int TRANSFERS_BESIDE_ORIGIN = 3;
+    private static final String FROM_NEIGHBOUR = "neighbour";
+
+    private final WeightsSurroundings around;
+    private final String model;
+    private final int version;
+    private final PieceTaker taker;
+    private final Neighbours neighbours;
+    private final Map<Integer, Set<PieceSource>> failed = new HashMap<>();
+    private final Deque<Turn> ready = new ArrayDeque<>();
+    private final Deque<Integer> fromOrigin = new ArrayDeque<>();
+    private int originCalls;
+    private boolean stopped;
+
+    /** A piece that may be transferred from a neighbour. */
+    private record Turn(int piece, Neighbour from) {}
+
+    PieceFetcher(WeightsSurroundings around, String model, int version, PieceTaker taker) {
+        this.around = around;
+        this.model = model;
+        this.version = version;
+        this.taker = taker;
+        this.neighbours = new Neighbours(around.clock());
+    }
+
+    /** Fetches a piece until it is here. */
+    void fetch(int piece) {
+        fetch(piece, 0);
+    }
+
+    /** Returns true if this box is the one that fetches a piece from the origin. */
+    boolean isOriginFetcher(int piece) {
+        return around.routing(version).sourceOf(piece, Set.of()) instanceof PieceSource.Origin;
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    /** Returns the pieces that wait for the origin. */
+    int waitingForOrigin() {
+        return fromOrigin.size() + originCalls;
+    }
+
+    /** Returns the pieces that neighbours have and that wait for their transfer. */
+    int waitingForTransfer() {
+        return ready.size() + neighbours.transfersInAll();
+    }
+
+    private boolean isNeeded(int piece) {
+        return !stopped && taker.isMissing(piece);
+    }
+
+    private void fetch(int piece, int waits) {
+        if (!isNeeded(piece)) {
+            return;
+        }
+        PieceSource source = around.routing(version).sourceOf(piece, unfitFor(piece));
+        if (source instanceof Neighbour neighbour) {
+            fetchFrom(neighbour, piece, waits);
+        } else {
+            fromOrigin.add(piece);
+            fetchFromOrigin();
+        }
+    }
+
+    private void fetchFrom(Neighbour neighbour, int piece, int waits) {
+        if (neighbour.holds()) {
+            transferLater(new Turn(piece, neighbour));
+        } else {
+            await(piece, waits, neighbour);
+        }
+    }
+
+    private Set<PieceSource> unfitFor(int piece) {
+        Set<PieceSource> sources = neighbours.unfit();
+        sources.addAll(failed.getOrDefault(piece, Set.of()));
+        return sources;
+    }
+
+    /** Gives a source up for a piece. */
+    private void tryNext(int piece, PieceSource source) {
+        failed.computeIfAbsent(piece, key -> new HashSet<>()).add(source);
+        around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, 0));
+    }
+
+    // ---- waiting for neighbours
+
+    /** Lets a neighbour say when it has the piece; that costs little, so all pieces are waited for at once. */
+    private void await(int piece, int waits, Neighbour primary) {
+        Neighbour asked = waits % 2 == 0 ? primary : alternate(piece, waits / 2).orElse(primary);
+        NodeRequest.AwaitPiece question = new NodeRequest.AwaitPiece(model, version, piece, NEIGHBOUR_WAIT_MILLIS);
+        around.awaitNeighbour(asked.box(), question).whenComplete((there, failure) -> {
+            if (!isNeeded(piece)) {
+                return;
+            }
+            if (failure != null) {
+                neighbours.avoid(asked.box());
+                fetch(piece, waits + 1);
+            } else if (there) {
+                transferLater(new Turn(piece, asked));
+            } else if (waits >= PATIENCE) {
+                tryNext(piece, primary);
+            } else {
+                fetch(piece, waits + 1);
+            }
+        });
+    }
+
+    private Optional<Neighbour> alternate(int piece, int turn) {
+        return around.routing(version)
+                .alternate(piece, turn)
+                .filter(neighbour -> !neighbours.isAvoided(neighbour.box()));
+    }
+
+    // ---- transfers
+
+    private void transferLater(Turn turn) {
+        ready.add(turn);
+        transferMore();
+    }
+
+    /** Transfers a few pieces at a time, so that requests and answers on the same link are not held up for long. */
+    private void transferMore() {
+        for (Turn turn : nextTransfers()) {
+            transfer(turn);
+        }
+    }
+
+    /** Takes the turns that may begin now out of the queue, and those whose neighbour is avoided by now. */
+    private List<Turn> nextTransfers() {
+        int atOnce = transfersAtOnce();
+        List<Turn> next = new ArrayList<>();
+        Iterator<Turn> turns = ready.iterator();
+        while (turns.hasNext() && neighbours.transfersInAll() < atOnce) {
+            Turn turn = turns.next();
+            Set<PieceSource> unfit = unfitFor(turn.piece());
+            Neighbour from = turn.from().holds() ? leastLoadedHolder(turn, unfit) : turn.from();
+            if (!isNeeded(turn.piece())) {
+                turns.remove();
+            } else if (unfit.contains(from)) {
+                turns.remove();
+                around.reactor().post(() -> fetch(turn.piece(), 0));
+            } else if (neighbours.hasRoom(from.box())) {
+                turns.remove();
+                neighbours.transferBegan(from.box());
+                next.add(new Turn(turn.piece(), from));
+            }
+        }
+        return next;
+    }
+
+    /** What only this box fetches from the origin comes first, since all others wait for it. */
+    private int transfersAtOnce() {
+        if (waitingForOrigin() > 0) {
+            return TRANSFERS_BESIDE_ORIGIN;
+        }
+        return around.engineServes() ? TRANSFERS_BESIDE_REQUESTS : TRANSFERS_ALONE;
+    }
+
+    /** Any box of the hall that holds the version may give the piece; those that are fast are asked more often. */
+    private Neighbour leastLoadedHolder(Turn turn, Set<PieceSource> unfit) {
+        return around.routing(version).holdersNearby(turn.piece()).stream()
+                .filter(holder -> !unfit.contains(holder))
+                .min(Comparator.comparingInt(holder -> neighbours.transfersFrom(holder.box())))
+                .orElse(turn.from());
+    }
+
+    private void transfer(Turn turn) {
+        String box = turn.from().box();
+        NodeRequest.GetPiece question = new NodeRequest.GetPiece(model, version, turn.piece());
+        around.askNeighbour(box, question).whenComplete((bytes, failure) -> {
+            neighbours.transferEnded(box);
+            if (failure != null) {
+                neighbours.avoid(box);
+                fetch(turn.piece(), 0);
+            } else if (bytes == null && turn.from().holds()) {
+                neighbours.holdsNothing(box);
+                fetch(turn.piece(), 0);
+            } else if (isNeeded(turn.piece()) && !takes(turn.piece(), bytes, FROM_NEIGHBOUR)) {
+                tryNext(turn.piece(), turn.from());
+            }
+            transferMore();
+        });
+    }
+
+    private boolean takes(int piece, byte[] bytes, String source) {
+        boolean good = bytes != null && taker.take(piece, bytes, source);
+        if (!good) {
+            around.metrics().pieceRejected(source);
+        }
+        return good;
+    }
+
+    // ---- the origin
+
+    private void fetchFromOrigin() {
+        while (!stopped && !fromOrigin.isEmpty() && originCalls < around.originCallsAtOnce()) {
+            int piece = fromOrigin.poll();
+            if (isNeeded(piece)) {
+                callOrigin(piece);
+            }
+        }
+    }
+
+    private void callOrigin(int piece) {
+        originCalls++;
+        around.callOrigin(
+                        piece == MANIFEST
+                                ? around.dialect().manifest(model, version)
+                                : around.dialect().piece(model, version, piece))
+                .map(HttpCalls.Answer::body)
+                .whenComplete((bytes, failure) -> {
+                    originCalls--;
+                    if (isNeeded(piece) && !takes(piece, failure == null ? bytes : null, FROM_ORIGIN)) {
+                        around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, 0));
+                    }
+                    fetchFromOrigin();
+                    transferMore();
+                });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceTaker.java
@@ -0,0 +1,10 @@
+package org.bankturn.daemon.weights;
+
+/** Takes in the pieces that a {@link PieceFetcher} brings. */
+interface PieceTaker {
+    /** Returns true while a piece is missing. */
+    boolean isMissing(int piece);
+
+    /** Takes in a piece; returns false if it is spoilt and must come from elsewhere. */
+    boolean take(int piece, byte[] bytes, String source);
+}
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.observe.DecisionField;
@@ -36,7 +37,13 @@
     private static final long CHECK_MILLIS = 100;
     private static final long LOCAL_CALL_MILLIS = 1_500;
     private static final long ORIGIN_CALL_MILLIS = 2_500;
-    private static final long NEIGHBOUR_MARGIN_MILLIS = 1_000;
+    private static final long ORIGIN_CONNECT_MILLIS = 300;
+
+    /** Connections of boxes that lost their power may still count at the origin beside the new ones. */
+    private static final int ORIGIN_CONNECTIONS_USED_PERCENT = 40;
+
+    private static final int MOST_ORIGIN_CALLS = 2;
+    private static final long NEIGHBOUR_MARGIN_MILLIS = 400;
     private static final long TRANSFER_MILLIS = 2_500;
     private static final long NOT_COMING_MILLIS = 200;
     private static final long LOAD_USABLE_MILLIS = 1_000;
@@ -50,6 +57,10 @@
     private final PieceSender sender;
     private Published published = Published.NOTHING;
     private WeightsCopy copy;
+
+    /** A newer version that is fetched while the copy is still to be laid beside the engine and started. */
+    private WeightsCopy following;
+
     private EngineReport lastReport;
     private int namedVersion;
     private long namedMillis;
@@ -128,30 +139,58 @@
         lastReport = report;
         reportedMillis = around.clock().millis();
         int wanted = Math.max(1, namedVersion);
-        if (report.heldVersion() >= wanted || report.busy()) {
+        if (report.heldVersion() >= wanted) {
             return;
         }
-        boolean outdated = copy == null || (copy.version() < wanted && !copy.isNearlyWhole());
-        boolean done = copy != null && copy.version() < wanted && report.heldVersion() >= copy.version();
-        if (outdated || done) {
-            beginCopy(wanted);
-        } else if (copy.isWhole()) {
+        fetchWanted(wanted, report);
+        if (!report.busy() && copy.isWhole()) {
             startInTurn();
         }
     }
 
-    private void beginCopy(int version) {
-        if (copy != null) {
-            copy.abandon();
+    /** A copy that is nearly whole is finished first; the wanted version is fetched meanwhile, but not laid down yet. */
+    private void fetchWanted(int wanted, EngineReport report) {
+        if (copy != null && copy.version() >= wanted) {
+            return;
+        }
+        boolean finishes =
+                copy != null && (report.busy() || (copy.isNearlyWhole() && report.heldVersion() < copy.version()));
+        if (following == null || following.version() < wanted) {
+            abandon(following);
+            following = beginCopy(wanted);
         }
+        if (!finishes) {
+            abandon(copy);
+            copy = following;
+            following = null;
+            copy.whenWhole(this::startInTurn);
+            copy.letStage();
+        }
+    }
+
+    private static void abandon(WeightsCopy former) {
+        if (former != null) {
+            former.abandon();
+        }
+    }
+
+    private WeightsCopy beginCopy(int version) {
         around.log()
                 .line(DecisionKind.WEIGHTS)
                 .with(DecisionField.EVENT, "copy begun")
                 .with(DecisionField.VERSION, version)
                 .write();
-        copy = new WeightsCopy(around, layout().orElseThrow().model(), version);
-        copy.whenWhole(this::startInTurn);
-        copy.begin();
+        WeightsCopy begun = new WeightsCopy(around, layout().orElseThrow(), version);
+        begun.begin();
+        return begun;
+    }
+
+    /** Returns the copy of a version that is here or on its way, empty if there is none. */
+    private Optional<WeightsCopy> copyOf(int version) {
+        return Stream.of(Optional.ofNullable(copy), Optional.ofNullable(following))
+                .flatMap(Optional::stream)
+                .filter(each -> each.version() == version)
+                .findFirst();
     }
 
     /** Boxes take their turns, so that most engines serve while some change over; an empty engine does not wait. */
@@ -160,10 +199,10 @@
             return;
         }
         starting = true;
+        WeightsCopy started = copy;
         long wait = lastReport.heldVersion() == 0
                 ? 0
                 : Math.max(0, turnMillis() - around.clock().millis());
-        WeightsCopy started = copy;
         around.reactor()
                 .delayBackground(
                         wait,
@@ -190,8 +229,9 @@
 
     /** Answers a neighbour that asks for a piece. */
     public Promise<NodeReply> givePiece(NodeRequest.GetPiece asked) {
-        if (copy != null && copy.version() == asked.version()) {
-            return sender.reply(copy.piece(asked.piece()), around.engineServes());
+        Optional<WeightsCopy> coming = copyOf(asked.version());
+        if (coming.isPresent()) {
+            return sender.reply(coming.get().piece(asked.piece()), around.engineServes());
         }
         boolean lies = lastReport != null && lastReport.heldVersion() == asked.version();
         if (!lies || asked.piece() == WeightsCopy.MANIFEST) {
@@ -203,8 +243,9 @@
 
     /** Answers a neighbour that waits for a piece. */
     public Promise<NodeReply> awaitPiece(NodeRequest.AwaitPiece asked) {
-        boolean coming = copy != null && copy.version() == asked.version();
-        Promise<Boolean> there = coming ? copy.whenHere(asked.piece(), asked.waitMillis()) : notComing(asked);
+        Promise<Boolean> there = copyOf(asked.version())
+                .map(coming -> coming.whenHere(asked.piece(), asked.waitMillis()))
+                .orElseGet(() -> notComing(asked));
         return there.map(NodeReply.PieceThere::new);
     }
 
@@ -216,7 +257,7 @@
     }
 
     private boolean holds(int version) {
-        return (copy != null && copy.version() == version && copy.isWhole())
+        return copyOf(version).filter(WeightsCopy::isWhole).isPresent()
                 || (lastReport != null && lastReport.heldVersion() == version);
     }
 
@@ -227,6 +268,16 @@
         return new NodeReply.Load(usable ? lastReport.load() : null, age);
     }
 
+    /** Returns how many connections all boxes together may have at the origin. */
+    private int originConnections() {
+        int most = published
+                .configuration()
+                .origin()
+                .map(Service::maximumConnections)
+                .orElse(0);
+        return most * ORIGIN_CONNECTIONS_USED_PERCENT / 100;
+    }
+
     private List<PieceHolder> boxes() {
         return published.targets().values().stream()
                 .filter(target -> target.service().equals(settings.service()) && !target.draining())
@@ -258,6 +309,9 @@
         private final WeightsDialect dialect;
         private final NodeClients clients;
         private final HttpCalls calls;
+        private PieceRouting routing;
+        private long routedIndex;
+        private int routedVersion;
 
         Around(
                 Eventloop reactor,
@@ -308,7 +362,12 @@
 
         @Override
         public PieceRouting routing(int version) {
-            return PieceRouting.of(self(), boxes(), version);
+            if (routing == null || routedIndex != published.index() || routedVersion != version) {
+                routing = PieceRouting.of(self(), boxes(), version, Math.max(1, originConnections()));
+                routedIndex = published.index();
+                routedVersion = version;
+            }
+            return routing;
         }
 
         @Override
@@ -316,6 +375,12 @@
             return succeeding(calls.call(settings.engineAddress().toSocketAddress(), head, body, LOCAL_CALL_MILLIS));
         }
 
+        @Override
+        public int originCallsAtOnce() {
+            int share = originConnections() / Math.max(1, boxes().size());
+            return Math.max(1, Math.min(MOST_ORIGIN_CALLS, share));
+        }
+
         @Override
         public Promise<HttpCalls.Answer> callOrigin(HttpHead head) {
             Optional<Service> origin = published.configuration().origin();
@@ -323,7 +388,8 @@
                 return Promise.ofException(new IOException("no origin of weights"));
             }
             Address address = Address.parse(origin.get().originAddress());
-            return succeeding(calls.call(address.toSocketAddress(), head, NOTHING, ORIGIN_CALL_MILLIS));
+            return succeeding(
+                    calls.call(address.toSocketAddress(), head, NOTHING, ORIGIN_CONNECT_MILLIS, ORIGIN_CALL_MILLIS));
         }
 
         private Promise<HttpCalls.Answer> succeeding(Promise<HttpCalls.Answer> call) {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
@@ -36,6 +36,9 @@
     /** Calls the engine on this box; fails unless it says success. */
     Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body);
 
+    /** Returns how many calls this box may have under way at the origin. */
+    int originCallsAtOnce();
+
     /** Calls the origin of weights; fails unless it says success. */
     Promise<HttpCalls.Answer> callOrigin(HttpHead head);
 
