Weights: holders are not asked for the manifest, and one that holds nothing is not one in the plan

Cause: a holder has no manifest to give; that looked as if it held nothing, so empty boxes fetched relayed pieces (10 s a copy). After a loss of power the published targets still look like holders for a heartbeat; the plan went wrong for 1 s. Ruled out: dropping holders from the registry (a control group must not guess); waiting for the heartbeat. A test of the plan covers it; that the former plan fails it was not run.

--- a/core/src/main/java/org/bankturn/weights/PieceRouting.java
+++ b/core/src/main/java/org/bankturn/weights/PieceRouting.java
@@ -4,9 +4,10 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -20,10 +21,17 @@
  * <p>PieceRouting is immutable and thread-safe.
  */
 public final class PieceRouting {
+    /** The number under which the manifest travels; a box that holds a version already may lack its manifest. */
+    public static final int MANIFEST = -1;
+
     private final PieceHolder self;
     private final List<PieceHolder> boxes;
     private final int version;
     private final int mostFetchers;
+    private final List<String> halls;
+    private final Map<String, List<PieceHolder>> boxesOfHall;
+    private final List<PieceHolder> holders;
+    private final List<PieceHolder> holdersNearby;
 
     /**
      * Returns the plan of one box, not null.
@@ -43,9 +51,26 @@
     private PieceRouting(PieceHolder self, List<PieceHolder> boxes, int version, int mostFetchers) {
         this.self = self;
         this.mostFetchers = mostFetchers;
+        this.version = version;
         this.boxes =
                 boxes.stream().sorted(Comparator.comparing(PieceHolder::box)).toList();
-        this.version = version;
+        this.boxesOfHall = this.boxes.stream().collect(Collectors.groupingBy(PieceHolder::dataHall));
+        this.halls = boxesOfHall.keySet().stream().sorted().toList();
+        this.holders =
+                this.boxes.stream().filter(box -> isOther(box) && holds(box)).toList();
+        this.holdersNearby = holders.stream().filter(this::inOwnHall).toList();
+    }
+
+    /**
+     * Returns this plan as it is when some boxes hold nothing, whatever is published of them.
+     *
+     * @param empty the names of these boxes, not null
+     */
+    public PieceRouting withoutHolders(Set<String> empty) {
+        List<PieceHolder> corrected = boxes.stream()
+                .map(box -> empty.contains(box.box()) ? new PieceHolder(box.box(), box.dataHall(), 0) : box)
+                .toList();
+        return new PieceRouting(self, corrected, version, mostFetchers);
     }
 
     /**
@@ -73,8 +98,10 @@
      */
     public List<PieceSource> sourcesOf(int piece) {
         List<PieceSource> sources = new ArrayList<>();
-        holdersNearby(piece).forEach(sources::add);
-        dealt(piece, box -> isOther(box) && holds(box)).ifPresent(box -> add(sources, box));
+        if (piece != MANIFEST) {
+            holdersNearby(piece).forEach(sources::add);
+            dealt(piece, holders).ifPresent(box -> add(sources, box));
+        }
         int ownRank = rankOf(self, piece);
         for (int deputy = 0; deputy < 2; deputy++) {
             hallFetcher(piece, self.dataHall(), deputy).ifPresent(box -> addIfBefore(sources, box, piece, ownRank));
@@ -86,9 +113,7 @@
 
     /** Returns the other boxes of the hall that hold the version, in an order that differs by piece, not null. */
     public List<PieceSource.Neighbour> holdersNearby(int piece) {
-        return rotated(piece, box -> isOther(box) && holds(box) && inOwnHall(box)).stream()
-                .map(this::neighbour)
-                .toList();
+        return rotated(piece, holdersNearby).stream().map(this::neighbour).toList();
     }
 
     /**
@@ -98,7 +123,9 @@
      * @param turn how often a box was asked besides
      */
     public Optional<PieceSource.Neighbour> alternate(int piece, int turn) {
-        return dealt(piece + turn, box -> isOther(box) && inOwnHall(box)).map(this::neighbour);
+        List<PieceHolder> others =
+                boxesOf(self.dataHall()).stream().filter(this::isOther).toList();
+        return dealt(piece + turn, others).map(this::neighbour);
     }
 
     /** Returns a box's place among those that a piece passes: a lower one never waits for a higher one. */
@@ -115,7 +142,8 @@
     }
 
     private void addIfBefore(List<PieceSource> sources, PieceHolder box, int piece, int ownRank) {
-        if (isOther(box) && rankOf(box, piece) < ownRank) {
+        boolean mayHave = piece != MANIFEST || !holds(box);
+        if (mayHave && isOther(box) && rankOf(box, piece) < ownRank) {
             add(sources, box);
         }
     }
@@ -133,39 +161,37 @@
 
     /** Returns the box that fetches a piece from the origin, or its deputy: that of a hall that takes its turn. */
     private Optional<PieceHolder> originFetcher(int piece, int deputy) {
-        List<String> halls =
-                boxes.stream().map(PieceHolder::dataHall).distinct().sorted().toList();
         if (halls.isEmpty()) {
             return Optional.empty();
         }
         String hall = halls.get(Math.floorMod(piece + deputy, halls.size()));
-        List<PieceHolder> some =
-                boxes.stream().filter(box -> box.dataHall().equals(hall)).toList();
+        List<PieceHolder> some = boxesOf(hall);
         int fetchers = Math.min(some.size(), Math.max(1, mostFetchers / halls.size()));
         int turn = Math.floorDiv(piece, halls.size()) + (halls.size() == 1 ? deputy : 0);
-        return Optional.of(some.get(Math.floorMod(turn, fetchers)));
+        return dealt(turn, some.subList(0, fetchers));
     }
 
     /** Returns the box that fetches a piece into a hall, or its deputy. */
     private Optional<PieceHolder> hallFetcher(int piece, String hall, int deputy) {
-        int halls = (int) boxes.stream().map(PieceHolder::dataHall).distinct().count();
-        return dealt(
-                Math.floorDiv(piece, Math.max(1, halls)) + deputy,
-                box -> box.dataHall().equals(hall));
+        return dealt(Math.floorDiv(piece, Math.max(1, halls.size())) + deputy, boxesOf(hall));
+    }
+
+    private List<PieceHolder> boxesOf(String hall) {
+        return boxesOfHall.getOrDefault(hall, List.of());
     }
 
     /** Returns the box, among some, that a number falls on. */
-    private Optional<PieceHolder> dealt(int number, Predicate<PieceHolder> which) {
-        return rotated(number, which).stream().findFirst();
+    private static Optional<PieceHolder> dealt(int number, List<PieceHolder> some) {
+        return some.isEmpty() ? Optional.empty() : Optional.of(some.get(Math.floorMod(number, some.size())));
     }
 
     /** Returns some of the boxes, beginning with the one that a number falls on. */
-    private List<PieceHolder> rotated(int number, Predicate<PieceHolder> which) {
-        List<PieceHolder> some = new ArrayList<>(boxes.stream().filter(which).toList());
-        if (!some.isEmpty()) {
-            Collections.rotate(some, -Math.floorMod(number, some.size()));
+    private static List<PieceHolder> rotated(int number, List<PieceHolder> some) {
+        List<PieceHolder> turned = new ArrayList<>(some);
+        if (!turned.isEmpty()) {
+            Collections.rotate(turned, -Math.floorMod(number, turned.size()));
         }
-        return some;
+        return turned;
     }
 
     private boolean isSelf(PieceHolder box) {
--- a/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
+++ b/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
@@ -178,6 +178,19 @@
                 .box();
     }
 
+    /** Holders have no manifest to give; that they do not must not look as if they held nothing. */
+    @Test
+    void holders_are_not_asked_for_the_manifest() {
+        List<PieceHolder> boxes = new ArrayList<>(boxes(3, VERSION));
+        boxes.add(new PieceHolder("north-new", "north", 0));
+        for (PieceHolder box : boxes) {
+            List<PieceSource> sources =
+                    PieceRouting.of(box, boxes, VERSION, FETCHERS).sourcesOf(PieceRouting.MANIFEST);
+            assertThat(sources)
+                    .noneMatch(source -> source instanceof PieceSource.Neighbour neighbour && neighbour.holds());
+        }
+    }
+
     @Test
     void the_origin_is_the_last_resort() {
         List<PieceHolder> boxes = boxes(3, 1);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/Neighbours.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/Neighbours.java
@@ -20,7 +20,7 @@
     private final Clock clock;
     private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
     private final Map<String, Integer> transfers = new HashMap<>();
-    private final Set<PieceSource> empty = new HashSet<>();
+    private final Set<String> empty = new HashSet<>();
 
     Neighbours(Clock clock) {
         this.clock = clock;
@@ -37,12 +37,17 @@
 
     /** Notes that a box does not hold the version, whatever is published of it. */
     void holdsNothing(String box) {
-        empty.add(new PieceSource.Neighbour(box, true));
+        empty.add(box);
+    }
+
+    /** Returns the boxes that turned out to hold nothing, not null. */
+    Set<String> empty() {
+        return empty;
     }
 
     /** Returns the sources that it makes no sense to ask now, not null. */
     Set<PieceSource> unfit() {
-        Set<PieceSource> unfit = new HashSet<>(empty);
+        Set<PieceSource> unfit = new HashSet<>();
         avoidedUntilMillis.keySet().stream().filter(this::isAvoided).forEach(box -> {
             unfit.add(new PieceSource.Neighbour(box, true));
             unfit.add(new PieceSource.Neighbour(box, false));
--- a/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
@@ -12,7 +12,10 @@
 import java.util.Optional;
 import java.util.Set;
 import org.bankturn.daemon.http.HttpCalls;
+import org.bankturn.daemon.observe.DecisionField;
+import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.weights.PieceRouting;
 import org.bankturn.weights.PieceSource;
 import org.bankturn.weights.PieceSource.Neighbour;
 
@@ -24,9 +27,6 @@
  * box. Few pieces at a time are asked of the origin, so that its few connections suffice for all boxes. PieceFetcher is confined to its reactor's thread.
  */
 final class PieceFetcher {
-    /** The number under which the manifest travels. */
-    static final int MANIFEST = -1;
-
     /** How the origin is called in metrics. */
     static final String FROM_ORIGIN = "origin";
 
@@ -34,8 +34,8 @@
     private static final long NEIGHBOUR_WAIT_MILLIS = 500;
     private static final int PATIENCE = 24;
     private static final int TRANSFERS_BESIDE_REQUESTS = 5;
-    private static final int TRANSFERS_ALONE = 8;
-    private static final int TRANSFERS_BESIDE_ORIGIN = 3;
+    private static final int TRANSFERS_ALONE = 10;
+    private static final int TRANSFERS_BESIDE_ORIGIN = 5;
     private static final String FROM_NEIGHBOUR = "neighbour";
 
     private final WeightsSurroundings around;
@@ -47,6 +47,9 @@
     private final Deque<Turn> ready = new ArrayDeque<>();
     private final Deque<Integer> fromOrigin = new ArrayDeque<>();
     private int originCalls;
+    private PieceRouting published;
+    private PieceRouting corrected;
+    private int emptyThen;
     private boolean stopped;
 
     /** A piece that may be transferred from a neighbour. */
@@ -67,7 +70,7 @@
 
     /** Returns true if this box is the one that fetches a piece from the origin. */
     boolean isOriginFetcher(int piece) {
-        return around.routing(version).sourceOf(piece, Set.of()) instanceof PieceSource.Origin;
+        return routing().sourceOf(piece, Set.of()) instanceof PieceSource.Origin;
     }
 
     void stop() {
@@ -84,6 +87,20 @@
         return ready.size() + neighbours.transfersInAll();
     }
 
+    /** Returns the plan as of now, corrected by what was learned here. */
+    private PieceRouting routing() {
+        PieceRouting newest = around.routing(version);
+        boolean changed = published == null
+                || !published.equals(newest)
+                || emptyThen != neighbours.empty().size();
+        if (changed) {
+            published = newest;
+            emptyThen = neighbours.empty().size();
+            corrected = emptyThen == 0 ? newest : newest.withoutHolders(neighbours.empty());
+        }
+        return corrected;
+    }
+
     private boolean isNeeded(int piece) {
         return !stopped && taker.isMissing(piece);
     }
@@ -92,7 +109,7 @@
         if (!isNeeded(piece)) {
             return;
         }
-        PieceSource source = around.routing(version).sourceOf(piece, unfitFor(piece));
+        PieceSource source = routing().sourceOf(piece, unfitFor(piece));
         if (source instanceof Neighbour neighbour) {
             fetchFrom(neighbour, piece, waits);
         } else {
@@ -132,6 +149,7 @@
                 return;
             }
             if (failure != null) {
+                logFailure(piece, asked.box(), "no word: " + failure.getMessage());
                 neighbours.avoid(asked.box());
                 fetch(piece, waits + 1);
             } else if (there) {
@@ -145,9 +163,7 @@
     }
 
     private Optional<Neighbour> alternate(int piece, int turn) {
-        return around.routing(version)
-                .alternate(piece, turn)
-                .filter(neighbour -> !neighbours.isAvoided(neighbour.box()));
+        return routing().alternate(piece, turn).filter(neighbour -> !neighbours.isAvoided(neighbour.box()));
     }
 
     // ---- transfers
@@ -168,10 +184,11 @@
     private List<Turn> nextTransfers() {
         int atOnce = transfersAtOnce();
         List<Turn> next = new ArrayList<>();
+        Set<PieceSource> avoided = neighbours.unfit();
         Iterator<Turn> turns = ready.iterator();
         while (turns.hasNext() && neighbours.transfersInAll() < atOnce) {
             Turn turn = turns.next();
-            Set<PieceSource> unfit = unfitFor(turn.piece());
+            Set<PieceSource> unfit = failed.containsKey(turn.piece()) ? unfitFor(turn.piece()) : avoided;
             Neighbour from = turn.from().holds() ? leastLoadedHolder(turn, unfit) : turn.from();
             if (!isNeeded(turn.piece())) {
                 turns.remove();
@@ -197,7 +214,7 @@
 
     /** Any box of the hall that holds the version may give the piece; those that are fast are asked more often. */
     private Neighbour leastLoadedHolder(Turn turn, Set<PieceSource> unfit) {
-        return around.routing(version).holdersNearby(turn.piece()).stream()
+        return routing().holdersNearby(turn.piece()).stream()
                 .filter(holder -> !unfit.contains(holder))
                 .min(Comparator.comparingInt(holder -> neighbours.transfersFrom(holder.box())))
                 .orElse(turn.from());
@@ -209,9 +226,11 @@
         around.askNeighbour(box, question).whenComplete((bytes, failure) -> {
             neighbours.transferEnded(box);
             if (failure != null) {
+                logFailure(turn.piece(), box, "no transfer: " + failure.getMessage());
                 neighbours.avoid(box);
                 fetch(turn.piece(), 0);
             } else if (bytes == null && turn.from().holds()) {
+                logFailure(turn.piece(), box, "holds nothing");
                 neighbours.holdsNothing(box);
                 fetch(turn.piece(), 0);
             } else if (isNeeded(turn.piece()) && !takes(turn.piece(), bytes, FROM_NEIGHBOUR)) {
@@ -221,9 +240,21 @@
         });
     }
 
+    private void logFailure(int piece, String from, String reason) {
+        around.log()
+                .line(DecisionKind.WEIGHTS)
+                .with(DecisionField.EVENT, "piece failed")
+                .with(DecisionField.VERSION, version)
+                .with(DecisionField.PIECE, piece)
+                .with(DecisionField.FROM, from)
+                .with(DecisionField.REASON, reason)
+                .write();
+    }
+
     private boolean takes(int piece, byte[] bytes, String source) {
         boolean good = bytes != null && taker.take(piece, bytes, source);
         if (!good) {
+            logFailure(piece, source, bytes == null ? "no piece" : "spoilt");
             around.metrics().pieceRejected(source);
         }
         return good;
@@ -243,7 +274,7 @@
     private void callOrigin(int piece) {
         originCalls++;
         around.callOrigin(
-                        piece == MANIFEST
+                        piece == PieceRouting.MANIFEST
                                 ? around.dialect().manifest(model, version)
                                 : around.dialect().piece(model, version, piece))
                 .map(HttpCalls.Answer::body)
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -18,6 +18,7 @@
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.service.WeightsLayout;
+import org.bankturn.weights.PieceRouting;
 
 /**
  * One version of a model's weights on its way to this box.
@@ -28,7 +29,7 @@
  */
 final class WeightsCopy implements PieceTaker {
     /** The number under which the manifest travels between neighbours. */
-    static final int MANIFEST = PieceFetcher.MANIFEST;
+    static final int MANIFEST = PieceRouting.MANIFEST;
 
     private static final long RETRY_MILLIS = 150;
     private static final long PROGRESS_MILLIS = 1_000;
