Agreement: seeded schedules of faults with storage and the published state

Ruled out: real processes (the soak is for those); MemberGroup of the older tests, which keeps no torn files and no reads.

--- /dev/null
+++ b/core/src/test/java/org/bankturn/agreement/SeededFault.java
@@ -0,0 +1,15 @@
+package org.bankturn.agreement;
+
+/** A guard of the design that a schedule leaves out, to show that its checks would find it missing. */
+enum SeededFault {
+    /** The design as it is. */
+    NONE,
+    /** A box whose disk was lost comes back as the member that it was. */
+    SAME_LIFE_AFTER_LOST_DISK,
+    /** A box whose disk was lost forms the group again from the seeds. */
+    FORMS_AGAIN_AFTER_LOST_DISK,
+    /** Messages leave before what they tell is synced. */
+    SENDS_BEFORE_SYNC,
+    /** A leader answers a read from what it has applied, without an entry that confirms it. */
+    READS_WITHOUT_CONFIRMATION
+}
--- a/core/src/test/java/org/bankturn/storage/CrashingDevice.java
+++ b/core/src/test/java/org/bankturn/storage/CrashingDevice.java
@@ -7,20 +7,26 @@
 import java.util.Optional;
 
 /** Files in memory that forget what was not synced, and that stop at a chosen operation. */
-final class CrashingDevice implements StorageDevice {
+public final class CrashingDevice implements StorageDevice {
     private final Map<String, byte[]> synced = new HashMap<>();
     private final Map<String, byte[]> written = new HashMap<>();
-    private final int tornBytes;
+    private int tornBytes;
     private int operationsLeft;
 
     /** Stops at the operation after {@code operations} more; of unsynced bytes {@code tornBytes} survive. */
-    CrashingDevice(int operations, int tornBytes) {
+    public CrashingDevice(int operations, int tornBytes) {
         this.operationsLeft = operations;
         this.tornBytes = tornBytes;
     }
 
+    /** Stops at the operation after {@code operations} more; of unsynced bytes {@code torn} survive. */
+    public void stopAfter(int operations, int torn) {
+        operationsLeft = operations;
+        tornBytes = torn;
+    }
+
     /** Returns what a restart finds. */
-    CrashingDevice afterCrash() {
+    public CrashingDevice afterCrash() {
         CrashingDevice found = new CrashingDevice(Integer.MAX_VALUE, 0);
         written.forEach((name, bytes) -> {
             byte[] lasting = synced.getOrDefault(name, new byte[0]);
