Specs: forming from seeds, dropped members, acknowledged targets, each with a seeded fault

Cause: the protocol had grown by these three and the specifications had not followed. Ruled out: all in one module (the state space of Agreement is at its bounds already). Change: Formation.tla (one group only, whatever seeds are named later), Registry.tla (who was told that a target drains or left never sees it ready again), DropSilent in Agreement.tla; seeded faults: the right to form stays, older heartbeats or departures are taken in, two members dropped at once.

--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -20,7 +20,18 @@
     Path scratch;
 
     @ParameterizedTest
-    @ValueSource(strings = {"Agreement", "Agreement.rejoin", "Agreement.loss", "Lease", "Lease.unchecking", "Ledger"})
+    @ValueSource(
+            strings = {
+                "Agreement",
+                "Agreement.rejoin",
+                "Agreement.loss",
+                "Agreement.drop",
+                "Formation",
+                "Registry",
+                "Lease",
+                "Lease.unchecking",
+                "Ledger"
+            })
     void the_design_keeps_its_invariants(String configuration) throws Exception {
         assertThat(check(configuration)).contains("No error has been found");
     }
@@ -29,6 +40,10 @@
     @ValueSource(
             strings = {
                 "Agreement.fault",
+                "Agreement.fault-drop",
+                "Formation.fault",
+                "Registry.fault-sequence",
+                "Registry.fault-departure",
                 "Lease.fault-no-port-guard",
                 "Lease.fault-no-start-wait",
                 "Lease.fault-no-settle",
--- a/specs/Agreement.tla
+++ b/specs/Agreement.tla
@@ -16,7 +16,9 @@
           MaxTerm,        \* terms explored
           MaxLog,         \* log length explored
           MaxLosses,      \* disks lost
-          NewLifeGuard    \* TRUE: a lost disk means a new member (the design); FALSE: seeded fault
+          NewLifeGuard,   \* TRUE: a lost disk means a new member (the design); FALSE: seeded fault
+          LeastMembers,   \* silent members are dropped from groups larger than this
+          DropAtOnce      \* members dropped in one step: 1 (the design); 2: seeded fault
 
 Lives == 1 .. 2
 Member == Boxes \X Lives
@@ -129,6 +131,15 @@
         IN /\ m \in Alive /\ role[m] = "leader" /\ j \notin Members(m) /\ caughtUp /\ settled /\ established
            /\ AppendAsLeader(m, IF former # {} THEN Members(m) \ former ELSE Members(m) \cup {j})
 
+\* A leader drops members that it does not hear; anyone but itself may be silent.
+DropSilent(m) ==
+    \E gone \in SUBSET (Members(m) \ {m}) :
+        LET settled == Config(log[m], commit[m]) = Members(m)
+            established == commit[m] > 0 /\ log[m][commit[m]].term = term[m]
+        IN /\ m \in Alive /\ role[m] = "leader" /\ settled /\ established
+           /\ Cardinality(gone) = DropAtOnce /\ Cardinality(Members(m)) > LeastMembers
+           /\ AppendAsLeader(m, Members(m) \ gone)
+
 Restart(m) ==
     /\ m \in Alive /\ role[m] = "leader"
     /\ role' = [role EXCEPT ![m] = "follower"]
@@ -153,7 +164,7 @@
 Next ==
     \/ \E m \in Alive :
         \/ StartElection(m) \/ BecomeLeader(m) \/ Propose(m) \/ Replicate(m)
-        \/ AdvanceCommit(m) \/ AdmitJoiner(m) \/ Restart(m)
+        \/ AdvanceCommit(m) \/ AdmitJoiner(m) \/ DropSilent(m) \/ Restart(m)
         \/ \E r \in requests : OnVoteRequest(m, r)
         \/ \E a \in appends : OnAppendRequest(m, a)
     \/ \E b \in Boxes : LoseDisk(b)
