--- a/core/src/test/java/org/bankturn/agreement/GroupSchedule.java
+++ b/core/src/test/java/org/bankturn/agreement/GroupSchedule.java
@@ -443,7 +443,7 @@
         Agreement leader = leader().orElseThrow(() -> new AssertionError("no leader at the end"));
         put(boxes.get(leader.self().box()));
         settle();
-        check(newestAcknowledged == newestSent, "a change is not acknowledged at the end");
+        check(newestAcknowledged == newestSent, "a change is not acknowledged at the end: " + describe());
         for (Box box : boxes.values()) {
             check(leader.members().contains(box.agreement.self()), box.name + " is outside at the end");
             long shown = box.state.documentVersion();
@@ -451,6 +451,14 @@
         }
     }
 
+    private String describe() {
+        return boxes.values().stream()
+                .map(box -> box.agreement + " of "
+                        + box.agreement.members().stream().map(Member::box).toList())
+                .toList()
+                .toString();
+    }
+
     private static void check(boolean holds, String otherwise) {
         if (!holds) {
             throw new AssertionError(otherwise);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -111,8 +111,9 @@
     void abandon() {
         abandoned = true;
         fetcher.stop();
-        waiters.forEach(waiter -> waiter.here().trySet(false));
+        List<Waiter> told = List.copyOf(waiters);
         waiters.clear();
+        told.forEach(waiter -> waiter.here().trySet(false));
     }
 
     private void logProgressLater() {
@@ -225,7 +226,10 @@
     }
 
     private void tellWaiters(int piece) {
-        waiters.removeIf(waiter -> waiter.piece() == piece && waiter.here().trySet(true));
+        List<Waiter> told =
+                waiters.stream().filter(waiter -> waiter.piece() == piece).toList();
+        waiters.removeAll(told);
+        told.forEach(waiter -> waiter.here().trySet(true));
     }
 
     private boolean matches(int piece, byte[] bytes) {
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
@@ -0,0 +1,137 @@
+package org.bankturn.daemon.weights;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bankturn.daemon.http.HttpCalls;
+import org.bankturn.daemon.http.HttpHead;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.service.WeightsLayout;
+import org.bankturn.time.Clock;
+import org.bankturn.weights.PieceHolder;
+import org.bankturn.weights.PieceRouting;
+
+/** A box with an engine in memory and a copy on its way; its neighbours are boxes of the same test. */
+final class ScriptedBox implements WeightsSurroundings {
+    private static final int FETCHERS = 100;
+
+    final PieceHolder self;
+    final Map<Integer, byte[]> staged = new HashMap<>();
+    final List<String> orders = new ArrayList<>();
+    final Set<Integer> rotsOnce = new HashSet<>();
+    final Set<Integer> rotsAlways = new HashSet<>();
+    boolean frozen;
+    WeightsCopy copy;
+    private final Eventloop reactor;
+    private final ScriptedOrigin origin;
+    private final Map<String, ScriptedBox> boxes;
+    private final Clock clock = Clock.system();
+    private final DecisionLog log = DecisionLog.startTo(OutputStream.nullOutputStream(), "box", clock);
+    private final ServingMetrics metrics = ServingMetrics.of(log);
+
+    ScriptedBox(Eventloop reactor, ScriptedOrigin origin, Map<String, ScriptedBox> boxes, PieceHolder self) {
+        this.reactor = reactor;
+        this.origin = origin;
+        this.boxes = boxes;
+        this.self = self;
+        boxes.put(self.box(), this);
+    }
+
+    void begin(int pieces) {
+        copy = new WeightsCopy(
+                this, new WeightsLayout(PlainWeightsDialect.MODEL, 1, pieces, 100), PlainWeightsDialect.VERSION);
+        copy.begin();
+    }
+
+    @Override
+    public Eventloop reactor() {
+        return reactor;
+    }
+
+    @Override
+    public Clock clock() {
+        return clock;
+    }
+
+    @Override
+    public DecisionLog log() {
+        return log;
+    }
+
+    @Override
+    public ServingMetrics metrics() {
+        return metrics;
+    }
+
+    @Override
+    public WeightsDialect dialect() {
+        return new PlainWeightsDialect();
+    }
+
+    @Override
+    public boolean engineServes() {
+        return self.heldVersion() > 0;
+    }
+
+    @Override
+    public PieceRouting routing(int version) {
+        List<PieceHolder> all = boxes.values().stream().map(box -> box.self).toList();
+        return PieceRouting.of(self, all, version, FETCHERS);
+    }
+
+    @Override
+    public int originCallsAtOnce() {
+        return 1;
+    }
+
+    @Override
+    public Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body) {
+        byte[] answer = new byte[0];
+        if (head.second().startsWith("put/")) {
+            put(ScriptedOrigin.numberOf(head), body);
+        } else if (head.second().startsWith("get/")) {
+            answer = staged.get(ScriptedOrigin.numberOf(head));
+        } else {
+            orders.add(new String(body, StandardCharsets.UTF_8));
+        }
+        return Promise.of(new HttpCalls.Answer(HttpHead.answer(200, List.of()), answer));
+    }
+
+    private void put(int piece, byte[] body) {
+        boolean rots = rotsAlways.contains(piece) || rotsOnce.remove(piece);
+        staged.put(piece, rots ? new byte[] {7} : body);
+    }
+
+    @Override
+    public Promise<HttpCalls.Answer> callOrigin(HttpHead head) {
+        return origin.answer(head);
+    }
+
+    @Override
+    public Promise<byte[]> askNeighbour(String box, NodeRequest.GetPiece request) {
+        ScriptedBox asked = boxes.get(box);
+        if (asked.frozen) {
+            return Promise.ofException(new IOException("frozen"));
+        }
+        return Promise.of(asked.copy == null ? null : asked.copy.piece(request.piece()));
+    }
+
+    @Override
+    public Promise<Boolean> awaitNeighbour(String box, NodeRequest.AwaitPiece request) {
+        ScriptedBox asked = boxes.get(box);
+        if (asked.frozen) {
+            return Promise.ofException(new IOException("frozen"));
+        }
+        return asked.copy == null ? Promise.of(false) : asked.copy.whenHere(request.piece(), request.waitMillis());
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedOrigin.java
@@ -0,0 +1,71 @@
+package org.bankturn.daemon.weights;
+
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import org.bankturn.daemon.http.HttpCalls;
+import org.bankturn.daemon.http.HttpHead;
+
+/** An origin of weights in memory, which sends pieces spoilt or not at all as a test says. */
+final class ScriptedOrigin {
+    final List<String> asked = new ArrayList<>();
+    final Map<Integer, Integer> spoiltSends = new HashMap<>();
+    boolean down;
+    private final byte[][] pieces;
+
+    ScriptedOrigin(int count) {
+        pieces = new byte[count][];
+        for (int piece = 0; piece < count; piece++) {
+            pieces[piece] = ("piece " + piece).getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    byte[] piece(int piece) {
+        return pieces[piece];
+    }
+
+    long sends(int piece) {
+        return asked.stream().filter(("piece/" + piece)::equals).count();
+    }
+
+    Promise<HttpCalls.Answer> answer(HttpHead head) {
+        if (down) {
+            return Promise.ofException(new IOException("origin is down"));
+        }
+        asked.add(head.second());
+        byte[] body = head.second().equals("manifest") ? manifest() : pieceOrSpoilt(numberOf(head));
+        return Promise.of(new HttpCalls.Answer(HttpHead.answer(200, List.of()), body));
+    }
+
+    static int numberOf(HttpHead head) {
+        return Integer.parseInt(head.second().substring(head.second().indexOf('/') + 1));
+    }
+
+    private byte[] pieceOrSpoilt(int piece) {
+        boolean spoilt = spoiltSends.merge(piece, -1, Integer::sum) >= 0;
+        return spoilt ? new byte[] {0} : pieces[piece];
+    }
+
+    private byte[] manifest() {
+        StringBuilder digests = new StringBuilder();
+        for (byte[] piece : pieces) {
+            digests.append(digest(piece)).append('\n');
+        }
+        return digests.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String digest(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
