--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -501,7 +501,11 @@
         }
         followLeader(request.from());
         Snapshot snapshot = request.snapshot();
-        if (snapshot.index() > commitIndex) {
+        boolean held = log.holds(snapshot.index()) && log.termAt(snapshot.index()) == snapshot.term();
+        if (held) {
+            // this log leads there and may lead further: what follows may have been acknowledged
+            commitIndex = Math.max(commitIndex, snapshot.index());
+        } else if (snapshot.index() > commitIndex) {
             log.replaceBy(snapshot);
             outbox.install(snapshot);
             commitIndex = snapshot.index();
--- a/core/src/test/java/org/bankturn/agreement/AgreementTest.java
+++ b/core/src/test/java/org/bankturn/agreement/AgreementTest.java
@@ -4,9 +4,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.stream.LongStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.time.ManualClock;
 import org.junit.jupiter.api.Test;
 
 class AgreementTest {
@@ -99,4 +102,27 @@
         assertThat(group.leader().self()).isNotEqualTo(old.self());
         assertThat(group.leader().term()).isEqualTo(term + 1);
     }
+
+    /** Seed 4964 of the schedules: an entry that was acknowledged was lost to a snapshot that came late. */
+    @Test
+    void a_late_snapshot_does_not_cut_off_entries_that_follow_it() {
+        Member self = new Member("a", 1, "a");
+        Member leader = new Member("b", 1, "b");
+        List<Member> members = List.of(self, leader, new Member("c", 1, "c"));
+        List<LogEntry> entries = LongStream.rangeClosed(1, 5)
+                .mapToObj(index -> new LogEntry(index, 1, new byte[] {1}, null))
+                .toList();
+        StoredAgreement stored = new StoredAgreement(new Vote(1, leader), Snapshot.initial(members), entries);
+        Agreement follower = Agreement.recover(
+                self,
+                stored,
+                MemberGroup.SETTINGS,
+                ManualClock.startingAt(0),
+                RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+                asking -> true);
+        follower.receive(new AgreementMessage.SnapshotRequest(leader, 1, new Snapshot(3, 1, members, new byte[0])));
+        assertThat(follower.lastIndex()).isEqualTo(5);
+        assertThat(follower.commitIndex()).isEqualTo(3);
+        assertThat(follower.ready().installed()).isNull();
+    }
 }
