Agreement: a late rejection never moves a leader on, and an unknown term agrees with nothing

Cause: a rejection of an old message told the leader a follower's last index, beyond the leader's own log; it moved on to there and asked whether the follower agrees on a term that neither side knows. The follower said yes, the leader counted it as holding entries that it lacked, and could have accepted changes on that ground. Change: Replication.backTo only goes back; AgreementLog.agreesAt asks that the entry is known.

--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -471,7 +471,7 @@
         }
         followLeader(request.from());
         long previous = request.previousIndex();
-        boolean agrees = previous <= commitIndex || log.termAt(previous) == request.previousTerm();
+        boolean agrees = previous <= commitIndex || log.agreesAt(previous, request.previousTerm());
         if (!agrees) {
             long hint = Math.min(log.lastIndex(), previous - 1);
             send(request.from(), new AppendReply(self, term, false, Math.max(hint, commitIndex)));
@@ -501,8 +501,7 @@
         }
         followLeader(request.from());
         Snapshot snapshot = request.snapshot();
-        boolean held = log.holds(snapshot.index()) && log.termAt(snapshot.index()) == snapshot.term();
-        if (held) {
+        if (log.agreesAt(snapshot.index(), snapshot.term())) {
             // this log leads there and may lead further: what follows may have been acknowledged
             commitIndex = Math.max(commitIndex, snapshot.index());
         } else if (snapshot.index() > commitIndex) {
--- a/core/src/main/java/org/bankturn/agreement/AgreementLog.java
+++ b/core/src/main/java/org/bankturn/agreement/AgreementLog.java
@@ -37,6 +37,11 @@
         return entries.get((int) (index - snapshot.index() - 1));
     }
 
+    /** Returns true if this log knows the entry at an index, and it is of that term. */
+    boolean agreesAt(long index, long term) {
+        return (index == snapshot.index() || holds(index)) && termAt(index) == term;
+    }
+
     /** Returns the term at an index, or -1 if the index is beyond the log or under the snapshot. */
     long termAt(long index) {
         if (index == snapshot.index()) {
--- a/core/src/main/java/org/bankturn/agreement/Replication.java
+++ b/core/src/main/java/org/bankturn/agreement/Replication.java
@@ -49,7 +49,8 @@
         nextIndex = Math.max(nextIndex, matchIndex + 1);
     }
 
+    /** Goes back after a rejection; one that comes late never moves on. */
     void backTo(long index) {
-        nextIndex = Math.max(matchIndex + 1, index);
+        nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex, index));
     }
 }
--- a/core/src/test/java/org/bankturn/agreement/AgreementTest.java
+++ b/core/src/test/java/org/bankturn/agreement/AgreementTest.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.api.Test;
 
 class AgreementTest {
+    private static final Member LEADER = new Member("b", 1, "b");
+    private static final List<Member> MEMBERS = List.of(new Member("a", 1, "a"), LEADER, new Member("c", 1, "c"));
+
     @Property(tries = 150, seed = "20261202")
     void no_schedule_of_faults_reverts_an_accepted_entry(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
         MemberGroup group = new MemberGroup(seed, "a", "b", "c");
@@ -106,23 +109,45 @@
     /** Seed 4964 of the schedules: an entry that was acknowledged was lost to a snapshot that came late. */
     @Test
     void a_late_snapshot_does_not_cut_off_entries_that_follow_it() {
-        Member self = new Member("a", 1, "a");
-        Member leader = new Member("b", 1, "b");
-        List<Member> members = List.of(self, leader, new Member("c", 1, "c"));
-        List<LogEntry> entries = LongStream.rangeClosed(1, 5)
+        Agreement follower = followerWithEntries(5);
+        follower.receive(new AgreementMessage.SnapshotRequest(LEADER, 1, new Snapshot(3, 1, MEMBERS, new byte[0])));
+        assertThat(follower.lastIndex()).isEqualTo(5);
+        assertThat(follower.commitIndex()).isEqualTo(3);
+        assertThat(follower.ready().installed()).isNull();
+    }
+
+    /** Seed 56808: both sides knew no term there, which looked as if they agreed on it. */
+    @Test
+    void an_append_that_follows_what_neither_side_holds_is_not_accepted() {
+        Agreement follower = followerWithEntries(5);
+        follower.receive(new AgreementMessage.AppendRequest(LEADER, 1, 22, -1, List.of(), 0));
+        assertThat(follower.ready().messages())
+                .extracting(Ready.Outbound::message)
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        AgreementMessage.AppendReply.class,
+                        reply -> assertThat(reply.accepted()).isFalse());
+    }
+
+    @Test
+    void a_rejection_that_comes_late_does_not_move_a_leader_forward() {
+        Replication replication = new Replication(5, 0);
+        replication.backTo(23);
+        assertThat(replication.nextIndex()).isEqualTo(5);
+        replication.backTo(2);
+        assertThat(replication.nextIndex()).isEqualTo(2);
+    }
+
+    private static Agreement followerWithEntries(int count) {
+        List<LogEntry> entries = LongStream.rangeClosed(1, count)
                 .mapToObj(index -> new LogEntry(index, 1, new byte[] {1}, null))
                 .toList();
-        StoredAgreement stored = new StoredAgreement(new Vote(1, leader), Snapshot.initial(members), entries);
-        Agreement follower = Agreement.recover(
-                self,
-                stored,
+        return Agreement.recover(
+                MEMBERS.get(0),
+                new StoredAgreement(new Vote(1, LEADER), Snapshot.initial(MEMBERS), entries),
                 MemberGroup.SETTINGS,
                 ManualClock.startingAt(0),
                 RandomSource.XO_RO_SHI_RO_128_PP.create(1),
                 asking -> true);
-        follower.receive(new AgreementMessage.SnapshotRequest(leader, 1, new Snapshot(3, 1, members, new byte[0])));
-        assertThat(follower.lastIndex()).isEqualTo(5);
-        assertThat(follower.commitIndex()).isEqualTo(3);
-        assertThat(follower.ready().installed()).isNull();
     }
 }
--- a/core/src/test/java/org/bankturn/agreement/GroupSchedule.java
+++ b/core/src/test/java/org/bankturn/agreement/GroupSchedule.java
@@ -447,7 +447,9 @@
         for (Box box : boxes.values()) {
             check(leader.members().contains(box.agreement.self()), box.name + " is outside at the end");
             long shown = box.state.documentVersion();
-            check(shown == newestAcknowledged, box.name + " shows " + shown + ", not " + newestAcknowledged);
+            check(
+                    shown == newestAcknowledged,
+                    box.name + " shows " + shown + ", not " + newestAcknowledged + ": " + describe());
         }
     }
 
--- a/core/src/test/java/org/bankturn/agreement/GroupScheduleTest.java
+++ b/core/src/test/java/org/bankturn/agreement/GroupScheduleTest.java
@@ -26,9 +26,12 @@
         }
     }
 
-    /** 4964: a late snapshot cut off acknowledged entries. 16462: a member was dropped while another was dying. */
+    /**
+     * 4964: a late snapshot cut off acknowledged entries. 16462: a member was dropped while another was dying.
+     * 56808: a late rejection moved a leader beyond its own log.
+     */
     @ParameterizedTest
-    @ValueSource(longs = {4_964, 16_462})
+    @ValueSource(longs = {4_964, 16_462, 56_808})
     void seeds_that_once_failed_stay_good(long seed) {
         assertThat(play(seed, SeededFault.NONE)).isNull();
     }
