Weights: entry boxes relay pieces, so that copies do not depend on the narrow links of engines

Cause: a copy took 4.3 to 10 s against 3.2 s that a box's link needs. Ruled out: more connections to the origin (it sent its whole copy within 2 s), the copies' own checks (50 ms).

Change: entry processes keep pieces in memory and hand them on. They announce themselves to the control group as targets do, deal the pieces out by the plan that boxes used among themselves, and fetch what a box asks for. Boxes ask the relays of their hall first and follow the former plan without them. A neighbour that does not have a piece is asked every fourth time only.

--- a/core/src/main/java/org/bankturn/weights/PieceRouting.java
+++ b/core/src/main/java/org/bankturn/weights/PieceRouting.java
@@ -18,6 +18,9 @@
  * the origin sends one copy, each hall takes one in, and every box hands on about as much as it takes. Boxes that hold the
  * version already are asked first, and a source that failed is passed over by the attempt number.
  *
+ * <p>Where there are relays, processes on wider links that keep pieces in memory, they deal the pieces out among
+ * themselves by a plan of the same kind, and a box asks the relays of its own hall before anything else.
+ *
  * <p>PieceRouting is immutable and thread-safe.
  */
 public final class PieceRouting {
@@ -26,6 +29,7 @@
 
     private final PieceHolder self;
     private final List<PieceHolder> boxes;
+    private final List<PieceHolder> possibleHolders;
     private final int version;
     private final int mostFetchers;
     private final List<String> halls;
@@ -33,6 +37,9 @@
     private final List<PieceHolder> holders;
     private final List<PieceHolder> holdersNearby;
 
+    /** The plan that relays follow, as this box sees it; null if there are none. */
+    private final PieceRouting relayPlan;
+
     /**
      * Returns the plan of one box, not null.
      *
@@ -45,19 +52,29 @@
         if (mostFetchers < 1) {
             throw new IllegalArgumentException("fetchers must be 1 or more, not " + mostFetchers);
         }
-        return new PieceRouting(self, boxes, version, mostFetchers);
+        return new PieceRouting(self, boxes, version, mostFetchers, boxes, null);
     }
 
-    private PieceRouting(PieceHolder self, List<PieceHolder> boxes, int version, int mostFetchers) {
+    private PieceRouting(
+            PieceHolder self,
+            List<PieceHolder> boxes,
+            int version,
+            int mostFetchers,
+            List<PieceHolder> possibleHolders,
+            PieceRouting relayPlan) {
         this.self = self;
+        this.possibleHolders = List.copyOf(possibleHolders);
+        this.relayPlan = relayPlan;
         this.mostFetchers = mostFetchers;
         this.version = version;
         this.boxes =
                 boxes.stream().sorted(Comparator.comparing(PieceHolder::box)).toList();
         this.boxesOfHall = this.boxes.stream().collect(Collectors.groupingBy(PieceHolder::dataHall));
         this.halls = boxesOfHall.keySet().stream().sorted().toList();
-        this.holders =
-                this.boxes.stream().filter(box -> isOther(box) && holds(box)).toList();
+        this.holders = this.possibleHolders.stream()
+                .sorted(Comparator.comparing(PieceHolder::box))
+                .filter(box -> isOther(box) && holds(box))
+                .toList();
         this.holdersNearby = holders.stream().filter(this::inOwnHall).toList();
     }
 
@@ -67,10 +84,38 @@
      * @param empty the names of these boxes, not null
      */
     public PieceRouting withoutHolders(Set<String> empty) {
-        List<PieceHolder> corrected = boxes.stream()
+        return new PieceRouting(
+                self, emptied(boxes, empty), version, mostFetchers, emptied(possibleHolders, empty), relayPlan);
+    }
+
+    private static List<PieceHolder> emptied(List<PieceHolder> some, Set<String> empty) {
+        return some.stream()
                 .map(box -> empty.contains(box.box()) ? new PieceHolder(box.box(), box.dataHall(), 0) : box)
                 .toList();
-        return new PieceRouting(self, corrected, version, mostFetchers);
+    }
+
+    /**
+     * Returns this plan for a box that may ask relays.
+     *
+     * @param relays all relays, not null; none of them is a box of this plan
+     */
+    public PieceRouting withRelays(List<PieceHolder> relays) {
+        PieceRouting plan = relays.isEmpty() ? null : PieceRouting.of(self, relays, version, mostFetchers);
+        return new PieceRouting(self, boxes, version, mostFetchers, possibleHolders, plan);
+    }
+
+    /**
+     * Returns this plan as it is when boxes outside it may hold the version as well.
+     *
+     * @param others these boxes, not null
+     */
+    public PieceRouting withHoldersAmong(List<PieceHolder> others) {
+        return new PieceRouting(self, boxes, version, mostFetchers, others, relayPlan);
+    }
+
+    /** Returns true if this box is the one that fetches a piece into its data hall. */
+    public boolean fetchesIntoHall(int piece) {
+        return hallFetcher(piece, self.dataHall(), 0).filter(this::isSelf).isPresent();
     }
 
     /**
@@ -92,12 +137,13 @@
     /**
      * Returns the sources of a piece, best first; the origin is the last resort.
      *
-     * <p>Boxes that hold the version come first. Then come the box that fetches the piece into the hall, the one that
+     * <p>Relays of the own hall come first, then boxes that hold the version. Then come the box that fetches the piece into the hall, the one that
      * fetches it from the origin, and a deputy of each for the case that it does not answer. A box waits only for boxes
      * that come before it in that order, so no two ever wait for each other.
      */
     public List<PieceSource> sourcesOf(int piece) {
         List<PieceSource> sources = new ArrayList<>();
+        relaysFor(piece).forEach(relay -> add(sources, relay));
         if (piece != MANIFEST) {
             holdersNearby(piece).forEach(sources::add);
             dealt(piece, holders).ifPresent(box -> add(sources, box));
@@ -111,6 +157,17 @@
         return sources;
     }
 
+    /** Returns the relay that fetches a piece into this box's hall, and its deputy. */
+    private List<PieceHolder> relaysFor(int piece) {
+        if (relayPlan == null) {
+            return List.of();
+        }
+        return Stream.of(0, 1)
+                .flatMap(deputy -> relayPlan.hallFetcher(piece, self.dataHall(), deputy).stream())
+                .distinct()
+                .toList();
+    }
+
     /** Returns the other boxes of the hall that hold the version, in an order that differs by piece, not null. */
     public List<PieceSource.Neighbour> holdersNearby(int piece) {
         return rotated(piece, holdersNearby).stream().map(this::neighbour).toList();
--- a/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
+++ b/core/src/test/java/org/bankturn/weights/PieceRoutingTest.java
@@ -169,6 +169,76 @@
         }
     }
 
+    @Test
+    void a_box_asks_the_relays_of_its_own_hall_before_anything_else() {
+        List<PieceHolder> boxes = boxes(4, VERSION);
+        List<PieceHolder> relays = relays(2);
+        Set<String> first = new HashSet<>();
+        for (int piece = 0; piece < PIECES; piece++) {
+            List<PieceSource> sources = PieceRouting.of(boxes.get(0), boxes, VERSION, FETCHERS)
+                    .withRelays(relays)
+                    .sourcesOf(piece);
+            first.add(((PieceSource.Neighbour) sources.get(0)).box());
+            assertThat(sources.get(1)).isInstanceOf(PieceSource.Neighbour.class);
+            assertThat(((PieceSource.Neighbour) sources.get(1)).box()).startsWith("relay-north");
+        }
+        assertThat(first).containsExactlyInAnyOrder("relay-north-0", "relay-north-1");
+    }
+
+    @Test
+    void among_relays_each_piece_leaves_the_origin_once_and_each_hall_has_one_that_fetches_it() {
+        List<PieceHolder> relays = relays(3);
+        for (int piece = 0; piece < PIECES; piece++) {
+            int fromOrigin = 0;
+            int fetchers = 0;
+            for (PieceHolder relay : relays) {
+                PieceRouting plan = PieceRouting.of(relay, relays, VERSION, FETCHERS);
+                boolean fetches = plan.fetchesIntoHall(piece);
+                fetchers += fetches ? 1 : 0;
+                fromOrigin += fetches && plan.sourceOf(piece, Set.of()) instanceof PieceSource.Origin ? 1 : 0;
+            }
+            assertThat(fetchers).isEqualTo(3);
+            assertThat(fromOrigin).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void boxes_and_relays_agree_on_who_fetches_a_piece_into_a_hall() {
+        List<PieceHolder> boxes = boxes(4, 1);
+        List<PieceHolder> relays = relays(3);
+        for (int piece = 0; piece < PIECES; piece++) {
+            for (PieceHolder box : boxes) {
+                PieceSource.Neighbour asked = (PieceSource.Neighbour) PieceRouting.of(box, boxes, VERSION, FETCHERS)
+                        .withRelays(relays)
+                        .sourceOf(piece, Set.of());
+                PieceHolder relay = relays.stream()
+                        .filter(each -> each.box().equals(asked.box()))
+                        .findFirst()
+                        .orElseThrow();
+                assertThat(PieceRouting.of(relay, relays, VERSION, FETCHERS).fetchesIntoHall(piece))
+                        .isTrue();
+            }
+        }
+    }
+
+    @Test
+    void a_relay_asks_a_box_of_its_hall_that_holds_the_version() {
+        List<PieceHolder> relays = relays(2);
+        List<PieceSource> sources = PieceRouting.of(relays.get(0), relays, VERSION, FETCHERS)
+                .withHoldersAmong(boxes(4, VERSION))
+                .sourcesOf(7);
+        assertThat(sources.get(0)).isInstanceOfSatisfying(PieceSource.Neighbour.class, neighbour -> {
+            assertThat(neighbour.box()).startsWith("north-");
+            assertThat(neighbour.holds()).isTrue();
+        });
+    }
+
+    private static List<PieceHolder> relays(int each) {
+        return boxes(each, -1).stream()
+                .map(box -> new PieceHolder("relay-" + box.box(), box.dataHall(), box.heldVersion()))
+                .toList();
+    }
+
     private static String originFetcher(List<PieceHolder> boxes, int piece) {
         return boxes.stream()
                 .filter(box -> PieceRouting.of(box, boxes, VERSION, FETCHERS).sourceOf(piece, Set.of())
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -357,6 +357,9 @@
         if (request instanceof NodeRequest.WatchPublication watch) {
             return watch(watch);
         }
+        if (request instanceof NodeRequest.Announce announced) {
+            return heartbeat(announced.sighting()).map(GroupNode::replyTo);
+        }
         if (request instanceof NodeRequest.NoteHeartbeats noted) {
             targetWatch.heardElsewhere(noted.targets());
             return Promise.of(new NodeReply.Received());
@@ -364,6 +367,12 @@
         return Promise.of(new NodeReply.Failed("not for a control process"));
     }
 
+    private static NodeReply replyTo(ControlAnswer answer) {
+        return answer instanceof ControlAnswer.Accepted
+                ? new NodeReply.Received()
+                : new NodeReply.Failed(answer.toString());
+    }
+
     private Promise<NodeReply> watch(NodeRequest.WatchPublication watch) {
         return ask(member.query(PublicationState::index))
                 .then(index -> index > watch.haveIndex()
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -113,6 +114,11 @@
         return freshMillis;
     }
 
+    /** Returns the control process that is asked now, empty if none is known. */
+    public Optional<Address> controlProcess() {
+        return Optional.ofNullable(current);
+    }
+
     private void ask() {
         if (stopped) {
             return;
--- a/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
@@ -19,7 +19,9 @@
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.weights.WeightsAgent;
+import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.daemon.weights.WeightsSettings;
+import org.bankturn.daemon.weights.WeightsWiring;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.time.Clock;
 
@@ -75,20 +77,18 @@
                 clock,
                 log,
                 metrics);
+        WeightsWiring weights = new WeightsWiring(reactor, clients, dialects.weights(), clock, log, metrics);
         WeightsAgent agent = WeightsAgent.of(
                 new WeightsSettings("rehearsal", HALL, node, control, "service", STOP_MILLIS, Integer.MAX_VALUE),
-                dialects.weights(),
-                reactor,
-                clients,
-                clock,
-                log,
-                metrics);
+                weights);
+        WeightsRelay relay = WeightsRelay.of(new WeightsRelay.RelaySettings(HALL, node, Integer.MAX_VALUE), weights);
         PublicationFollower follower = PublicationFollower.of(
                 new PublicationFollower.Wiring(
                         reactor, clients, () -> List.of(node), HALL, dialects.document(), clock, log, metrics),
                 published -> {
                     gateway.update(published);
                     agent.update(published);
+                    relay.update(published);
                 });
         HttpCalls caller = HttpCalls.on(reactor, clock);
         reactor.submit(() -> {
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.daemon.gateway.Gateway;
 import org.bankturn.daemon.gateway.GatewaySettings;
 import org.bankturn.daemon.group.GroupNode;
@@ -13,15 +14,19 @@
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.daemon.publication.Announcer;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.weights.WeightsAgent;
+import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.daemon.weights.WeightsSettings;
+import org.bankturn.daemon.weights.WeightsWiring;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.daemon.wire.NodeReply;
 import org.bankturn.daemon.wire.NodeRequest;
 import org.bankturn.daemon.wire.NodeServer;
 import org.bankturn.document.DocumentError;
+import org.bankturn.registry.TargetSighting;
 import org.bankturn.time.Clock;
 
 /** One process that meets an outside platform; its settings say which role it has. */
@@ -123,7 +128,61 @@
                 log,
                 metrics);
         gateway.start();
-        PublicationFollower.of(followerWiring(clients), gateway::update).start();
+        startRelay(clients, gateway);
+    }
+
+    /** An entry box has a wide link, and so hands weights on as well. */
+    private void startRelay(NodeClients clients, Gateway served) throws IOException {
+        WeightsRelay relay = WeightsRelay.of(
+                new WeightsRelay.RelaySettings(
+                        settings.dataHall(), settings.nodeAddress(), settings.linkBytesPerSecond()),
+                weightsWiring(clients));
+        NodeServer.create(reactor, settings.nodeAddress(), request -> answer(relay, request))
+                .listen();
+        PublicationFollower follower = PublicationFollower.of(followerWiring(clients), published -> {
+            served.update(published);
+            relay.update(published);
+        });
+        follower.start();
+        String incarnation = "relay-" + Long.toHexString(randomNumber());
+        Announcer.of(
+                        reactor,
+                        clients,
+                        follower,
+                        sequence -> relaySighting(incarnation, sequence),
+                        settings.bounds().heartbeatMillis(),
+                        log)
+                .start();
+    }
+
+    private static long randomNumber() {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create().nextLong();
+    }
+
+    private TargetSighting relaySighting(String incarnation, long sequence) {
+        return new TargetSighting(
+                incarnation,
+                WeightsRelay.SERVICE,
+                settings.nodeAddress().toString(),
+                settings.dataHall(),
+                0,
+                false,
+                WeightsRelay.NO_ENGINE,
+                sequence);
+    }
+
+    private WeightsWiring weightsWiring(NodeClients clients) {
+        return new WeightsWiring(reactor, clients, dialects.weights(), clock, log, metrics);
+    }
+
+    private static Promise<NodeReply> answer(WeightsRelay relay, NodeRequest request) {
+        if (request instanceof NodeRequest.GetPiece asked) {
+            return relay.givePiece(asked);
+        }
+        if (request instanceof NodeRequest.AwaitPiece asked) {
+            return relay.awaitPiece(asked);
+        }
+        return Promise.of(new NodeReply.Failed("not for an entry process"));
     }
 
     private void startGroup() throws IOException {
@@ -158,12 +217,7 @@
                         settings.service(),
                         settings.bounds().weightsMillis(),
                         settings.linkBytesPerSecond()),
-                dialects.weights(),
-                reactor,
-                clients,
-                clock,
-                log,
-                metrics);
+                weightsWiring(clients));
         NodeServer server = NodeServer.create(reactor, settings.nodeAddress(), request -> answer(agent, request));
         server.listen();
         PublicationFollower.of(followerWiring(clients), agent::update).start();
--- a/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
@@ -22,7 +22,7 @@
 /**
  * Fetches the pieces of one version from neighbours and from the origin, each from the source whose turn it is.
  *
- * <p>Neighbours that do not hold the version yet say when they have a piece; every other time another box of the hall is
+ * <p>Neighbours that do not hold the version yet say when they have a piece; now and then another box of the hall is
  * asked, so that a slow box holds nobody up for long. A few pieces at a time are then transferred, at most two from one
  * box. Few pieces at a time are asked of the origin, so that its few connections suffice for all boxes. PieceFetcher is confined to its reactor's thread.
  */
@@ -32,7 +32,13 @@
 
     private static final long RETRY_MILLIS = 150;
     private static final long NEIGHBOUR_WAIT_MILLIS = 500;
-    private static final int PATIENCE = 24;
+
+    /** Waits for one neighbour before the next source is tried: 4 s, more than a copy takes with nothing in its way. */
+    private static final int PATIENCE = 8;
+
+    /** Every so many waits another box of the hall is asked, which may have the piece by then. */
+    private static final int WAITS_PER_ALTERNATE = 4;
+
     private static final int TRANSFERS_BESIDE_REQUESTS = 5;
     private static final int TRANSFERS_ALONE = 10;
     private static final int TRANSFERS_BESIDE_ORIGIN = 5;
@@ -142,7 +148,9 @@
 
     /** Lets a neighbour say when it has the piece; that costs little, so all pieces are waited for at once. */
     private void await(int piece, int waits, Neighbour primary) {
-        Neighbour asked = waits % 2 == 0 ? primary : alternate(piece, waits / 2).orElse(primary);
+        boolean besides = waits % WAITS_PER_ALTERNATE == WAITS_PER_ALTERNATE - 1;
+        Neighbour asked =
+                besides ? alternate(piece, waits / WAITS_PER_ALTERNATE).orElse(primary) : primary;
         NodeRequest.AwaitPiece question = new NodeRequest.AwaitPiece(model, version, piece, NEIGHBOUR_WAIT_MILLIS);
         around.awaitNeighbour(asked.box(), question).whenComplete((there, failure) -> {
             if (!isNeeded(piece)) {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -1,28 +1,18 @@
 package org.bankturn.daemon.weights;
 
-import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
-import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
-import org.bankturn.daemon.http.HttpCalls;
-import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
-import org.bankturn.daemon.observe.DecisionLog;
-import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
-import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.daemon.wire.NodeReply;
 import org.bankturn.daemon.wire.NodeRequest;
 import org.bankturn.publication.NamedWeights;
-import org.bankturn.registry.TargetSighting;
-import org.bankturn.service.Service;
 import org.bankturn.service.WeightsLayout;
-import org.bankturn.time.Clock;
 import org.bankturn.weights.PieceHolder;
 import org.bankturn.weights.PieceRouting;
 
@@ -35,16 +25,6 @@
 public final class WeightsAgent {
     private static final byte[] NOTHING = new byte[0];
     private static final long CHECK_MILLIS = 100;
-    private static final long LOCAL_CALL_MILLIS = 1_500;
-    private static final long ORIGIN_CALL_MILLIS = 2_500;
-    private static final long ORIGIN_CONNECT_MILLIS = 300;
-
-    /** Connections of boxes that lost their power may still count at the origin beside the new ones. */
-    private static final int ORIGIN_CONNECTIONS_USED_PERCENT = 40;
-
-    private static final int MOST_ORIGIN_CALLS = 2;
-    private static final long NEIGHBOUR_MARGIN_MILLIS = 400;
-    private static final long TRANSFER_MILLIS = 2_500;
     private static final long NOT_COMING_MILLIS = 200;
     private static final long LOAD_USABLE_MILLIS = 1_000;
     private static final long START_AGAIN_MILLIS = 1_500;
@@ -53,7 +33,7 @@
     private static final double TURNS_SHARE = 0.2;
 
     private final WeightsSettings settings;
-    private final Around around;
+    private final ProcessSurroundings around;
     private final PieceSender sender;
     private Published published = Published.NOTHING;
     private WeightsCopy copy;
@@ -68,28 +48,14 @@
     private long reportedMillis;
 
     /** Returns an agent that does not run yet, not null. */
-    public static WeightsAgent of(
-            WeightsSettings settings,
-            WeightsDialect dialect,
-            Eventloop reactor,
-            NodeClients clients,
-            Clock clock,
-            DecisionLog log,
-            ServingMetrics metrics) {
-        return new WeightsAgent(settings, dialect, reactor, clients, clock, log, metrics);
+    public static WeightsAgent of(WeightsSettings settings, WeightsWiring wiring) {
+        return new WeightsAgent(settings, wiring);
     }
 
-    private WeightsAgent(
-            WeightsSettings settings,
-            WeightsDialect dialect,
-            Eventloop reactor,
-            NodeClients clients,
-            Clock clock,
-            DecisionLog log,
-            ServingMetrics metrics) {
+    private WeightsAgent(WeightsSettings settings, WeightsWiring wiring) {
         this.settings = settings;
-        this.around = new Around(reactor, clock, log, metrics, dialect, clients, HttpCalls.on(reactor, clock));
-        this.sender = new PieceSender(reactor, clock, settings.linkBytesPerSecond());
+        this.around = new ProcessSurroundings(wiring, new EnginePlace());
+        this.sender = new PieceSender(wiring.reactor(), wiring.clock(), settings.linkBytesPerSecond());
     }
 
     /** Starts to look after the engine. */
@@ -111,9 +77,7 @@
     }
 
     private Optional<WeightsLayout> layout() {
-        return published.configuration() == null
-                ? Optional.empty()
-                : published.configuration().service(settings.service()).map(Service::weights);
+        return peers().layoutOf(settings.service());
     }
 
     // ---- looking after the engine
@@ -268,28 +232,12 @@
         return new NodeReply.Load(usable ? lastReport.load() : null, age);
     }
 
-    /** Returns how many connections all boxes together may have at the origin. */
-    private int originConnections() {
-        int most = published
-                .configuration()
-                .origin()
-                .map(Service::maximumConnections)
-                .orElse(0);
-        return most * ORIGIN_CONNECTIONS_USED_PERCENT / 100;
+    private WeightsPeers peers() {
+        return WeightsPeers.of(published, settings.nodeAddress().port());
     }
 
     private List<PieceHolder> boxes() {
-        return published.targets().values().stream()
-                .filter(target -> target.service().equals(settings.service()) && !target.draining())
-                .map(this::holder)
-                .sorted((one, other) -> one.box().compareTo(other.box()))
-                .toList();
-    }
-
-    private PieceHolder holder(TargetSighting target) {
-        Address box = new Address(
-                Address.parse(target.address()).host(), settings.nodeAddress().port());
-        return new PieceHolder(box.toString(), target.dataHall(), target.heldVersion());
+        return peers().boxesOf(settings.service());
     }
 
     private PieceHolder self() {
@@ -300,59 +248,33 @@
                 .orElse(new PieceHolder(own, settings.dataHall(), 0));
     }
 
-    /** The process around a copy. */
-    private final class Around implements WeightsSurroundings {
-        private final Eventloop reactor;
-        private final Clock clock;
-        private final DecisionLog log;
-        private final ServingMetrics metrics;
-        private final WeightsDialect dialect;
-        private final NodeClients clients;
-        private final HttpCalls calls;
-        private PieceRouting routing;
-        private long routedIndex;
-        private int routedVersion;
-
-        Around(
-                Eventloop reactor,
-                Clock clock,
-                DecisionLog log,
-                ServingMetrics metrics,
-                WeightsDialect dialect,
-                NodeClients clients,
-                HttpCalls calls) {
-            this.reactor = reactor;
-            this.clock = clock;
-            this.log = log;
-            this.metrics = metrics;
-            this.dialect = dialect;
-            this.clients = clients;
-            this.calls = calls;
-        }
-
+    /** The box of the engine among all boxes and relays. */
+    private final class EnginePlace implements ProcessSurroundings.Place {
         @Override
-        public Eventloop reactor() {
-            return reactor;
+        public WeightsPeers peers() {
+            return WeightsAgent.this.peers();
         }
 
         @Override
-        public Clock clock() {
-            return clock;
+        public long index() {
+            return published.index();
         }
 
         @Override
-        public DecisionLog log() {
-            return log;
+        public int originSharers() {
+            return boxes().size();
         }
 
         @Override
-        public ServingMetrics metrics() {
-            return metrics;
+        public PieceRouting plan(int version) {
+            WeightsPeers peers = peers();
+            return PieceRouting.of(self(), boxes(), version, peers.originConnections())
+                    .withRelays(peers.relays());
         }
 
         @Override
-        public WeightsDialect dialect() {
-            return dialect;
+        public boolean wants(PieceRouting plan, int piece) {
+            return true;
         }
 
         @Override
@@ -361,54 +283,8 @@
         }
 
         @Override
-        public PieceRouting routing(int version) {
-            if (routing == null || routedIndex != published.index() || routedVersion != version) {
-                routing = PieceRouting.of(self(), boxes(), version, Math.max(1, originConnections()));
-                routedIndex = published.index();
-                routedVersion = version;
-            }
-            return routing;
-        }
-
-        @Override
-        public Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body) {
-            return succeeding(calls.call(settings.engineAddress().toSocketAddress(), head, body, LOCAL_CALL_MILLIS));
-        }
-
-        @Override
-        public int originCallsAtOnce() {
-            int share = originConnections() / Math.max(1, boxes().size());
-            return Math.max(1, Math.min(MOST_ORIGIN_CALLS, share));
-        }
-
-        @Override
-        public Promise<HttpCalls.Answer> callOrigin(HttpHead head) {
-            Optional<Service> origin = published.configuration().origin();
-            if (origin.isEmpty()) {
-                return Promise.ofException(new IOException("no origin of weights"));
-            }
-            Address address = Address.parse(origin.get().originAddress());
-            return succeeding(
-                    calls.call(address.toSocketAddress(), head, NOTHING, ORIGIN_CONNECT_MILLIS, ORIGIN_CALL_MILLIS));
-        }
-
-        private Promise<HttpCalls.Answer> succeeding(Promise<HttpCalls.Answer> call) {
-            return call.then(answer -> answer.isSuccess()
-                    ? Promise.of(answer)
-                    : Promise.ofException(
-                            new IOException("answered " + answer.head().status())));
-        }
-
-        @Override
-        public Promise<byte[]> askNeighbour(String box, NodeRequest.GetPiece request) {
-            return clients.ask(Address.parse(box), request, TRANSFER_MILLIS)
-                    .map(reply -> reply instanceof NodeReply.Piece piece ? piece.bytes() : null);
-        }
-
-        @Override
-        public Promise<Boolean> awaitNeighbour(String box, NodeRequest.AwaitPiece request) {
-            return clients.ask(Address.parse(box), request, request.waitMillis() + NEIGHBOUR_MARGIN_MILLIS)
-                    .map(reply -> reply instanceof NodeReply.PieceThere told && told.there());
+        public Optional<Address> engine() {
+            return Optional.of(settings.engineAddress());
         }
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -40,7 +40,7 @@
     private final long beganMillis;
     private final PieceFetcher fetcher;
     private final List<Waiter> waiters = new ArrayList<>();
-    private final Set<Integer> early = new HashSet<>();
+    private final Set<Integer> demanded = new HashSet<>();
     private final Map<Integer, byte[]> unchecked = new HashMap<>();
     private byte[] manifestBytes;
     private PieceManifest manifest;
@@ -87,9 +87,8 @@
     void begin() {
         fetcher.fetch(MANIFEST);
         for (int piece = 0; piece < layout.pieces(); piece++) {
-            if (fetcher.isOriginFetcher(piece)) {
-                early.add(piece);
-                fetcher.fetch(piece);
+            if (fetcher.isOriginFetcher(piece) && around.wants(version, piece)) {
+                demand(piece);
             }
         }
         logProgressLater();
@@ -118,13 +117,17 @@
 
     private void logProgressLater() {
         around.reactor().delayBackground(PROGRESS_MILLIS, () -> {
-            if (!abandoned && !isWhole()) {
+            if (!abandoned && !isWhole() && isWaiting()) {
                 logProgress();
                 logProgressLater();
             }
         });
     }
 
+    private boolean isWaiting() {
+        return manifest == null || demanded.stream().anyMatch(piece -> isMissing(piece)) || mayStage;
+    }
+
     private void logProgress() {
         around.log()
                 .line(DecisionKind.WEIGHTS)
@@ -198,13 +201,21 @@
         tellWaiters(MANIFEST);
         takeUnchecked();
         for (int piece = 0; piece < pieces.length; piece++) {
-            if (!early.contains(piece)) {
-                fetcher.fetch(piece);
+            if (around.wants(version, piece)) {
+                demand(piece);
             }
         }
         return true;
     }
 
+    /** Fetches a piece, unless that was begun before. */
+    void demand(int piece) {
+        boolean exists = piece >= 0 && piece < layout.pieces();
+        if (exists && demanded.add(piece)) {
+            fetcher.fetch(piece);
+        }
+    }
+
     /** Checks the pieces that came before the manifest; what is spoilt is fetched again. */
     private void takeUnchecked() {
         Map<Integer, byte[]> came = Map.copyOf(unchecked);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
@@ -30,6 +30,9 @@
     /** Returns true if the engine on this box holds weights, so that its requests share the link. */
     boolean engineServes();
 
+    /** Returns true if this process fetches a piece without being asked for it. */
+    boolean wants(int version, int piece);
+
     /** Returns the plan for a version as of now. */
     PieceRouting routing(int version);
 
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
@@ -6,6 +6,7 @@
 import org.bankturn.agreement.AgreementMessage;
 import org.bankturn.membership.ProcessReport;
 import org.bankturn.publication.PublicationCommand;
+import org.bankturn.registry.TargetSighting;
 import org.bankturn.state.command.Command;
 
 /** What one process asks of another. */
@@ -27,7 +28,8 @@
     @JsonSubTypes.Type(value = NodeRequest.NoteHeartbeats.class, name = "beats"),
     @JsonSubTypes.Type(value = NodeRequest.GetPiece.class, name = "piece"),
     @JsonSubTypes.Type(value = NodeRequest.GetLoad.class, name = "load"),
-    @JsonSubTypes.Type(value = NodeRequest.AwaitPiece.class, name = "await")
+    @JsonSubTypes.Type(value = NodeRequest.AwaitPiece.class, name = "await"),
+    @JsonSubTypes.Type(value = NodeRequest.Announce.class, name = "announce")
 })
 public sealed interface NodeRequest {
     /** Carries a message of the agreement group; the reply says nothing. */
@@ -78,6 +80,9 @@
     /** Asks to be told when a piece of a version of a model's weights is there. */
     record AwaitPiece(String model, int version, int piece, long waitMillis) implements NodeRequest {}
 
+    /** Says that a process of bankturn is there which other processes must find, as targets say of themselves. */
+    record Announce(TargetSighting sighting) implements NodeRequest {}
+
     /** Asks a target process for its engine's load. */
     record GetLoad() implements NodeRequest {}
 }
--- a/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
@@ -31,6 +31,8 @@
     final Set<Integer> rotsOnce = new HashSet<>();
     final Set<Integer> rotsAlways = new HashSet<>();
     boolean frozen;
+    boolean relay;
+    final Map<String, Integer> waitsFor = new HashMap<>();
     WeightsCopy copy;
     private final Eventloop reactor;
     private final ScriptedOrigin origin;
@@ -85,8 +87,17 @@
 
     @Override
     public PieceRouting routing(int version) {
-        List<PieceHolder> all = boxes.values().stream().map(box -> box.self).toList();
-        return PieceRouting.of(self, all, version, FETCHERS);
+        List<PieceHolder> relays = holders(true);
+        return relay
+                ? PieceRouting.of(self, relays, version, FETCHERS).withHoldersAmong(holders(false))
+                : PieceRouting.of(self, holders(false), version, FETCHERS).withRelays(relays);
+    }
+
+    private List<PieceHolder> holders(boolean relays) {
+        return boxes.values().stream()
+                .filter(box -> box.relay == relays)
+                .map(box -> box.self)
+                .toList();
     }
 
     @Override
@@ -94,6 +105,11 @@
         return 1;
     }
 
+    @Override
+    public boolean wants(int version, int piece) {
+        return !relay || routing(version).fetchesIntoHall(piece);
+    }
+
     @Override
     public Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body) {
         byte[] answer = new byte[0];
@@ -132,6 +148,13 @@
         if (asked.frozen) {
             return Promise.ofException(new IOException("frozen"));
         }
-        return asked.copy == null ? Promise.of(false) : asked.copy.whenHere(request.piece(), request.waitMillis());
+        if (asked.copy == null) {
+            return Promise.of(false);
+        }
+        waitsFor.merge(box, 1, Integer::sum);
+        if (asked.relay) {
+            asked.copy.demand(request.piece());
+        }
+        return asked.copy.whenHere(request.piece(), request.waitMillis());
     }
 }
--- a/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedOrigin.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedOrigin.java
@@ -18,6 +18,7 @@
     final List<String> asked = new ArrayList<>();
     final Map<Integer, Integer> spoiltSends = new HashMap<>();
     boolean down;
+    boolean manifestDown;
     private final byte[][] pieces;
 
     ScriptedOrigin(int count) {
@@ -36,7 +37,8 @@
     }
 
     Promise<HttpCalls.Answer> answer(HttpHead head) {
-        if (down) {
+        boolean isManifest = head.second().equals("manifest");
+        if (isManifest ? manifestDown : down) {
             return Promise.ofException(new IOException("origin is down"));
         }
         asked.add(head.second());
--- a/daemon/src/test/java/org/bankturn/daemon/weights/WeightsCopyTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/WeightsCopyTest.java
@@ -76,10 +76,61 @@
         }
     }
 
+    @Test
+    void where_there_are_relays_boxes_ask_them_and_the_origin_sends_each_piece_once() {
+        addBoxes(0, "north-1", "north-2", "south-1", "south-2");
+        addRelays("north-8", "north-9", "south-8", "south-9");
+        copyTo("north-1", "north-2", "south-1", "south-2");
+        assertEverythingStaged("north-1", "north-2", "south-1", "south-2");
+        for (int piece = 0; piece < PIECES; piece++) {
+            assertThat(origin.sends(piece)).isEqualTo(1);
+        }
+        assertThat(boxes.get("north-1").waitsFor.keySet()).containsExactlyInAnyOrder("north-8", "north-9");
+    }
+
+    @Test
+    void a_frozen_relay_is_passed_over_for_its_deputy() {
+        addBoxes(0, "north-1", "south-1", "south-2");
+        addRelays("north-8", "north-9", "south-8", "south-9");
+        boxes.get("south-8").frozen = true;
+        copyTo("north-1", "south-1", "south-2");
+        assertEverythingStaged("north-1", "south-1", "south-2");
+        for (int piece = 0; piece < PIECES; piece++) {
+            assertThat(origin.sends(piece)).isLessThanOrEqualTo(2);
+        }
+    }
+
+    @Test
+    void boxes_whose_relays_are_all_frozen_help_each_other() {
+        addBoxes(0, "north-1", "north-2", "south-1");
+        addRelays("north-8", "south-8");
+        boxes.get("north-8").frozen = true;
+        boxes.get("south-8").frozen = true;
+        copyTo("north-1", "north-2", "south-1");
+        assertEverythingStaged("north-1", "north-2", "south-1");
+    }
+
+    @Test
+    void a_relay_takes_pieces_from_boxes_that_hold_the_version_when_the_origin_is_down() {
+        addBoxes(PlainWeightsDialect.VERSION, "north-1", "south-1");
+        run(() -> {
+            boxes.get("north-1").begin(PIECES);
+            boxes.get("south-1").begin(PIECES);
+            return Promise.complete();
+        });
+        copyTo("north-1", "south-1");
+        origin.down = true;
+        addRelays("north-8");
+        addBoxes(0, "north-2");
+        copyTo("north-2");
+        assertEverythingStaged("north-2");
+    }
+
     @Test
     void a_copy_goes_on_once_the_origin_is_back() {
         addBoxes(0, "north-1", "south-1");
         origin.down = true;
+        origin.manifestDown = true;
         run(() -> {
             boxes.values().forEach(box -> box.begin(PIECES));
             boxes.values().forEach(box -> box.copy.letStage());
@@ -87,6 +138,7 @@
         });
         run(() -> {
             origin.down = false;
+            origin.manifestDown = false;
             return Promise.complete();
         });
         run(() -> wholeAll(List.copyOf(boxes.values())));
@@ -141,6 +193,18 @@
         }
     }
 
+    /** Adds relays whose copies have begun, as they do when a version is named. */
+    private void addRelays(String... names) {
+        addBoxes(0, names);
+        for (String name : names) {
+            boxes.get(name).relay = true;
+        }
+        run(() -> {
+            List.of(names).forEach(name -> boxes.get(name).begin(PIECES));
+            return Promise.complete();
+        });
+    }
+
     private void copyEverywhere() {
         copyTo(boxes.keySet().toArray(String[]::new));
     }
@@ -173,9 +237,13 @@
     }
 
     private void assertEverythingStaged() {
-        for (ScriptedBox box : boxes.values()) {
+        assertEverythingStaged(boxes.keySet().toArray(String[]::new));
+    }
+
+    private void assertEverythingStaged(String... names) {
+        for (String name : names) {
             for (int piece = 0; piece < PIECES; piece++) {
-                assertThat(box.staged.get(piece)).isEqualTo(origin.piece(piece));
+                assertThat(boxes.get(name).staged.get(piece)).isEqualTo(origin.piece(piece));
             }
         }
     }
