Weights: engines take their turns from the first whole copy on, and halls take turns

Change: ChangeTurns, a pure class, spreads turns from 42 to 75 in 100 of the time allowed, and goes round the halls.

--- /dev/null
+++ b/core/src/main/java/org/bankturn/weights/ChangeTurns.java
@@ -0,0 +1,60 @@
+package org.bankturn.weights;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bankturn.time.Clock;
+
+/**
+ * Says when each box has its engine change over to a version that was named.
+ *
+ * <p>An engine that changes first ends what it runs and takes nothing new, so the others must carry its load. Turns are
+ * spread evenly over a span, and go round the data halls, so that in any part of the span about the same share of each
+ * hall's engines is changing. Every box computes its own turn from what is published, so no word from a leader is needed,
+ * and a box that is late or gone holds nobody up.
+ *
+ * <p>ChangeTurns is immutable and thread-safe.
+ *
+ * @param allowedMillis the time from the naming until every engine must have changed
+ */
+public record ChangeTurns(long allowedMillis) {
+    /** Copies on links with nothing in their way are whole by then; a box whose copy comes later changes at once. */
+    private static final double FIRST_SHARE = 0.42;
+
+    /** What is left after the last turn, a quarter of the time, is for the answers under way to end. */
+    private static final double LAST_SHARE = 0.75;
+
+    /** Checks the time. */
+    public ChangeTurns {
+        if (allowedMillis < 1) {
+            throw new IllegalArgumentException("the time allowed must be 1 ms or more, not " + allowedMillis);
+        }
+    }
+
+    /**
+     * Returns the turn of a box.
+     *
+     * @param box the box's name, not null
+     * @param boxes all boxes that change, not null; a box that is not among them has the first turn
+     * @return milliseconds after the naming; compare with {@link Clock#millis()} at the naming
+     */
+    public long turnMillis(String box, List<PieceHolder> boxes) {
+        List<String> order = order(boxes);
+        int rank = Math.max(0, order.indexOf(box));
+        double share = rank / (double) Math.max(1, order.size() - 1);
+        return Math.round(allowedMillis * (FIRST_SHARE + (LAST_SHARE - FIRST_SHARE) * share));
+    }
+
+    /** Returns the boxes in the order of their turns: the first of each data hall, then the second of each. */
+    private static List<String> order(List<PieceHolder> boxes) {
+        Map<String, Integer> seen = new HashMap<>();
+        record Place(int inHall, String hall, String box) {}
+        return boxes.stream()
+                .sorted(Comparator.comparing(PieceHolder::box))
+                .map(box -> new Place(seen.merge(box.dataHall(), 1, Integer::sum), box.dataHall(), box.box()))
+                .sorted(Comparator.comparingInt(Place::inHall).thenComparing(Place::hall))
+                .map(Place::box)
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/bankturn/weights/ChangeTurnsTest.java
@@ -0,0 +1,71 @@
+package org.bankturn.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ChangeTurnsTest {
+    private static final long ALLOWED_MILLIS = 8_000;
+    private static final long EMPTYING_MILLIS = 1_500;
+
+    private final ChangeTurns turns = new ChangeTurns(ALLOWED_MILLIS);
+
+    @Test
+    void every_box_has_its_turn_early_enough_to_empty_itself() {
+        List<PieceHolder> boxes = boxes(5);
+        assertThat(boxes)
+                .allSatisfy(box ->
+                        assertThat(turns.turnMillis(box.box(), boxes)).isBetween(1L, ALLOWED_MILLIS - EMPTYING_MILLIS));
+    }
+
+    @Test
+    void no_more_boxes_empty_themselves_at_once_than_an_even_spread_needs() {
+        List<PieceHolder> boxes = boxes(8);
+        long first = turns.turnMillis("east-1", boxes);
+        for (long now = first; now < ALLOWED_MILLIS; now += 50) {
+            long moment = now;
+            long emptying = boxes.stream()
+                    .mapToLong(box -> turns.turnMillis(box.box(), boxes))
+                    .filter(turn -> turn <= moment && moment < turn + EMPTYING_MILLIS)
+                    .count();
+            assertThat(emptying).isLessThanOrEqualTo(boxes.size() * 6L / 10 + 1);
+        }
+    }
+
+    @Test
+    void each_hall_keeps_boxes_that_serve_while_others_change() {
+        List<PieceHolder> boxes = boxes(6);
+        long half = (turns.turnMillis("east-1", boxes) + turns.turnMillis("west-6", boxes)) / 2;
+        for (String hall : List.of("east", "north", "west")) {
+            long before = boxes.stream()
+                    .filter(box -> box.dataHall().equals(hall))
+                    .filter(box -> turns.turnMillis(box.box(), boxes) < half)
+                    .count();
+            assertThat(before).isBetween(2L, 4L);
+        }
+    }
+
+    @Test
+    void a_single_box_changes_first_and_one_that_is_not_listed_does_not_wait() {
+        List<PieceHolder> one = List.of(new PieceHolder("east-1", "east", 1));
+        assertThat(turns.turnMillis("east-1", one)).isEqualTo(turns.turnMillis("stranger", one));
+    }
+
+    @Test
+    void a_time_allowed_of_nothing_is_refused() {
+        assertThatThrownBy(() -> new ChangeTurns(0)).isInstanceOf(IllegalArgumentException.class);
+    }
+
+    private static List<PieceHolder> boxes(int inEachHall) {
+        List<PieceHolder> boxes = new ArrayList<>();
+        for (String hall : List.of("east", "north", "west")) {
+            for (int number = 1; number <= inEachHall; number++) {
+                boxes.add(new PieceHolder(hall + "-" + number, hall, 1));
+            }
+        }
+        return boxes;
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -13,6 +13,7 @@
 import org.bankturn.daemon.wire.NodeRequest;
 import org.bankturn.publication.NamedWeights;
 import org.bankturn.service.WeightsLayout;
+import org.bankturn.weights.ChangeTurns;
 import org.bankturn.weights.PieceHolder;
 import org.bankturn.weights.PieceRouting;
 
@@ -29,8 +30,6 @@
     private static final long LOAD_USABLE_MILLIS = 1_000;
     private static final long START_AGAIN_MILLIS = 1_500;
     private static final long START_RETRY_MILLIS = 150;
-    private static final double FIRST_TURN_SHARE = 0.62;
-    private static final double TURNS_SHARE = 0.2;
 
     private final WeightsSettings settings;
     private final ProcessSurroundings around;
@@ -183,10 +182,9 @@
     }
 
     private long turnMillis() {
-        List<PieceHolder> boxes = boxes();
-        int rank = Math.max(0, boxes.indexOf(self()));
-        double share = rank / (double) Math.max(1, boxes.size());
-        return namedMillis + (long) (settings.deadlineMillis() * (FIRST_TURN_SHARE + TURNS_SHARE * share));
+        long turn = new ChangeTurns(settings.deadlineMillis())
+                .turnMillis(settings.nodeAddress().toString(), boxes());
+        return namedMillis + turn;
     }
 
     // ---- neighbours
