Gateway: the retry budget is that of a sliding window, so that a failure's retries may come at once

Ruled out: the deployment's bound, which counts ten seconds together and was used to a fraction. Change: each gateway may spend its share of its own requests of the last window at any moment; the window is the setting's, which was not read before. Seen failing on the former class (by its semantics): what_a_window_earned_may_be_spent_at_one_moment was written with the new class and not run against the old one.

--- /dev/null
+++ b/core/src/test/java/org/bankturn/routing/RetryBudgetTest.java
@@ -0,0 +1,84 @@
+package org.bankturn.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+    private static final long WINDOW_MILLIS = 10_000;
+
+    private final ManualClock clock = ManualClock.startingAt(1_000_000);
+
+    @Test
+    void what_a_window_earned_may_be_spent_at_one_moment() {
+        RetryBudget budget = RetryBudget.of(0.2, 0, WINDOW_MILLIS, clock);
+        requests(budget, 200, 40);
+        assertThat(spend(budget, 100)).isBetween(36, 40);
+    }
+
+    @Test
+    void what_was_spent_comes_back_only_when_it_leaves_the_window() {
+        RetryBudget budget = RetryBudget.of(0.2, 0, WINDOW_MILLIS, clock);
+        requests(budget, 200, 40);
+        int first = spend(budget, 100);
+        requests(budget, 100, 40);
+        assertThat(spend(budget, 100)).isLessThan(first / 4 + 1);
+        requests(budget, 200, 40);
+        assertThat(spend(budget, 100)).isGreaterThan(first * 3 / 4);
+    }
+
+    @Test
+    void in_no_window_there_are_more_retries_than_its_requests_and_those_just_before_allow() {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(7);
+        RetryBudget budget = RetryBudget.of(0.2, 2, WINDOW_MILLIS, clock);
+        List<Long> requests = new ArrayList<>();
+        List<Long> retries = new ArrayList<>();
+        for (int step = 0; step < 20_000; step++) {
+            clock.advance(random.nextInt(10));
+            budget.requestSeen();
+            requests.add(clock.millis());
+            if (step / 500 % 3 == 0 && budget.tryRetry()) {
+                retries.add(clock.millis());
+            }
+        }
+        assertThat(retries).isNotEmpty();
+        for (long end : retries) {
+            long most = Math.max(within(requests, end), within(requests, end - WINDOW_MILLIS / 2));
+            assertThat((double) within(retries, end)).isLessThanOrEqualTo(2 + 0.2 * most);
+        }
+    }
+
+    @Test
+    void shares_and_windows_of_nothing_are_refused() {
+        assertThatThrownBy(() -> RetryBudget.of(0, 1, WINDOW_MILLIS, clock))
+                .isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> RetryBudget.of(0.1, 1, 0, clock)).isInstanceOf(IllegalArgumentException.class);
+    }
+
+    private static long within(List<Long> moments, long end) {
+        return moments.stream()
+                .filter(moment -> moment > end - WINDOW_MILLIS && moment <= end)
+                .count();
+    }
+
+    private void requests(RetryBudget budget, int count, long gapMillis) {
+        for (int request = 0; request < count; request++) {
+            clock.advance(gapMillis);
+            budget.requestSeen();
+        }
+    }
+
+    private static int spend(RetryBudget budget, int tries) {
+        int spent = 0;
+        for (int attempt = 0; attempt < tries; attempt++) {
+            spent += budget.tryRetry() ? 1 : 0;
+        }
+        return spent;
+    }
+}
--- a/core/src/test/java/org/bankturn/routing/RoutingTest.java
+++ b/core/src/test/java/org/bankturn/routing/RoutingTest.java
@@ -125,7 +125,7 @@
 
     @Test
     void retries_stay_within_their_share_of_requests() {
-        RetryBudget budget = RetryBudget.ofPercent(10, 5);
+        RetryBudget budget = RetryBudget.of(0.1, 5, 10_000, clock);
         int retries = 0;
         for (int request = 0; request < 1_000; request++) {
             budget.requestSeen();
--- a/daemon/src/main/java/org/bankturn/daemon/entry/EntryState.java
+++ b/daemon/src/main/java/org/bankturn/daemon/entry/EntryState.java
@@ -40,6 +40,7 @@
         Telemetry telemetry,
         Clock clock) {
     private static final int RETRY_BURST = 20;
+    private static final long RETRY_WINDOW_MILLIS = 10_000;
 
     static EntryState of(
             String dataHall,
@@ -55,7 +56,7 @@
                 TargetView.using(clock),
                 new ConcurrentHashMap<>(),
                 new FairAdmission(),
-                RetryBudget.ofPercent(settings.retryPercent(), RETRY_BURST),
+                RetryBudget.of(settings.retryPercent() / 100.0, RETRY_BURST, RETRY_WINDOW_MILLIS, clock),
                 control,
                 telemetry,
                 clock);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -41,7 +41,10 @@
     private static final long PLATFORM_NOTICES_MILLIS = 2_600;
     private static final long STOP_MARGIN_MILLIS = 700;
     private static final long STOP_CHECK_MILLIS = 50;
+
+    /** What is left of the share is for requests that the windows of several gateways cut differently. */
     private static final double RETRY_SHARE_USED = 0.8;
+
     private static final int GATEWAYS_AT_MOST = 48;
     private static final long DUE_AFTER_START_MILLIS = 2_000;
     private static final int ANSWERS_PER_LINE = 64;
@@ -279,9 +282,12 @@
     }
 
     RetryBudget retryBudget(String service) {
-        return retryBudgets.computeIfAbsent(service, key -> {
-            int percent = Math.max(1, (int) (settings.retryShare() * RETRY_SHARE_USED * 100));
-            return RetryBudget.ofPercent(percent, Math.max(1, settings.retryAllowance() / GATEWAYS_AT_MOST));
-        });
+        return retryBudgets.computeIfAbsent(
+                service,
+                key -> RetryBudget.of(
+                        settings.retries().share() * RETRY_SHARE_USED,
+                        Math.max(1, settings.retries().allowance() / GATEWAYS_AT_MOST),
+                        settings.retries().windowMillis(),
+                        clock));
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.bankturn.daemon.gateway;
 
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.routing.RetryLimits;
 
 /**
  * What a gateway must be told.
@@ -10,8 +11,7 @@
  * @param callerAddress where callers connect, not null
  * @param readyAddress where the platform asks whether it is ready, not null
  * @param nodePort the port at which processes beside targets are asked
- * @param retryShare retries per request that all gateways together may send
- * @param retryAllowance retries on top of that share that all gateways together may send within a window
+ * @param retries how often all gateways together may send a request again, not null
  * @param weightsDeadlineMillis how long after a version was named the former one may still run
  * @param stopMillis how long a planned stop may take
  */
@@ -21,7 +21,6 @@
         Address callerAddress,
         Address readyAddress,
         int nodePort,
-        double retryShare,
-        int retryAllowance,
+        RetryLimits retries,
         long weightsDeadlineMillis,
         long stopMillis) {}
--- a/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
@@ -23,6 +23,7 @@
 import org.bankturn.daemon.weights.WeightsSettings;
 import org.bankturn.daemon.weights.WeightsWiring;
 import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.routing.RetryLimits;
 import org.bankturn.time.Clock;
 
 /**
@@ -70,7 +71,7 @@
         NodeClients clients = NodeClients.on(reactor);
         Gateway gateway = Gateway.of(
                 new GatewaySettings(
-                        "rehearsal", HALL, freeAddress(), freeAddress(), node.port(), 0.1, 1, STOP_MILLIS, STOP_MILLIS),
+                        "rehearsal", HALL, freeAddress(), freeAddress(), node.port(), new RetryLimits(0.1, 1, STOP_MILLIS), STOP_MILLIS, STOP_MILLIS),
                 dialects.requests(),
                 reactor,
                 clients,
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.ProcessRole;
+import org.bankturn.routing.RetryLimits;
 
 /**
  * The checked settings of one process.
@@ -48,9 +49,7 @@
      * @param heartbeatMillis how often targets say that they are there
      * @param stopMillis how long a planned stop may take
      * @param weightsMillis within which a named version must be everywhere
-     * @param retryShare retries per request that all gateways together may send
-     * @param retryAllowance retries on top of that share that all gateways together may send within a window
+     * @param retries how often all gateways together may send a request again, not null
      */
-    public record Bounds(
-            long heartbeatMillis, long stopMillis, long weightsMillis, double retryShare, int retryAllowance) {}
+    public record Bounds(long heartbeatMillis, long stopMillis, long weightsMillis, RetryLimits retries) {}
 }
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -23,6 +23,7 @@
 import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.RetryLimits;
 import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
 import org.bankturn.service.RequestKind;
@@ -53,7 +54,8 @@
         ready = FreeAddresses.next();
         DecisionLog log = DecisionLog.start("test", clock);
         gateway = Gateway.of(
-                new GatewaySettings("test", "north", callers, ready, 1, 0.5, 960, 1_000, 20_000),
+                new GatewaySettings(
+                        "test", "north", callers, ready, 1, new RetryLimits(0.5, 960, 10_000), 1_000, 20_000),
                 new PlainDialect(),
                 reactor,
                 NodeClients.on(reactor),
