--- a/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
@@ -1,127 +1,103 @@
 package org.bankturn.daemon.serving;
 
 import io.activej.eventloop.Eventloop;
-import io.activej.promise.Promise;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
-import org.bankturn.daemon.gateway.Gateway;
-import org.bankturn.daemon.gateway.GatewaySettings;
-import org.bankturn.daemon.group.GroupNode;
-import org.bankturn.daemon.group.GroupSettings;
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.http.HttpHead;
-import org.bankturn.daemon.observe.DecisionLog;
-import org.bankturn.daemon.observe.ServingMetrics;
-import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.settings.Address;
-import org.bankturn.daemon.weights.WeightsAgent;
-import org.bankturn.daemon.weights.WeightsRelay;
-import org.bankturn.daemon.weights.WeightsSettings;
-import org.bankturn.daemon.weights.WeightsWiring;
-import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.daemon.settings.ProcessRole;
 import org.bankturn.routing.RetryLimits;
 import org.bankturn.time.Clock;
 
 /**
- * Runs a control process, a gateway and a weights agent in one process on loopback for a moment.
+ * Runs a process of each role on loopback, in one virtual machine, for a moment.
  *
  * <p>The build does so once to learn which classes the programs load, and writes them to an archive that makes every start
  * cheaper. Nothing depends on its outcome.
  */
 public final class Rehearsal {
-    private static final long LENGTH_MILLIS = 2_500;
+    private static final long LENGTH_MILLIS = 3_000;
+    private static final int ROUNDS = 3;
     private static final long CALL_MILLIS = 1_000;
-    private static final long HEARTBEAT_MILLIS = 1_000;
-    private static final long STOP_MILLIS = 1_000;
+    private static final long BYTES_PER_SECOND = 1_000_000;
     private static final String HALL = "hall";
 
-    private Rehearsal() {}
+    private final Dialects dialects;
+    private final SettingsSource source;
+    private final Address control = freeAddress();
+    private final Address callers = freeAddress();
+    private final Address measured = freeAddress();
+    private final Address controlNode = freeAddress();
 
     /**
      * Runs the rehearsal.
      *
      * @param dialects the platform's dialects, not null
-     * @param calls calls that operators and targets make, by method and target, not null
+     * @param source where processes look for changed settings, not null
+     * @param controlCalls calls that operators and targets make, not null
+     * @param requests what callers ask, not null
      */
-    public static void run(Dialects dialects, List<Call> calls) throws IOException, InterruptedException {
-        Clock clock = Clock.system();
-        DecisionLog log = DecisionLog.start("rehearsal", clock);
-        ServingMetrics metrics = ServingMetrics.of(log);
+    public static void run(Dialects dialects, SettingsSource source, List<Call> controlCalls, List<Call> requests)
+            throws IOException, InterruptedException {
+        new Rehearsal(dialects, source).run(controlCalls, requests);
+    }
+
+    private Rehearsal(Dialects dialects, SettingsSource source) throws IOException {
+        this.dialects = dialects;
+        this.source = source;
+    }
+
+    private void run(List<Call> controlCalls, List<Call> requests) throws IOException, InterruptedException {
+        for (ProcessRole role : ProcessRole.values()) {
+            ServingProcess.of(settings(role), source, dialects).start().join();
+        }
         Eventloop reactor = Eventloop.builder().withThreadName("rehearsal").build();
         reactor.keepAlive(true);
         new Thread(reactor, "rehearsal").start();
-        Address control = freeAddress();
-        Address node = freeAddress();
-        Address measured = freeAddress();
-        Path folder = Files.createTempDirectory("rehearsal");
-        GroupNode group = GroupNode.of(
-                new GroupSettings(
-                        "rehearsal", HALL, control, node, folder.toString(), true, List.of(node), HEARTBEAT_MILLIS),
-                () -> List.of(node),
-                dialects.control(),
-                dialects.document(),
-                reactor,
-                clock,
-                log,
-                metrics);
-        NodeClients clients = NodeClients.on(reactor);
-        Gateway gateway = Gateway.of(
-                new GatewaySettings(
-                        "rehearsal", HALL, freeAddress(), freeAddress(), node.port(), new RetryLimits(0.1, 1, STOP_MILLIS), STOP_MILLIS, STOP_MILLIS),
-                dialects.requests(),
-                reactor,
-                clients,
-                clock,
-                log,
-                metrics);
-        WeightsWiring weights = new WeightsWiring(reactor, clients, dialects.weights(), clock, log, metrics);
-        WeightsAgent agent = WeightsAgent.of(
-                new WeightsSettings("rehearsal", HALL, node, control, "service", STOP_MILLIS, Integer.MAX_VALUE),
-                weights);
-        WeightsRelay relay = WeightsRelay.of(new WeightsRelay.RelaySettings(HALL, node, Integer.MAX_VALUE), weights);
-        PublicationFollower follower = PublicationFollower.of(
-                new PublicationFollower.Wiring(
-                        reactor, clients, () -> List.of(node), HALL, dialects.document(), clock, log, metrics),
-                published -> {
-                    gateway.update(published);
-                    agent.update(published);
-                    relay.update(published);
-                });
-        HttpCalls caller = HttpCalls.on(reactor, clock);
-        reactor.submit(() -> {
-                    group.start();
-                    gateway.start();
-                    agent.start();
-                    follower.start();
-                    MetricsServer.of(reactor, clock, measured, metrics).listen();
-                    return Promise.complete();
-                })
-                .join();
-        for (int round = 0; round < 2; round++) {
-            Thread.sleep(LENGTH_MILLIS / 2);
-            reactor.execute(() -> caller.call(
-                    measured.toSocketAddress(),
-                    HttpHead.request("GET", "/metrics", List.of()),
-                    new byte[0],
-                    CALL_MILLIS));
-            for (Call call : calls) {
-                reactor.execute(() -> caller.call(
-                        control.toSocketAddress(),
-                        HttpHead.request(call.method(), call.target(), List.of()),
-                        call.body(),
-                        CALL_MILLIS));
-            }
+        HttpCalls caller = HttpCalls.on(reactor, Clock.system());
+        for (int round = 0; round < ROUNDS; round++) {
+            Thread.sleep(LENGTH_MILLIS / ROUNDS);
+            reactor.execute(() -> {
+                controlCalls.forEach(call -> call.send(caller, control));
+                requests.forEach(call -> call.send(caller, callers));
+                new Call("GET", "/metrics", new byte[0]).send(caller, measured);
+            });
         }
         Thread.sleep(CALL_MILLIS);
-        group.stop();
     }
 
-    /** A call to the control process. */
-    public record Call(String method, String target, byte[] body) {}
+    private ServingSettings settings(ProcessRole role) throws IOException {
+        boolean controls = role == ProcessRole.CONTROL;
+        boolean entry = role == ProcessRole.ENTRY;
+        Address callAddress = controls ? control : entry ? callers : null;
+        return new ServingSettings(
+                "rehearsal-" + role,
+                role,
+                HALL,
+                callAddress,
+                entry ? freeAddress() : null,
+                controls ? controlNode : freeAddress(),
+                entry ? measured : null,
+                controls ? Files.createTempDirectory("rehearsal").toString() : null,
+                controls,
+                List.of(controlNode),
+                control,
+                "s",
+                BYTES_PER_SECOND,
+                new ServingSettings.Bounds(
+                        CALL_MILLIS, CALL_MILLIS, CALL_MILLIS, new RetryLimits(0.1, 1, CALL_MILLIS)));
+    }
+
+    /** A call to the control process or a request of a caller. */
+    public record Call(String method, String target, byte[] body) {
+        private void send(HttpCalls caller, Address to) {
+            caller.call(to.toSocketAddress(), HttpHead.request(method, target, List.of()), body, CALL_MILLIS);
+        }
+    }
 
     private static Address freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
