--- a/core/src/main/java/org/bankturn/weights/PieceRouting.java
+++ b/core/src/main/java/org/bankturn/weights/PieceRouting.java
@@ -157,6 +157,11 @@
         return sources;
     }
 
+    /** Returns true if there is a relay in this box's hall. */
+    public boolean hasRelays() {
+        return !relaysFor(0).isEmpty();
+    }
+
     /** Returns the relay that fetches a piece into this box's hall, and its deputy. */
     private List<PieceHolder> relaysFor(int piece) {
         if (relayPlan == null) {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
@@ -40,6 +40,10 @@
     private static final int WAITS_PER_ALTERNATE = 4;
 
     private static final int TRANSFERS_BESIDE_REQUESTS = 5;
+
+    /** Relays send as fast as this box can take, so requests to the engine would wait behind every piece on its way. */
+    private static final int TRANSFERS_FROM_RELAYS_BESIDE_REQUESTS = 1;
+
     private static final int TRANSFERS_ALONE = 10;
     private static final int TRANSFERS_BESIDE_ORIGIN = 5;
     private static final String FROM_NEIGHBOUR = "neighbour";
@@ -217,7 +221,10 @@
         if (waitingForOrigin() > 0) {
             return TRANSFERS_BESIDE_ORIGIN;
         }
-        return around.engineServes() ? TRANSFERS_BESIDE_REQUESTS : TRANSFERS_ALONE;
+        if (!around.engineServes()) {
+            return TRANSFERS_ALONE;
+        }
+        return routing().hasRelays() ? TRANSFERS_FROM_RELAYS_BESIDE_REQUESTS : TRANSFERS_BESIDE_REQUESTS;
     }
 
     /** Any box of the hall that holds the version may give the piece; those that are fast are asked more often. */
