Gateway: refused callers come back after an answer's time; predictions are measured

Cause: a caller refused by full engines was told 0.3 to 1.5 s, from how late it would have begun there, and came back into the same crowd; one that met a gateway without a configuration was told 0.3 s, although starting takes seconds. Ruled out: admitting who came back before who is new: a place serves one request either way, and a new one that is served at once is worth more to its caller than one that has waited. Change: the time a usual answer takes on a busy engine, from the engine's model, spread by a factor of two at random. The time to a first event against its prediction is a histogram, and stands in the lines of requests.

--- a/core/src/main/java/org/bankturn/routing/FirstEventEstimate.java
+++ b/core/src/main/java/org/bankturn/routing/FirstEventEstimate.java
@@ -10,7 +10,6 @@
  */
 public final class FirstEventEstimate {
     private static final double STEPS_UNTIL_READ = 0.5;
-    private static final double SLOWER_WHILE_READING = 1.5;
 
     private final EngineModel engine;
 
@@ -43,7 +42,6 @@
 
     /** Returns how long it takes until one of the engine's places becomes free, on average, while all are taken. */
     private double placeMillis() {
-        double step = engine.stepMillis() + engine.slots() * engine.stepMillisPerRequest();
-        return engine.usualAnswerTokens() * step * SLOWER_WHILE_READING / engine.slots();
+        return engine.usualAnswerMillis() / engine.slots();
     }
 }
--- a/core/src/main/java/org/bankturn/service/EngineModel.java
+++ b/core/src/main/java/org/bankturn/service/EngineModel.java
@@ -22,4 +22,13 @@
         double promptTokensPerMillisecond,
         int promptTokensPerStep,
         int stepsPerPass,
-        int usualAnswerTokens) {}
+        int usualAnswerTokens) {
+    /** Prompts that are read between token steps make an answer take about that much longer on a busy engine. */
+    private static final double SLOWER_WHILE_READING = 1.5;
+
+    /** Returns how long an answer of the usual length takes an engine whose places are all taken, in milliseconds. */
+    public double usualAnswerMillis() {
+        double step = stepMillis + slots * stepMillisPerRequest;
+        return usualAnswerTokens * step * SLOWER_WHILE_READING;
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -46,6 +46,7 @@
     private boolean promptPending = true;
     private boolean over;
     private long heardMillis;
+    private long firstEventMillis;
 
     Attempt(ForwardedRequest request, Gateway gateway, Choice choice, int version) {
         this.request = request;
@@ -192,6 +193,8 @@
             target.promptRead(terms.promptTokens());
             gateway.metrics().firstEvent(request.service().name(), now() - exchange.receivedMillis());
             gateway.correction(request.service().name()).observed(predictedMillis, (double) (now() - beganMillis));
+            firstEventMillis = now() - beganMillis;
+            gateway.metrics().firstEventPredicted(request.service().name(), predictedMillis, firstEventMillis);
             target.succeeded((now() - beganMillis) / Math.max(LEAST_PREDICTED_MILLIS, predictedMillis));
         }
     }
@@ -241,6 +244,16 @@
         return target.sighting().id();
     }
 
+    /** Returns how long the first event was predicted to take. */
+    long predictedMillis() {
+        return Math.round(predictedMillis);
+    }
+
+    /** Returns how long the first event took, 0 if none came. */
+    long firstEventMillis() {
+        return firstEventMillis;
+    }
+
     int status() {
         return answer.status();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.bankturn.daemon.gateway.TargetTable.Choice;
 import org.bankturn.daemon.gateway.TargetTable.Wanted;
 import org.bankturn.daemon.http.ServerExchange;
@@ -24,13 +25,17 @@
     private static final byte[] NOTHING = new byte[0];
     private static final int MOST_FAILED_CONNECTIONS = 4;
     private static final long COME_BACK_MILLIS = 300;
-    private static final long COME_BACK_AT_MOST_MILLIS = 1_500;
     private static final long COME_BACK_AFTER_ALL_MILLIS = 1_000;
 
     /** Targets that must still be given weights, or that are still to start, are not there within a second or two. */
-    private static final long COME_BACK_WITHOUT_TARGET_MILLIS = 5_000;
+    static final long COME_BACK_WITHOUT_TARGET_MILLIS = 5_000;
+
+    /** Callers that were refused because engines are full come back within this share of an answer's time ... */
+    private static final double COME_BACK_EARLIEST_SHARE = 0.75;
+
+    /** ... and that much more, at random. */
+    private static final double COME_BACK_SPREAD_SHARE = 0.75;
 
-    private static final double HALF = 0.5;
     private static final long LEAST_REMAINING_MILLIS = 20;
     private static final int LAST_URGENCY = 9;
 
@@ -100,7 +105,7 @@
             return;
         }
         if (sends == 0 && isTooLate(choice.get())) {
-            comeBackMillis = comeBackAfter(choice.get());
+            comeBackMillis = comeBackAfterAnswers();
             gateway.correction(service.name()).refused();
             giveUp("would begin after " + Math.round(choice.get().predictedMillis()) + " ms");
             return;
@@ -132,10 +137,12 @@
         return expected > AdmissionPolicy.latestMillis(route.objectiveMillis(), route.priority(), mostUrgent);
     }
 
-    private long comeBackAfter(Choice choice) {
-        double over =
-                gateway.correction(service.name()).applyTo(choice.predictedMillis()) - route.objectiveMillis() * HALF;
-        return Math.max(COME_BACK_MILLIS, Math.min(COME_BACK_AT_MOST_MILLIS, Math.round(over)));
+    /** Returns when the answers under way now will have ended, spread so that those refused together come back apart. */
+    private long comeBackAfterAnswers() {
+        double answers = service.engine().usualAnswerMillis();
+        double spread = COME_BACK_EARLIEST_SHARE
+                + COME_BACK_SPREAD_SHARE * ThreadLocalRandom.current().nextDouble();
+        return Math.max(COME_BACK_MILLIS, Math.round(answers * spread));
     }
 
     /** Sends the request to another target, if one may still have it. */
@@ -189,6 +196,8 @@
                 .with(DecisionField.SENDS, sends)
                 .with(DecisionField.MAY_HAVE_RUN, mayHaveRun)
                 .with(DecisionField.VERSION, gateway.leastVersion(service))
+                .with(DecisionField.PREDICTED_MS, attempt == null ? 0 : attempt.predictedMillis())
+                .with(DecisionField.FIRST_EVENT_MS, attempt == null ? 0 : attempt.firstEventMillis())
                 .with(DecisionField.HELD_MS, heldMillis)
                 .write();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -37,7 +37,10 @@
  */
 public final class Gateway {
     private static final byte[] NOTHING = new byte[0];
+
+    /** Another gateway takes a connection that is made anew. */
     private static final long COME_BACK_MILLIS = 300;
+
     private static final long PLATFORM_NOTICES_MILLIS = 2_600;
     private static final long STOP_MARGIN_MILLIS = 700;
     private static final long STOP_CHECK_MILLIS = 50;
@@ -204,6 +207,7 @@
     }
 
     private void answer(ServerExchange exchange, CallerTerms terms, int status, String reason) {
+        long comeBackMillis = takenOut ? COME_BACK_MILLIS : ForwardedRequest.COME_BACK_WITHOUT_TARGET_MILLIS;
         log.line(DecisionKind.REFUSED)
                 .with(DecisionField.REQUEST, terms.id())
                 .with(DecisionField.STATUS, status)
@@ -211,7 +215,7 @@
                 .write();
         RequestOutcome outcome = status == 503 ? RequestOutcome.REFUSED : RequestOutcome.DENIED;
         metrics.requestEnded(NO_SERVICE, outcome, clock.millis() - exchange.receivedMillis());
-        exchange.answer(dialect.ownAnswer(status, terms, status == 503 ? COME_BACK_MILLIS : 0), NOTHING);
+        exchange.answer(dialect.ownAnswer(status, terms, status == 503 ? comeBackMillis : 0), NOTHING);
     }
 
     // ---- what forwarded requests need
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -30,6 +30,8 @@
     HALL,
     /** How long a request was held, in milliseconds. */
     HELD_MS,
+    PREDICTED_MS,
+    FIRST_EVENT_MS,
     /** The index of a publication. */
     INDEX,
     /** The index of the last entry of the log. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -17,6 +17,7 @@
  */
 public final class ServingMetrics {
     private static final double[] SECONDS = {0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8};
+    private static final double[] RATIOS = {0.25, 0.5, 0.75, 1, 1.25, 1.5, 2, 3, 5, 8};
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
@@ -27,6 +28,7 @@
     private final Counter piecesRejected;
     private final Histogram heldSeconds;
     private final Histogram firstEventSeconds;
+    private final Histogram firstEventRatio;
     private final Histogram controlSeconds;
     private final Gauge publicationIndex;
     private final Gauge documentVersion;
@@ -46,6 +48,8 @@
         piecesRejected = counter("pieces_rejected", "Pieces missing or spoilt, by source.", "source");
         heldSeconds = histogram("held_seconds", "Time a request was held, by outcome.", "outcome");
         firstEventSeconds = histogram("first_event_seconds", "Time to a stream's first event, by service.", "service");
+        firstEventRatio = histogram(
+                "first_event_ratio", "Time to a first event against the prediction, by service.", RATIOS, "service");
         controlSeconds = histogram("control_seconds", "Time to answer a call, by call and answer.", "call", "answer");
         publicationIndex = gauge("publication_index", "Index of the publication in force here.");
         documentVersion = gauge("document_version", "Version of the operators' document in force here.");
@@ -71,12 +75,16 @@
     }
 
     private Histogram histogram(String name, String help, String... labels) {
+        return histogram(name, help, SECONDS, labels);
+    }
+
+    private Histogram histogram(String name, String help, double[] bounds, String... labels) {
         return Histogram.builder()
                 .name("bankturn_" + name)
                 .help(help)
                 .labelNames(labels)
                 .classicOnly()
-                .classicUpperBounds(SECONDS)
+                .classicUpperBounds(bounds)
                 .register(registry);
     }
 
@@ -95,6 +103,11 @@
         firstEventSeconds.labelValues(service).observe((double) millis / MILLIS_PER_SECOND);
     }
 
+    /** Takes in how a stream's first event came against what was predicted when it was sent. */
+    public void firstEventPredicted(String service, double predictedMillis, long actualMillis) {
+        firstEventRatio.labelValues(service).observe(actualMillis / Math.max(1, predictedMillis));
+    }
+
     /** Counts a request that is sent to a further target. */
     public void retried(String service) {
         retries.labelValues(service).inc();
