Weights: engines change at once where every request may go on elsewhere; a relay that knows nothing answers late

Ruled out: earlier or wider turns, since copies cannot be whole before 3.5 s and new ones are due at 6.9 s. Change: where every route of the service may be repeated or taken up again, the engine is told to change at once; streams go on at another engine after their last event, within the windowed retry budget. Otherwise as before. Boxes whose copies are late change one after the other while time allows. The order's method stands in its log line. And: a relay without a publication said at once that a piece was not coming, so that boxes asked eight times in a row and gave it up for the piece; it answers after 400 ms now.

--- a/core/src/main/java/org/bankturn/service/ServingConfiguration.java
+++ b/core/src/main/java/org/bankturn/service/ServingConfiguration.java
@@ -123,6 +123,18 @@
         return services.values().stream().filter(Service::isOrigin).findFirst();
     }
 
+    /**
+     * Returns true if every request that a service may run can be repeated or taken up at another of its targets.
+     *
+     * @param service the service's name, not null
+     */
+    public boolean everyRequestMayGoOnElsewhere(String service) {
+        return routes.stream()
+                .filter(route -> route.services().stream()
+                        .anyMatch(share -> share.weight() > 0 && share.service().equals(service)))
+                .allMatch(route -> route.kind().mayRepeat() && route.maximumAttempts() > 1);
+    }
+
     /** Returns what callers may send, not null. */
     public ClientLimits limits() {
         return limits;
--- a/core/src/main/java/org/bankturn/weights/ChangeTurns.java
+++ b/core/src/main/java/org/bankturn/weights/ChangeTurns.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.bankturn.time.Clock;
 
 /**
  * Says when each box has its engine change over to a version that was named.
@@ -25,6 +24,9 @@
     /** What is left after the last turn, a quarter of the time, is for the answers under way to end. */
     private static final double LAST_SHARE = 0.75;
 
+    /** Boxes whose copies came late change that far apart, if time allows: engines load staged weights in about twice it. */
+    private static final long APART_MILLIS = 150;
+
     /** Checks the time. */
     public ChangeTurns {
         if (allowedMillis < 1) {
@@ -35,14 +37,28 @@
     /**
      * Returns the turn of a box.
      *
+     * <p>When a copy comes late, those of the other boxes are likely to have come late as well; then boxes change one
+     * after the other as long as time allows, and at once when it does not.
+     *
      * @param box the box's name, not null
      * @param boxes all boxes that change, not null; a box that is not among them has the first turn
-     * @return milliseconds after the naming; compare with {@link Clock#millis()} at the naming
+     * @param wholeMillis when the box's copy was whole, in milliseconds after the naming
+     * @return milliseconds after the naming, not before the copy was whole
      */
-    public long turnMillis(String box, List<PieceHolder> boxes) {
+    public long turnMillis(String box, List<PieceHolder> boxes, long wholeMillis) {
         List<String> order = order(boxes);
         int rank = Math.max(0, order.indexOf(box));
-        double share = rank / (double) Math.max(1, order.size() - 1);
+        long planned = plannedMillis(rank, order.size());
+        if (wholeMillis <= planned) {
+            return planned;
+        }
+        double left = Math.max(0, allowedMillis * LAST_SHARE - wholeMillis);
+        double apart = Math.min(APART_MILLIS, left / Math.max(1, order.size()));
+        return wholeMillis + Math.round(rank * apart);
+    }
+
+    private long plannedMillis(int rank, int boxes) {
+        double share = rank / (double) Math.max(1, boxes - 1);
         return Math.round(allowedMillis * (FIRST_SHARE + (LAST_SHARE - FIRST_SHARE) * share));
     }
 
--- a/core/src/test/java/org/bankturn/service/ServingConfigurationTest.java
+++ b/core/src/test/java/org/bankturn/service/ServingConfigurationTest.java
@@ -61,6 +61,23 @@
         return new WeightedService(service, weight);
     }
 
+    @Test
+    void requests_may_go_on_elsewhere_only_if_no_route_of_the_service_forbids_it() {
+        Route safe = route("safe", "/a/", 100, share("chat", 1));
+        assertThat(configuration(safe).everyRequestMayGoOnElsewhere("chat")).isTrue();
+        for (RequestKind kind : List.of(RequestKind.UNSAFE, RequestKind.STREAM)) {
+            Route once = new Route("once", "h", "/b/", kind, 100, 50, 0, List.of(share("chat", 1)), 2, false);
+            assertThat(configuration(safe, once).everyRequestMayGoOnElsewhere("chat"))
+                    .isFalse();
+        }
+        Route single = new Route(
+                "single", "h", "/b/", RequestKind.RESUMABLE_STREAM, 100, 50, 0, List.of(share("chat", 1)), 1, false);
+        assertThat(configuration(safe, single).everyRequestMayGoOnElsewhere("chat"))
+                .isFalse();
+        assertThat(configuration(safe, single).everyRequestMayGoOnElsewhere("booking"))
+                .isTrue();
+    }
+
     private static Route route(String name, String prefix, long timeoutMillis, WeightedService... services) {
         return new Route(name, "h", prefix, RequestKind.IDEMPOTENT, timeoutMillis, 50, 0, List.of(services), 2, false);
     }
--- a/core/src/test/java/org/bankturn/weights/ChangeTurnsTest.java
+++ b/core/src/test/java/org/bankturn/weights/ChangeTurnsTest.java
@@ -17,18 +17,18 @@
     void every_box_has_its_turn_early_enough_to_empty_itself() {
         List<PieceHolder> boxes = boxes(5);
         assertThat(boxes)
-                .allSatisfy(box ->
-                        assertThat(turns.turnMillis(box.box(), boxes)).isBetween(1L, ALLOWED_MILLIS - EMPTYING_MILLIS));
+                .allSatisfy(box -> assertThat(turns.turnMillis(box.box(), boxes, 0))
+                        .isBetween(1L, ALLOWED_MILLIS - EMPTYING_MILLIS));
     }
 
     @Test
     void no_more_boxes_empty_themselves_at_once_than_an_even_spread_needs() {
         List<PieceHolder> boxes = boxes(8);
-        long first = turns.turnMillis("east-1", boxes);
+        long first = turns.turnMillis("east-1", boxes, 0);
         for (long now = first; now < ALLOWED_MILLIS; now += 50) {
             long moment = now;
             long emptying = boxes.stream()
-                    .mapToLong(box -> turns.turnMillis(box.box(), boxes))
+                    .mapToLong(box -> turns.turnMillis(box.box(), boxes, 0))
                     .filter(turn -> turn <= moment && moment < turn + EMPTYING_MILLIS)
                     .count();
             assertThat(emptying).isLessThanOrEqualTo(boxes.size() * 6L / 10 + 1);
@@ -38,20 +38,41 @@
     @Test
     void each_hall_keeps_boxes_that_serve_while_others_change() {
         List<PieceHolder> boxes = boxes(6);
-        long half = (turns.turnMillis("east-1", boxes) + turns.turnMillis("west-6", boxes)) / 2;
+        long half = (turns.turnMillis("east-1", boxes, 0) + turns.turnMillis("west-6", boxes, 0)) / 2;
         for (String hall : List.of("east", "north", "west")) {
             long before = boxes.stream()
                     .filter(box -> box.dataHall().equals(hall))
-                    .filter(box -> turns.turnMillis(box.box(), boxes) < half)
+                    .filter(box -> turns.turnMillis(box.box(), boxes, 0) < half)
                     .count();
             assertThat(before).isBetween(2L, 4L);
         }
     }
 
+    @Test
+    void boxes_whose_copies_come_late_change_one_after_the_other_while_there_is_time() {
+        List<PieceHolder> boxes = boxes(4);
+        long whole = ALLOWED_MILLIS / 2 + 500;
+        List<Long> late = boxes.stream()
+                .map(box -> turns.turnMillis(box.box(), boxes, whole))
+                .filter(turn -> turn < ALLOWED_MILLIS * 3 / 4)
+                .distinct()
+                .toList();
+        assertThat(late).hasSizeGreaterThan(boxes.size() / 2);
+        assertThat(late).allMatch(turn -> turn >= whole);
+    }
+
+    @Test
+    void boxes_whose_copies_come_when_time_is_up_change_at_once() {
+        List<PieceHolder> boxes = boxes(4);
+        assertThat(boxes)
+                .allSatisfy(box -> assertThat(turns.turnMillis(box.box(), boxes, ALLOWED_MILLIS + 1))
+                        .isEqualTo(ALLOWED_MILLIS + 1));
+    }
+
     @Test
     void a_single_box_changes_first_and_one_that_is_not_listed_does_not_wait() {
         List<PieceHolder> one = List.of(new PieceHolder("east-1", "east", 1));
-        assertThat(turns.turnMillis("east-1", one)).isEqualTo(turns.turnMillis("stranger", one));
+        assertThat(turns.turnMillis("east-1", one, 0)).isEqualTo(turns.turnMillis("stranger", one, 0));
     }
 
     @Test
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -30,6 +30,7 @@
     HALL,
     /** How long a request was held, in milliseconds. */
     HELD_MS,
+    METHOD,
     PREDICTED_MS,
     FIRST_EVENT_MS,
     /** The index of a publication. */
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -163,17 +163,19 @@
         }
         starting = true;
         WeightsCopy started = copy;
+        ChangeMethod method = changeMethod();
         long wait = lastReport.heldVersion() == 0
                 ? 0
                 : Math.max(0, turnMillis() - around.clock().millis());
         around.reactor()
                 .delayBackground(
                         wait,
-                        () -> started.verifyAndStart().whenComplete((answer, failure) -> {
+                        () -> started.verifyAndStart(method).whenComplete((answer, failure) -> {
                             around.log()
                                     .line(DecisionKind.WEIGHTS)
                                     .with(DecisionField.EVENT, failure == null ? "start ordered" : "start failed")
                                     .with(DecisionField.VERSION, started.version())
+                                    .with(DecisionField.METHOD, method)
                                     .with(DecisionField.ERROR, failure == null ? "" : failure.getMessage())
                                     .write();
                             long pause = failure == null ? START_AGAIN_MILLIS : START_RETRY_MILLIS;
@@ -183,10 +185,20 @@
 
     private long turnMillis() {
         long turn = new ChangeTurns(settings.deadlineMillis())
-                .turnMillis(settings.nodeAddress().toString(), boxes());
+                .turnMillis(
+                        settings.nodeAddress().toString(),
+                        boxes(),
+                        around.clock().millis() - namedMillis);
         return namedMillis + turn;
     }
 
+    /** Answers that can go on at another target need not be waited for, which would empty the engines by turns. */
+    private ChangeMethod changeMethod() {
+        boolean goOn = published.configuration() != null
+                && published.configuration().everyRequestMayGoOnElsewhere(settings.service());
+        return goOn ? ChangeMethod.AT_ONCE : ChangeMethod.AFTER_ANSWERS;
+    }
+
     // ---- neighbours
 
     /** Answers a neighbour that asks for a piece. */
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -291,10 +291,10 @@
     // ---- checking again and starting
 
     /** Reads every piece back, lays down again what turned bad, then orders the engine to take the weights up. */
-    Promise<HttpCalls.Answer> verifyAndStart() {
+    Promise<HttpCalls.Answer> verifyAndStart(ChangeMethod method) {
         return verify(0)
                 .then(() -> around.callEngine(
-                        around.dialect().order(), around.dialect().startOrder(layout.model(), version)));
+                        around.dialect().order(), around.dialect().startOrder(layout.model(), version, method)));
     }
 
     private Promise<Void> verify(int piece) {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsDialect.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsDialect.java
@@ -21,7 +21,7 @@
     HttpHead order();
 
     /** Returns the body of the order to take up the weights that lie there. */
-    byte[] startOrder(String model, int version);
+    byte[] startOrder(String model, int version, ChangeMethod method);
 
     /** Returns the call that asks an origin for a manifest; version 0 asks for the newest. */
     HttpHead manifest(String model, int version);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsRelay.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsRelay.java
@@ -1,6 +1,7 @@
 package org.bankturn.daemon.weights;
 
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -39,6 +40,9 @@
     /** The version in force, and the one that follows it. */
     private static final int VERSIONS_KEPT = 2;
 
+    /** A box that hears no sooner that a version is not here does not ask again sooner either. */
+    private static final long NOT_COMING_MILLIS = 400;
+
     /** The version that a box without an engine is said to hold. */
     public static final int NO_ENGINE = -1;
 
@@ -89,10 +93,22 @@
         Optional<WeightsCopy> copy = copy(asked.model(), asked.version());
         copy.ifPresent(each -> each.demand(asked.piece()));
         return copy.map(each -> each.whenHere(asked.piece(), asked.waitMillis()))
-                .orElseGet(() -> Promise.of(false))
+                .orElseGet(this::notComing)
                 .map(NodeReply.PieceThere::new);
     }
 
+    /** Answers only after a while: a relay that has just started may know the version any moment. */
+    private Promise<Boolean> notComing() {
+        SettablePromise<Boolean> later = new SettablePromise<>();
+        wiring.reactor().delayBackground(NOT_COMING_MILLIS, () -> later.set(false));
+        return later;
+    }
+
+    /** Returns the versions of a model that are kept here or on their way, oldest first, not null. */
+    List<Integer> versionsKept(String model) {
+        return List.copyOf(copies.getOrDefault(model, new TreeMap<>()).keySet());
+    }
+
     /** Returns the copy of a version, which is begun if there is none; empty if it is not kept here. */
     private Optional<WeightsCopy> copy(String model, int version) {
         TreeMap<Integer, WeightsCopy> versions = copies.computeIfAbsent(model, key -> new TreeMap<>());
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -17,13 +17,16 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.daemon.publication.Announcer;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.ClientLimits;
 import org.bankturn.service.DocumentFormat;
 import org.bankturn.service.RequestKind;
@@ -136,6 +139,29 @@
         assertThat(untilRead(1)).isEqualTo("7");
     }
 
+    @Test
+    void a_process_that_announces_itself_is_published_at_every_box() {
+        AtomicReference<Published> seen = follow(2);
+        Eventloop reactor = running.get(0).reactor();
+        NodeClients clients = NodeClients.on(reactor);
+        PublicationFollower follower = follower(0, published -> {});
+        Announcer announcer = Announcer.of(
+                reactor,
+                clients,
+                follower,
+                sequence -> new TargetSighting("relay-1", "relays", "10.0.0.1:7", "north", 0, false, -1, sequence),
+                200,
+                log);
+        reactor.execute(() -> {
+            follower.start();
+            announcer.start();
+        });
+        while (!seen.get().targets().containsKey("relay-1")) {
+            Thread.onSpinWait();
+        }
+        assertThat(seen.get().targets().get("relay-1").address()).isEqualTo("10.0.0.1:7");
+    }
+
     // ---- boxes
 
     private void start(int box) throws IOException {
@@ -193,8 +219,14 @@
 
     private AtomicReference<Published> follow(int box) {
         AtomicReference<Published> seen = new AtomicReference<>(Published.NOTHING);
+        PublicationFollower follower = follower(box, seen::set);
+        running.get(box).reactor().execute(follower::start);
+        return seen;
+    }
+
+    private PublicationFollower follower(int box, Consumer<Published> listener) {
         Eventloop reactor = running.get(box).reactor();
-        PublicationFollower follower = PublicationFollower.of(
+        return PublicationFollower.of(
                 new PublicationFollower.Wiring(
                         reactor,
                         NodeClients.on(reactor),
@@ -204,9 +236,7 @@
                         clock,
                         log,
                         metrics),
-                seen::set);
-        reactor.execute(follower::start);
-        return seen;
+                listener);
     }
 
     // ---- calls
--- a/daemon/src/test/java/org/bankturn/daemon/weights/PlainWeightsDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/PlainWeightsDialect.java
@@ -36,8 +36,8 @@
     }
 
     @Override
-    public byte[] startOrder(String model, int version) {
-        return ("start " + version).getBytes(StandardCharsets.UTF_8);
+    public byte[] startOrder(String model, int version, ChangeMethod method) {
+        return ("start " + version + " " + method).getBytes(StandardCharsets.UTF_8);
     }
 
     @Override
--- a/daemon/src/test/java/org/bankturn/daemon/weights/WeightsCopyTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/WeightsCopyTest.java
@@ -168,9 +168,9 @@
         box.rotsOnce.add(3);
         copyEverywhere();
         assertThat(box.staged.get(3)).isNotEqualTo(origin.piece(3));
-        run(() -> box.copy.verifyAndStart().toVoid());
+        run(() -> box.copy.verifyAndStart(ChangeMethod.AFTER_ANSWERS).toVoid());
         assertThat(box.staged.get(3)).isEqualTo(origin.piece(3));
-        assertThat(box.orders).containsExactly("start " + PlainWeightsDialect.VERSION);
+        assertThat(box.orders).containsExactly("start " + PlainWeightsDialect.VERSION + " AFTER_ANSWERS");
     }
 
     @Test
@@ -179,7 +179,8 @@
         ScriptedBox box = boxes.get("north-1");
         box.rotsAlways.add(3);
         copyEverywhere();
-        assertThatThrownBy(() -> run(() -> box.copy.verifyAndStart().toVoid()))
+        assertThatThrownBy(() -> run(() ->
+                        box.copy.verifyAndStart(ChangeMethod.AFTER_ANSWERS).toVoid()))
                 .hasMessageContaining("piece 3 does not stay good");
         assertThat(box.orders).isEmpty();
     }
