--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -123,6 +123,9 @@
 
     private void sendTo(Choice choice, int version) {
         tried.add(choice.target().sighting().id());
+        if (sends > 0) {
+            gateway.metrics().retried(service.name());
+        }
         attempt = new Attempt(this, gateway, choice, Math.max(0, version));
         attempt.begin();
     }
@@ -147,7 +150,6 @@
 
     /** Sends the request to another target, if one may still have it. */
     void retry(String reason) {
-        gateway.metrics().retried(service.name());
         gateway.log()
                 .line(lastEvent == null ? DecisionKind.RETRIED : DecisionKind.RESUMED)
                 .with(DecisionField.REQUEST, terms.id())
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -4,6 +4,7 @@
 import io.activej.promise.SettablePromise;
 import java.util.List;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
@@ -31,6 +32,9 @@
     private static final long START_AGAIN_MILLIS = 1_500;
     private static final long START_RETRY_MILLIS = 150;
 
+    /** Versions whose naming is remembered: the one that is changed to may be older than the newest. */
+    private static final int VERSIONS_TIMED = 8;
+
     private final WeightsSettings settings;
     private final ProcessSurroundings around;
     private final PieceSender sender;
@@ -42,7 +46,7 @@
 
     private EngineReport lastReport;
     private int namedVersion;
-    private long namedMillis;
+    private final TreeMap<Integer, Long> namedMillis = new TreeMap<>();
     private boolean starting;
     private long reportedMillis;
 
@@ -71,7 +75,8 @@
     private void noteNamed(NamedWeights named) {
         if (named.version() > namedVersion) {
             namedVersion = named.version();
-            namedMillis = around.clock().millis();
+            namedMillis.put(named.version(), around.clock().millis());
+            namedMillis.headMap(named.version() - VERSIONS_TIMED).clear();
         }
     }
 
@@ -111,13 +116,13 @@
         }
     }
 
-    /** A copy that is nearly whole is finished first; the wanted version is fetched meanwhile, but not laid down yet. */
+    /** A copy that is well under way is finished first; the wanted version is fetched meanwhile, but not laid down yet. */
     private void fetchWanted(int wanted, EngineReport report) {
         if (copy != null && copy.version() >= wanted) {
             return;
         }
         boolean finishes =
-                copy != null && (report.busy() || (copy.isNearlyWhole() && report.heldVersion() < copy.version()));
+                copy != null && (report.busy() || (copy.isWellUnderWay() && report.heldVersion() < copy.version()));
         if (following == null || following.version() < wanted) {
             abandon(following);
             following = beginCopy(wanted);
@@ -166,7 +171,7 @@
         ChangeMethod method = changeMethod();
         long wait = lastReport.heldVersion() == 0
                 ? 0
-                : Math.max(0, turnMillis() - around.clock().millis());
+                : Math.max(0, turnMillis(started.version()) - around.clock().millis());
         around.reactor()
                 .delayBackground(
                         wait,
@@ -183,13 +188,11 @@
                         }));
     }
 
-    private long turnMillis() {
-        long turn = new ChangeTurns(settings.deadlineMillis())
-                .turnMillis(
-                        settings.nodeAddress().toString(),
-                        boxes(),
-                        around.clock().millis() - namedMillis);
-        return namedMillis + turn;
+    private long turnMillis(int version) {
+        long now = around.clock().millis();
+        long named = namedMillis.getOrDefault(version, now);
+        ChangeTurns turns = new ChangeTurns(settings.deadlineMillis());
+        return named + turns.turnMillis(settings.nodeAddress().toString(), boxes(), now - named);
     }
 
     /** Answers that can go on at another target need not be waited for, which would empty the engines by turns. */
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -32,6 +32,10 @@
     static final int MANIFEST = PieceRouting.MANIFEST;
 
     private static final long RETRY_MILLIS = 150;
+
+    /** Relays have a whole copy by the time that a box on a link of half the origin's rate has about half of it. */
+    private static final double WELL_UNDER_WAY_SHARE = 0.35;
+
     private static final long PROGRESS_MILLIS = 1_000;
 
     private final WeightsSurroundings around;
@@ -69,9 +73,9 @@
         return manifest != null && staged == pieces.length;
     }
 
-    /** Returns true if the greater part of the pieces is here. */
-    boolean isNearlyWhole() {
-        return manifest != null && here() > pieces.length * 2 / 3;
+    /** Returns true if so much is here that the rest is likely to come, even if the origin fails now. */
+    boolean isWellUnderWay() {
+        return manifest != null && here() > pieces.length * WELL_UNDER_WAY_SHARE;
     }
 
     private int here() {
