--- a/core/src/main/java/org/bankturn/weights/ChangeTurns.java
+++ b/core/src/main/java/org/bankturn/weights/ChangeTurns.java
@@ -14,10 +14,8 @@
  * and a box that is late or gone holds nobody up.
  *
  * <p>ChangeTurns is immutable and thread-safe.
- *
- * @param allowedMillis the time from the naming until every engine must have changed
  */
-public record ChangeTurns(long allowedMillis) {
+public final class ChangeTurns {
     /** Copies on links with nothing in their way are whole by then; a box whose copy comes later changes at once. */
     private static final double FIRST_SHARE = 0.42;
 
@@ -27,11 +25,27 @@
     /** Boxes whose copies came late change that far apart, if time allows: engines load staged weights in about twice it. */
     private static final long APART_MILLIS = 150;
 
-    /** Checks the time. */
-    public ChangeTurns {
+    private final long allowedMillis;
+
+    /** The place of a box among those of its hall, and then among all. */
+    private record Place(int inHall, String hall, String box) {}
+
+    /**
+     * Returns the turns of a change.
+     *
+     * @param allowedMillis the time from the naming until every engine must have changed, more than 0
+     * @return the turns, not null
+     * @throws IllegalArgumentException if no time is allowed
+     */
+    public static ChangeTurns within(long allowedMillis) {
         if (allowedMillis < 1) {
             throw new IllegalArgumentException("the time allowed must be 1 ms or more, not " + allowedMillis);
         }
+        return new ChangeTurns(allowedMillis);
+    }
+
+    private ChangeTurns(long allowedMillis) {
+        this.allowedMillis = allowedMillis;
     }
 
     /**
@@ -65,7 +79,6 @@
     /** Returns the boxes in the order of their turns: the first of each data hall, then the second of each. */
     private static List<String> order(List<PieceHolder> boxes) {
         Map<String, Integer> seen = new HashMap<>();
-        record Place(int inHall, String hall, String box) {}
         return boxes.stream()
                 .sorted(Comparator.comparing(PieceHolder::box))
                 .map(box -> new Place(seen.merge(box.dataHall(), 1, Integer::sum), box.dataHall(), box.box()))
@@ -73,4 +86,9 @@
                 .map(Place::box)
                 .toList();
     }
+
+    @Override
+    public String toString() {
+        return "ChangeTurns[" + allowedMillis + "]";
+    }
 }
--- a/core/src/main/java/org/bankturn/weights/PieceRouting.java
+++ b/core/src/main/java/org/bankturn/weights/PieceRouting.java
@@ -137,9 +137,9 @@
     /**
      * Returns the sources of a piece, best first; the origin is the last resort.
      *
-     * <p>Relays of the own hall come first, then boxes that hold the version. Then come the box that fetches the piece into the hall, the one that
-     * fetches it from the origin, and a deputy of each for the case that it does not answer. A box waits only for boxes
-     * that come before it in that order, so no two ever wait for each other.
+     * <p>Relays of the own hall come first, then boxes that hold the version. Then come the box that fetches the piece
+     * into the hall, the one that fetches it from the origin, and a deputy of each for the case that it does not answer. A
+     * box waits only for boxes that come before it in that order, so no two ever wait for each other.
      */
     public List<PieceSource> sourcesOf(int piece) {
         List<PieceSource> sources = new ArrayList<>();
--- a/core/src/test/java/org/bankturn/weights/ChangeTurnsTest.java
+++ b/core/src/test/java/org/bankturn/weights/ChangeTurnsTest.java
@@ -11,7 +11,7 @@
     private static final long ALLOWED_MILLIS = 8_000;
     private static final long EMPTYING_MILLIS = 1_500;
 
-    private final ChangeTurns turns = new ChangeTurns(ALLOWED_MILLIS);
+    private final ChangeTurns turns = ChangeTurns.within(ALLOWED_MILLIS);
 
     @Test
     void every_box_has_its_turn_early_enough_to_empty_itself() {
@@ -77,7 +77,7 @@
 
     @Test
     void a_time_allowed_of_nothing_is_refused() {
-        assertThatThrownBy(() -> new ChangeTurns(0)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> ChangeTurns.within(0)).isInstanceOf(IllegalArgumentException.class);
     }
 
     private static List<PieceHolder> boxes(int inEachHall) {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
@@ -24,7 +24,10 @@
  *
  * <p>Neighbours that do not hold the version yet say when they have a piece; now and then another box of the hall is
  * asked, so that a slow box holds nobody up for long. A few pieces at a time are then transferred, at most two from one
- * box. Few pieces at a time are asked of the origin, so that its few connections suffice for all boxes. PieceFetcher is confined to its reactor's thread.
+ * box, and fewer where requests to an engine share the link. Few pieces at a time are asked of the origin, so that its few
+ * connections suffice for all boxes.
+ *
+ * <p>PieceFetcher is confined to its reactor's thread.
  */
 final class PieceFetcher {
     /** How the origin is called in metrics. */
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -46,7 +46,10 @@
 
     private EngineReport lastReport;
     private int namedVersion;
+
+    /** When each version became known here, by version. */
     private final TreeMap<Integer, Long> namedMillis = new TreeMap<>();
+
     private boolean starting;
     private long reportedMillis;
 
@@ -168,30 +171,31 @@
         }
         starting = true;
         WeightsCopy started = copy;
-        ChangeMethod method = changeMethod();
         long wait = lastReport.heldVersion() == 0
                 ? 0
                 : Math.max(0, turnMillis(started.version()) - around.clock().millis());
-        around.reactor()
-                .delayBackground(
-                        wait,
-                        () -> started.verifyAndStart(method).whenComplete((answer, failure) -> {
-                            around.log()
-                                    .line(DecisionKind.WEIGHTS)
-                                    .with(DecisionField.EVENT, failure == null ? "start ordered" : "start failed")
-                                    .with(DecisionField.VERSION, started.version())
-                                    .with(DecisionField.METHOD, method)
-                                    .with(DecisionField.ERROR, failure == null ? "" : failure.getMessage())
-                                    .write();
-                            long pause = failure == null ? START_AGAIN_MILLIS : START_RETRY_MILLIS;
-                            around.reactor().delayBackground(pause, () -> starting = false);
-                        }));
+        around.reactor().delayBackground(wait, () -> orderStart(started));
+    }
+
+    private void orderStart(WeightsCopy started) {
+        ChangeMethod method = changeMethod();
+        started.verifyAndStart(method).whenComplete((answer, failure) -> {
+            around.log()
+                    .line(DecisionKind.WEIGHTS)
+                    .with(DecisionField.EVENT, failure == null ? "start ordered" : "start failed")
+                    .with(DecisionField.VERSION, started.version())
+                    .with(DecisionField.METHOD, method)
+                    .with(DecisionField.ERROR, failure == null ? "" : failure.getMessage())
+                    .write();
+            long pause = failure == null ? START_AGAIN_MILLIS : START_RETRY_MILLIS;
+            around.reactor().delayBackground(pause, () -> starting = false);
+        });
     }
 
     private long turnMillis(int version) {
         long now = around.clock().millis();
         long named = namedMillis.getOrDefault(version, now);
-        ChangeTurns turns = new ChangeTurns(settings.deadlineMillis());
+        ChangeTurns turns = ChangeTurns.within(settings.deadlineMillis());
         return named + turns.turnMillis(settings.nodeAddress().toString(), boxes(), now - named);
     }
 
