Gateway: a target that is slow to begin takes nothing shortly before newer weights are due

Ruled out: the gateway's own time of learning (it was in touch and had learned at 18.06), the queue at the engine (0.28 s). Change: a target that holds an older version takes a request only if twice its predicted time to begin, which holds how slow the path to it was, ends before the next version is due.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -118,7 +118,8 @@
     }
 
     private Optional<Choice> choose(int version) {
-        return gateway.targets().choose(new Wanted(service, version, terms.promptTokens(), tried));
+        return gateway.targets()
+                .choose(new Wanted(service, version, gateway.versionsDue(service), terms.promptTokens(), tried));
     }
 
     private void sendTo(Choice choice, int version) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.HttpListener;
 import org.bankturn.daemon.http.ServerExchange;
@@ -23,6 +22,7 @@
 import org.bankturn.publication.NamedWeights;
 import org.bankturn.routing.PredictionCorrection;
 import org.bankturn.routing.RetryBudget;
+import org.bankturn.routing.VersionsDue;
 import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
 import org.bankturn.service.Route;
@@ -66,7 +66,7 @@
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final Map<String, PredictionCorrection> corrections = new HashMap<>();
     private final Map<String, Integer> mostUrgent = new HashMap<>();
-    private final Map<String, TreeMap<Integer, Long>> weightsDueMillis = new HashMap<>();
+    private final Map<String, VersionsDue> versionsDue = new HashMap<>();
     private Published published = Published.NOTHING;
     private boolean stopping;
     private boolean takenOut;
@@ -130,9 +130,9 @@
         long due =
                 first ? clock.millis() + DUE_AFTER_START_MILLIS : changedSinceMillis + settings.weightsDeadlineMillis();
         for (NamedWeights named : newer.weights()) {
-            weightsDueMillis
-                    .computeIfAbsent(named.model(), key -> new TreeMap<>())
-                    .putIfAbsent(named.version(), due);
+            versionsDue
+                    .computeIfAbsent(named.model(), key -> VersionsDue.none())
+                    .named(named.version(), due);
         }
         published = newer;
         mostUrgent.clear();
@@ -266,14 +266,14 @@
         if (service.weights() == null) {
             return -1;
         }
-        long now = clock.millis();
-        TreeMap<Integer, Long> dueMillis =
-                weightsDueMillis.getOrDefault(service.weights().model(), new TreeMap<>());
-        return dueMillis.descendingMap().entrySet().stream()
-                .filter(entry -> entry.getValue() <= now)
-                .map(Map.Entry::getKey)
-                .findFirst()
-                .orElse(0);
+        return versionsDue(service).leastVersion(clock.millis());
+    }
+
+    /** Returns when requests of the service must begin on newer weights, not null. */
+    VersionsDue versionsDue(Service service) {
+        return service.weights() == null
+                ? VersionsDue.none()
+                : versionsDue.computeIfAbsent(service.weights().model(), key -> VersionsDue.none());
     }
 
     /** Returns what this gateway has learned about its predictions for a service. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetTable.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetTable.java
@@ -10,6 +10,7 @@
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.EngineLoad;
 import org.bankturn.routing.FirstEventEstimate;
+import org.bankturn.routing.VersionsDue;
 import org.bankturn.service.EngineModel;
 import org.bankturn.service.Service;
 import org.bankturn.time.Clock;
@@ -32,10 +33,11 @@
      *
      * @param service the service, not null
      * @param leastVersion the version of the weights that it must hold, 0 for any, -1 if the service holds none
+     * @param due when requests must begin on newer weights, not null
      * @param promptTokens the size of its prompt
      * @param excluded the incarnations that were tried, not null
      */
-    record Wanted(Service service, int leastVersion, int promptTokens, Set<String> excluded) {}
+    record Wanted(Service service, int leastVersion, VersionsDue due, int promptTokens, Set<String> excluded) {}
 
     /**
      * A target and what is predicted there.
@@ -99,6 +101,9 @@
                 continue;
             }
             double predicted = predictedMillis(state, wanted, now);
+            if (!wanted.due().mayBegin(state.heldVersion(), now, predicted)) {
+                continue;
+            }
             double spread = predicted * (1 + SPREAD * random.nextDouble());
             double cost = spread
                     + (isNear(state) ? 0 : OTHER_HALL_MILLIS)
