--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
@@ -45,6 +46,9 @@
 class GroupNodeTest {
     private static final int BOXES = 3;
 
+    private static final int CHANGES = 12;
+    private static final long FIRST_PUBLICATION_SECONDS = 10;
+
     @TempDir
     private Path folder;
 
@@ -139,6 +143,20 @@
         assertThat(untilRead(1)).isEqualTo("7");
     }
 
+    @Test
+    void a_box_that_starts_again_alone_publishes_what_it_knew_to_be_accepted() throws Exception {
+        for (int version = 1; version <= CHANGES; version++) {
+            assertThat(untilAccepted(0, "/put", String.valueOf(version))).isEqualTo(200);
+        }
+        assertThat(untilRead(0)).isEqualTo(String.valueOf(CHANGES));
+        awaitPublished(0, CHANGES);
+        for (int box = 0; box < BOXES; box++) {
+            stopBox(box);
+        }
+        start(0);
+        assertThat(versionOfFirst(followFromStart(0))).isGreaterThanOrEqualTo(CHANGES - 1);
+    }
+
     @Test
     void a_process_that_announces_itself_is_published_at_every_box() {
         AtomicReference<Published> seen = follow(2);
@@ -217,6 +235,34 @@
         }
     }
 
+    /** Follows a box and gives what it publishes first. */
+    private CompletableFuture<Published> followFromStart(int box) {
+        CompletableFuture<Published> first = new CompletableFuture<>();
+        PublicationFollower follower = follower(box, (published, changedSinceMillis) -> first.complete(published));
+        running.get(box).reactor().execute(follower::start);
+        return first;
+    }
+
+    /** Waits until a box has applied a change itself, whichever box leads. */
+    private void awaitPublished(int box, long version) {
+        CompletableFuture<Void> applied = new CompletableFuture<>();
+        PublicationFollower follower = follower(box, (published, changedSinceMillis) -> {
+            if (published.configuration() != null && published.configuration().version() >= version) {
+                applied.complete(null);
+            }
+        });
+        Eventloop reactor = running.get(box).reactor();
+        reactor.execute(follower::start);
+        applied.join();
+        reactor.execute(follower::stop);
+    }
+
+    private static long versionOfFirst(CompletableFuture<Published> first) throws Exception {
+        return first.get(FIRST_PUBLICATION_SECONDS, TimeUnit.SECONDS)
+                .configuration()
+                .version();
+    }
+
     private AtomicReference<Published> follow(int box) {
         AtomicReference<Published> seen = new AtomicReference<>(Published.NOTHING);
         PublicationFollower follower = follower(box, (published, changedSinceMillis) -> seen.set(published));
