Agreement: a member that starts again goes on from the commit index that it stored

Ruled out: taking the whole log for committed (the seeded faults of schedules and of the specification find it); asking the other members first (they know no more after a loss of power of all). Change: each stored step carries the commit index; a restart applies the entries up to it before it is asked anything. It is not synced for itself, so it is at most a step behind. Logs of earlier releases are read as before.

--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -52,7 +52,7 @@
     private long handedOutIndex;
 
     /**
-     * Creates a member from what its storage holds.
+     * Creates a member from what its storage holds; the first {@link #ready} hands out what was known to be committed.
      *
      * @param self this member, not null
      * @param stored what storage recovered, not null
@@ -88,8 +88,8 @@
         this.log = new AgreementLog(stored.snapshot(), stored.entries());
         this.term = stored.vote().term();
         this.votedFor = stored.vote().votedFor();
-        this.commitIndex = log.snapshot().index();
-        this.handedOutIndex = commitIndex;
+        this.commitIndex = Math.max(log.snapshot().index(), Math.min(stored.commitIndex(), log.lastIndex()));
+        this.handedOutIndex = log.snapshot().index();
         restartElectionTimer();
     }
 
@@ -264,7 +264,7 @@
      */
     public Ready ready() {
         List<LogEntry> committed = log.between(handedOutIndex + 1, commitIndex);
-        Ready ready = outbox.take(new Vote(term, votedFor), committed);
+        Ready ready = outbox.take(new Vote(term, votedFor), commitIndex, committed);
         handedOutIndex = commitIndex;
         return ready;
     }
--- a/core/src/main/java/org/bankturn/agreement/Outbox.java
+++ b/core/src/main/java/org/bankturn/agreement/Outbox.java
@@ -38,9 +38,14 @@
     }
 
     /** Hands everything out and is empty afterwards. */
-    Ready take(Vote vote, List<LogEntry> committed) {
+    Ready take(Vote vote, long commitIndex, List<LogEntry> committed) {
         Ready ready = new Ready(
-                voteChanged ? vote : null, installed, List.copyOf(unstored), List.copyOf(messages), committed);
+                voteChanged ? vote : null,
+                installed,
+                List.copyOf(unstored),
+                commitIndex,
+                List.copyOf(messages),
+                committed);
         voteChanged = false;
         installed = null;
         unstored.clear();
--- a/core/src/main/java/org/bankturn/agreement/StoredAgreement.java
+++ b/core/src/main/java/org/bankturn/agreement/StoredAgreement.java
@@ -8,5 +8,6 @@
  * @param vote the vote, not null
  * @param snapshot the snapshot, not null
  * @param entries the entries after the snapshot, in order, not null
+ * @param commitIndex the index up to which they were known to be committed; the snapshot's or more
  */
-public record StoredAgreement(Vote vote, Snapshot snapshot, List<LogEntry> entries) {}
+public record StoredAgreement(Vote vote, Snapshot snapshot, List<LogEntry> entries, long commitIndex) {}
--- a/core/src/main/java/org/bankturn/storage/AgreementStorage.java
+++ b/core/src/main/java/org/bankturn/storage/AgreementStorage.java
@@ -17,7 +17,8 @@
  *
  * <p>Three files: {@code identity} says which life of the disk this is, {@code snapshot} holds the newest snapshot, and
  * {@code log} holds votes and entries in the order they came, rewritten whenever a snapshot is stored. An entry cuts off
- * whatever the log held from its index on. After any failed write or sync this object must not be used again.
+ * whatever the log held from its index on. The commit index is stored along with them and never synced for itself, so it
+ * may be a step behind. After any failed write or sync this object must not be used again.
  *
  * <p>AgreementStorage is mutable and not thread-safe.
  */
@@ -30,12 +31,16 @@
     private Vote vote = Vote.NONE;
     private Snapshot snapshot;
     private final List<LogEntry> entries = new ArrayList<>();
+    private long commitIndex;
 
     /**
      * One record of the log file: all that one step stored, so that a crash leaves it whole or torn, never in part.
-     * The vote is null if the step left it as it was.
+     *
+     * @param vote the vote, null if the step left it as it was
+     * @param entries the entries, not null
+     * @param commitIndex the index up to which entries were known to be committed; 0 in files of earlier releases
      */
-    private record LogRecord(Vote vote, List<LogEntry> entries) {}
+    private record LogRecord(Vote vote, List<LogEntry> entries, long commitIndex) {}
 
     /**
      * Reads the life of the disk that a device carries.
@@ -97,11 +102,12 @@
     private AgreementStorage(StorageDevice device, Snapshot snapshot) {
         this.device = device;
         this.snapshot = snapshot;
+        this.commitIndex = snapshot.index();
     }
 
     /** Returns what a member starts from, not null. */
     public StoredAgreement stored() {
-        return new StoredAgreement(vote, snapshot, List.copyOf(entries));
+        return new StoredAgreement(vote, snapshot, List.copyOf(entries), commitIndex);
     }
 
     /**
@@ -115,7 +121,7 @@
             storeSnapshot(ready.installed(), true);
         }
         if (ready.vote() != null || !ready.entries().isEmpty()) {
-            LogRecord step = new LogRecord(ready.vote(), ready.entries());
+            LogRecord step = new LogRecord(ready.vote(), ready.entries(), ready.commitIndex());
             replay(step);
             device.append(LOG, encode(step));
             device.sync(LOG);
@@ -134,6 +140,7 @@
 
     private void storeSnapshot(Snapshot newer, boolean replacesLog) throws IOException {
         snapshot = newer;
+        commitIndex = Math.max(commitIndex, newer.index());
         entries.removeIf(entry -> replacesLog || entry.index() <= newer.index());
         writeSnapshot();
         rewriteLog();
@@ -151,6 +158,7 @@
                 entries.add(entry);
             }
         }
+        commitIndex = Math.max(commitIndex, record.commitIndex());
     }
 
     private void writeSnapshot() throws IOException {
@@ -159,7 +167,7 @@
     }
 
     private void rewriteLog() throws IOException {
-        device.replace(LOG, encode(new LogRecord(vote, List.copyOf(entries))));
+        device.replace(LOG, encode(new LogRecord(vote, List.copyOf(entries), commitIndex)));
     }
 
     private static byte[] encode(LogRecord record) {
--- a/core/src/test/java/org/bankturn/agreement/AgreementTest.java
+++ b/core/src/test/java/org/bankturn/agreement/AgreementTest.java
@@ -129,6 +129,18 @@
                         reply -> assertThat(reply.accepted()).isFalse());
     }
 
+    @Test
+    void a_member_that_starts_again_hands_out_what_it_knew_to_be_committed_before_it_hears_a_leader() {
+        Agreement member = followerWithEntries(5, 3);
+        assertThat(member.ready().committed()).extracting(LogEntry::index).containsExactly(1L, 2L, 3L);
+        assertThat(member.commitIndex()).isEqualTo(3);
+    }
+
+    @Test
+    void a_commit_index_beyond_the_log_that_was_recovered_counts_only_as_far_as_the_log() {
+        assertThat(followerWithEntries(5, 9).commitIndex()).isEqualTo(5);
+    }
+
     @Test
     void a_rejection_that_comes_late_does_not_move_a_leader_forward() {
         Replication replication = new Replication(5, 0);
@@ -139,12 +151,16 @@
     }
 
     private static Agreement followerWithEntries(int count) {
+        return followerWithEntries(count, 0);
+    }
+
+    private static Agreement followerWithEntries(int count, long commitIndex) {
         List<LogEntry> entries = LongStream.rangeClosed(1, count)
                 .mapToObj(index -> new LogEntry(index, 1, new byte[] {1}, null))
                 .toList();
         return Agreement.recover(
                 MEMBERS.get(0),
-                new StoredAgreement(new Vote(1, LEADER), Snapshot.initial(MEMBERS), entries),
+                new StoredAgreement(new Vote(1, LEADER), Snapshot.initial(MEMBERS), entries, commitIndex),
                 MemberGroup.SETTINGS,
                 ManualClock.startingAt(0),
                 RandomSource.XO_RO_SHI_RO_128_PP.create(1),
--- a/core/src/test/java/org/bankturn/agreement/GroupSchedule.java
+++ b/core/src/test/java/org/bankturn/agreement/GroupSchedule.java
@@ -162,7 +162,7 @@
             box.storage = AgreementStorage.recover(box.device);
             long life = AgreementStorage.readIncarnation(box.device).orElseThrow();
             Member self = new Member(box.name, life, box.name);
-            box.agreement = Agreement.recover(self, box.storage.stored(), SETTINGS, box.clock, random, asking -> true);
+            box.agreement = Agreement.recover(self, stored(box), SETTINGS, box.clock, random, asking -> true);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -170,6 +170,13 @@
         box.heardLeaderMillis = box.clock.millis();
     }
 
+    private StoredAgreement stored(Box box) {
+        StoredAgreement stored = box.storage.stored();
+        return fault == SeededFault.WHOLE_LOG_COUNTS_AS_COMMITTED
+                ? new StoredAgreement(stored.vote(), stored.snapshot(), stored.entries(), Long.MAX_VALUE)
+                : stored;
+    }
+
     private void losePowerInStore(Box box) {
         box.device.stopAfter(random.nextInt(3), random.nextInt(40));
     }
--- a/core/src/test/java/org/bankturn/agreement/MemberGroup.java
+++ b/core/src/test/java/org/bankturn/agreement/MemberGroup.java
@@ -36,7 +36,7 @@
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         first = List.of(boxes).stream().map(box -> new Member(box, 1, box)).toList();
         for (Member member : first) {
-            disks.put(member.box(), new StoredAgreement(Vote.NONE, Snapshot.initial(first), List.of()));
+            disks.put(member.box(), new StoredAgreement(Vote.NONE, Snapshot.initial(first), List.of(), 0));
             start(member);
         }
     }
@@ -63,7 +63,7 @@
     /** Starts a box with an empty disk, under a name that may be new. */
     void loseDisk(String box) {
         lives++;
-        disks.put(box, new StoredAgreement(Vote.NONE, Snapshot.initial(List.of()), List.of()));
+        disks.put(box, new StoredAgreement(Vote.NONE, Snapshot.initial(List.of()), List.of(), 0));
         start(new Member(box, lives, box));
     }
 
@@ -129,7 +129,9 @@
             List<LogEntry> kept = disk.entries().stream()
                     .filter(entry -> entry.index() > snapshot.index())
                     .toList();
-            disks.put(box, new StoredAgreement(disk.vote(), snapshot, kept));
+            disks.put(
+                    box,
+                    new StoredAgreement(disk.vote(), snapshot, kept, Math.max(disk.commitIndex(), snapshot.index())));
         }
     }
 
@@ -164,6 +166,7 @@
             entries.removeIf(stored -> stored.index() >= entry.index());
             entries.add(entry);
         }
-        disks.put(box, new StoredAgreement(vote, snapshot, entries));
+        long committed = ready.mustSync() ? ready.commitIndex() : disk.commitIndex();
+        disks.put(box, new StoredAgreement(vote, snapshot, entries, committed));
     }
 }
--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -41,6 +41,7 @@
             strings = {
                 "Agreement.fault",
                 "Agreement.fault-drop",
+                "Agreement.fault-commit",
                 "Formation.fault",
                 "Registry.fault-sequence",
                 "Registry.fault-departure",
--- a/core/src/test/java/org/bankturn/storage/AgreementStorageTest.java
+++ b/core/src/test/java/org/bankturn/storage/AgreementStorageTest.java
@@ -13,6 +13,7 @@
 import org.bankturn.agreement.Snapshot;
 import org.bankturn.agreement.StoredAgreement;
 import org.bankturn.agreement.Vote;
+import org.bankturn.codec.MessagePackCodec;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -43,7 +44,7 @@
 
     private static Ready ready(long index) {
         LogEntry entry = new LogEntry(index, 1, new byte[] {(byte) index}, null);
-        return new Ready(new Vote(1, SELF), null, List.of(entry), List.of(), List.of());
+        return new Ready(new Vote(1, SELF), null, List.of(entry), index - 1, List.of(), List.of());
     }
 
     @Test
@@ -60,6 +61,7 @@
                 StoredAgreement recovered = AgreementStorage.recover(found).stored();
                 long last = recovered.snapshot().index() + recovered.entries().size();
                 assertThat(last).as("stopped after %d", operations).isBetween((long) stored, stored + 1L);
+                assertThat(recovered.commitIndex()).isBetween((long) Math.max(0, stored - 1), Math.max(0, last));
                 assertThat(recovered.entries()).allMatch(entry -> entry.command()[0] == entry.index());
             }
         }
@@ -88,7 +90,7 @@
         List<LogEntry> many = LongStream.rangeClosed(1, 10_000)
                 .mapToObj(index -> new LogEntry(index, 1, new byte[64], null))
                 .toList();
-        storage.store(new Ready(null, null, many, List.of(), List.of()));
+        storage.store(new Ready(null, null, many, 9_995, List.of(), List.of()));
         storage.compact(new Snapshot(9_990, 1, List.of(SELF), new byte[1_000]));
         storage.store(ready(10_001));
         device.close();
@@ -96,10 +98,27 @@
         StoredAgreement recovered = AgreementStorage.recover(reopened).stored();
         assertThat(recovered.snapshot().index()).isEqualTo(9_990);
         assertThat(recovered.entries()).hasSize(11);
+        assertThat(recovered.commitIndex()).isEqualTo(10_000);
         assertThat(AgreementStorage.readIncarnation(reopened)).contains(5L);
         reopened.close();
     }
 
+    /** What one step stored in releases that did not keep the commit index. */
+    private record FormerLogRecord(Vote vote, List<LogEntry> entries) {}
+
+    @Test
+    void a_log_of_a_release_that_kept_no_commit_index_is_recovered_whole() throws IOException {
+        CrashingDevice device = new CrashingDevice(Integer.MAX_VALUE, 0);
+        fill(device);
+        FormerLogRecord former =
+                new FormerLogRecord(new Vote(1, SELF), List.of(new LogEntry(CHANGES / 2 + 1, 1, new byte[] {1}, null)));
+        device.replace("log", RecordFile.encode(MessagePackCodec.instance().encode(former)));
+        StoredAgreement recovered =
+                AgreementStorage.recover(device.afterCrash()).stored();
+        assertThat(recovered.entries()).hasSize(1);
+        assertThat(recovered.commitIndex()).isEqualTo(CHANGES / 2);
+    }
+
     @Test
     void a_newer_entry_cuts_off_what_stood_from_its_index_on() throws IOException {
         CrashingDevice device = new CrashingDevice(Integer.MAX_VALUE, 0);
--- a/daemon/src/main/java/org/bankturn/daemon/member/MemberLoop.java
+++ b/daemon/src/main/java/org/bankturn/daemon/member/MemberLoop.java
@@ -161,6 +161,8 @@
         appliedIndex = recovered.agreement().snapshot().index();
         storage = recovered.storage();
         agreement = recovered.agreement();
+        // before anything is asked: without this it would be shown the snapshot, hundreds of changes old
+        carryOut(agreement.ready());
         state.publishView(agreement);
     }
 
--- a/specs/Agreement.tla
+++ b/specs/Agreement.tla
@@ -8,7 +8,8 @@
 (* late or out of order.  An append message carries the leader's whole log *)
 (* (what AppendRequest and SnapshotRequest together lead to); a follower   *)
 (* that already holds more of the same log keeps it.  Only the leader's    *)
-(* commit index is kept: a follower's is one that a leader has had.        *)
+(* commit index is kept: a follower's is one that a leader has had.  A     *)
+(* member that restarts goes on from the commit index that it stored.      *)
 (***************************************************************************)
 EXTENDS Naturals, Sequences, FiniteSets, TLC
 
@@ -18,6 +19,7 @@
           MaxLosses,      \* disks lost
           NewLifeGuard,   \* TRUE: a lost disk means a new member (the design); FALSE: seeded fault
           LeastMembers,   \* silent members are dropped from groups larger than this
+          KnownCommitGuard, \* TRUE: a restart goes on from the stored commit index; FALSE: from the whole log, seeded fault
           DropAtOnce      \* members dropped in one step: 1 (the design); 2: seeded fault
 
 Lives == 1 .. 2
@@ -143,7 +145,7 @@
 Restart(m) ==
     /\ m \in Alive /\ role[m] = "leader"
     /\ role' = [role EXCEPT ![m] = "follower"]
-    /\ commit' = [commit EXCEPT ![m] = 0]
+    /\ commit' = [commit EXCEPT ![m] = IF KnownCommitGuard THEN @ ELSE Len(log[m])]
     /\ UNCHANGED <<term, votedFor, log, running, losses, requests, votes, appends, acks, accepted>>
 
 \* A disk is lost.  By design the box comes back as another member; the seeded fault lets it be the same one.
