What a restarted process shows is called confirmed only once a control process in touch with a majority published it

(1) An entry process that starts takes what a control process out of touch holds and denied what that does not know: 16 callers got 401 and 4 got 404 in 0.3 s after a loss of power, for keys and routes that were in force. (2) A member that hears its leader but lacks entries, as after it was down, said it was in touch. (3) A version that became known with the second publication counted as named long ago, although the first was only a restarted process's. Ruled out: showing nothing until confirmed; halls that are cut off have to serve what they can. Change: Published says whether it is confirmed; before that an unknown key or route is answered 503. A member is current only when it holds what its leader has committed. Tests: each of the three new ones was seen failing with its guard left out.

--- a/core/src/main/java/org/bankturn/agreement/Agreement.java
+++ b/core/src/main/java/org/bankturn/agreement/Agreement.java
@@ -43,6 +43,7 @@
     private long commitIndex;
     private long electionDeadlineMillis;
     private long leaderHeardMillis = Long.MIN_VALUE / 2;
+    private long caughtUpMillis = Long.MIN_VALUE / 2;
     private long heartbeatDueMillis;
     private boolean everHeardLeader;
     private final Set<Member> votes = new HashSet<>();
@@ -140,10 +141,14 @@
         return role == Role.LEADER && log.termAt(commitIndex) == term;
     }
 
-    /** Returns when this member last heard from its leader, or as leader from a majority, in milliseconds. */
-    public long heardMillis() {
+    /**
+     * Returns when this member last held all that its leader had committed, or as leader last heard from a majority.
+     *
+     * <p>A member that hears its leader but lacks entries, as after it was down, is not current.
+     */
+    public long currentMillis() {
         if (role != Role.LEADER) {
-            return leaderHeardMillis;
+            return caughtUpMillis;
         }
         List<Long> heard = new ArrayList<>();
         peers().forEach(peer -> heard.add(replications.heardMillis(peer)));
@@ -480,6 +485,9 @@
         request.entries().forEach(this::storeAsFollower);
         long matched = Math.max(previous + request.entries().size(), commitIndex);
         commitIndex = Math.max(commitIndex, Math.min(request.commitIndex(), matched));
+        if (commitIndex >= request.commitIndex()) {
+            caughtUpMillis = clock.millis();
+        }
         send(request.from(), new AppendReply(self, term, true, matched));
     }
 
--- a/core/src/test/java/org/bankturn/agreement/AgreementTest.java
+++ b/core/src/test/java/org/bankturn/agreement/AgreementTest.java
@@ -136,6 +136,19 @@
         assertThat(member.commitIndex()).isEqualTo(3);
     }
 
+    @Test
+    void a_member_that_hears_its_leader_but_lacks_entries_is_not_current() {
+        Agreement member = followerWithEntries(2, 2);
+        long before = member.currentMillis();
+        member.receive(new AgreementMessage.AppendRequest(LEADER, 1, 10, 1, List.of(), 10));
+        assertThat(member.currentMillis()).isEqualTo(before);
+        LogEntry third = new LogEntry(3, 1, new byte[] {1}, null);
+        member.receive(new AgreementMessage.AppendRequest(LEADER, 1, 2, 1, List.of(third), 10));
+        assertThat(member.currentMillis()).isEqualTo(before);
+        member.receive(new AgreementMessage.AppendRequest(LEADER, 1, 3, 1, List.of(), 3));
+        assertThat(member.currentMillis()).isZero();
+    }
+
     @Test
     void a_commit_index_beyond_the_log_that_was_recovered_counts_only_as_far_as_the_log() {
         assertThat(followerWithEntries(5, 9).commitIndex()).isEqualTo(5);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -67,6 +67,7 @@
     private final Map<String, PredictionCorrection> corrections = new HashMap<>();
     private final Map<String, Integer> mostUrgent = new HashMap<>();
     private final Map<String, VersionsDue> versionsDue = new HashMap<>();
+    private final long startedMillis;
     private Published published = Published.NOTHING;
     private boolean stopping;
     private boolean takenOut;
@@ -98,6 +99,7 @@
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
+        this.startedMillis = clock.millis();
         this.targets = new TargetTable(clock, settings.dataHall());
         this.loads = LoadPoller.of(reactor, clock, clients, targets, settings);
         this.callers = HttpListener.create(
@@ -126,9 +128,10 @@
      * @param changedSinceMillis a moment at which nothing of what is new in it was in force yet
      */
     public void update(Published newer, long changedSinceMillis) {
-        boolean first = published.index() == 0;
-        long due =
-                first ? clock.millis() + DUE_AFTER_START_MILLIS : changedSinceMillis + settings.weightsDeadlineMillis();
+        boolean namedAtAnyTime = changedSinceMillis < startedMillis;
+        long due = namedAtAnyTime
+                ? clock.millis() + DUE_AFTER_START_MILLIS
+                : changedSinceMillis + settings.weightsDeadlineMillis();
         for (NamedWeights named : newer.weights()) {
             versionsDue
                     .computeIfAbsent(named.model(), key -> VersionsDue.none())
@@ -196,7 +199,7 @@
         }
         Optional<Route> route = configuration.route(terms.host(), terms.path());
         if (route.isEmpty()) {
-            answer(exchange, terms, 404, "no route in version " + configuration.version());
+            deny(exchange, terms, 404, "no route");
             return;
         }
         Account account = null;
@@ -205,7 +208,7 @@
                     ? null
                     : configuration.accountOf(terms.key()).orElse(null);
             if (account == null) {
-                answer(exchange, terms, 401, "unknown key in version " + configuration.version());
+                deny(exchange, terms, 401, "unknown key");
                 return;
             }
         } else if (terms.key() != null) {
@@ -214,6 +217,16 @@
         new ForwardedRequest(this, exchange, terms, route.get(), account).start();
     }
 
+    /** Denies a request for good, unless a newer configuration that this process has not heard of may allow it. */
+    private void deny(ServerExchange exchange, CallerTerms terms, int status, String reason) {
+        String inVersion = reason + " in version " + published.configuration().version();
+        if (published.confirmed()) {
+            answer(exchange, terms, status, inVersion);
+        } else {
+            answer(exchange, terms, 503, inVersion + ", which is not confirmed yet");
+        }
+    }
+
     private void answer(ServerExchange exchange, CallerTerms terms, int status, String reason) {
         long comeBackMillis = takenOut ? COME_BACK_MILLIS : ForwardedRequest.COME_BACK_WITHOUT_TARGET_MILLIS;
         log.line(DecisionKind.REFUSED)
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -196,7 +196,7 @@
             boolean leads = agreement.isEstablishedLeader();
             boolean current = leads || (leader != null && agreement.role() == Role.FOLLOWER);
             view = new GroupView(
-                    agreement.self(), leader, agreement.members(), leads, current, agreement.heardMillis());
+                    agreement.self(), leader, agreement.members(), leads, current, agreement.currentMillis());
         }
 
         @Override
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupView.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupView.java
@@ -11,17 +11,17 @@
  * @param members the members, not null
  * @param leads true if this member leads and its state is current
  * @param current true if it leads or follows a leader
- * @param heardMillis when it last heard from its leader, or as leader from a majority
+ * @param currentMillis when it last held all that its leader had committed, or as leader last heard from a majority
  */
 public record GroupView(
-        Member self, Member leader, List<Member> members, boolean leads, boolean current, long heardMillis) {
+        Member self, Member leader, List<Member> members, boolean leads, boolean current, long currentMillis) {
     /** Returns the view of a member that knows nothing, not null. */
     public static GroupView unknown() {
         return new GroupView(null, null, List.of(), false, false, Long.MIN_VALUE / 2);
     }
 
-    /** Returns true if the member is in touch with a majority, as of a moment within {@code withinMillis}. */
+    /** Returns true if the member was in touch with a majority, and held what that had committed, within a span. */
     public boolean isFresh(long nowMillis, long withinMillis) {
-        return current && nowMillis - heardMillis <= withinMillis;
+        return current && nowMillis - currentMillis <= withinMillis;
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -16,6 +16,8 @@
     AVOIDED_MS,
     /** The kind of call that was made. */
     CALL,
+    /** True if what is published was confirmed by a control process in touch with a majority. */
+    CONFIRMED,
     /** What was lost or regained. */
     DEPENDENCY,
     /** What went wrong, in words. */
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
@@ -154,8 +154,15 @@
             members.clear();
             watched.members().forEach(text -> members.add(Address.parse(text)));
         }
-        if (watched.update() != null && watched.update().index() > published.index()) {
+        boolean newer = watched.update() != null && watched.update().index() > published.index();
+        boolean confirmsFirst = watched.fresh() && !published.confirmed();
+        if (confirmsFirst) {
+            published = published.confirm();
+        }
+        if (newer) {
             apply(watched.update(), from, watched.waited() ? askedMillis : confirmedMillis);
+        } else if (confirmsFirst) {
+            listener.published(published, confirmedMillis);
         }
         if (!watched.fresh()) {
             lost(from, "not in touch with a majority");
@@ -187,6 +194,7 @@
                 .with(DecisionField.INDEX, published.index())
                 .with(DecisionField.VERSION, configuration == null ? 0 : configuration.version())
                 .with(DecisionField.TARGETS, published.targets().size())
+                .with(DecisionField.CONFIRMED, published.confirmed())
                 .with(DecisionField.FROM, from)
                 .write();
         long version = configuration == null ? 0 : configuration.version();
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublicationListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationListener.java
@@ -1,6 +1,6 @@
 package org.bankturn.daemon.publication;
 
-/** Hears of each change of what is published. */
+/** Hears of each change of what is published, and when it is confirmed for the first time. */
 @FunctionalInterface
 public interface PublicationListener {
     /**
--- a/daemon/src/main/java/org/bankturn/daemon/publication/Published.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/Published.java
@@ -18,14 +18,17 @@
  * @param configuration the operators' document, null if none is known
  * @param weights the named weights, not null
  * @param targets the targets by incarnation, not null
+ * @param confirmed true once a control process in touch with a majority has published to this process; before that, what
+ *     is shown may be what one of them held when it started, and newer changes may be in force
  */
 public record Published(
         long index,
         ServingConfiguration configuration,
         List<NamedWeights> weights,
-        Map<String, TargetSighting> targets) {
+        Map<String, TargetSighting> targets,
+        boolean confirmed) {
     /** Nothing is known. */
-    public static final Published NOTHING = new Published(0, null, List.of(), Map.of());
+    public static final Published NOTHING = new Published(0, null, List.of(), Map.of(), false);
 
     /** Copies the collections. */
     public Published {
@@ -38,6 +41,11 @@
         return weights.stream().filter(each -> each.model().equals(model)).findFirst();
     }
 
+    /** Returns the same, confirmed by a control process in touch with a majority. */
+    Published confirm() {
+        return new Published(index, configuration, weights, targets, true);
+    }
+
     /**
      * Returns what is published after an update.
      *
@@ -48,6 +56,6 @@
         Map<String, TargetSighting> next = update.whole() ? new HashMap<>() : new HashMap<>(targets);
         update.gone().forEach(next::remove);
         update.changed().forEach(each -> next.put(each.id(), each));
-        return new Published(update.index(), newest, update.weights(), next);
+        return new Published(update.index(), newest, update.weights(), next, confirmed);
     }
 }
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -45,6 +45,10 @@
     private final Clock clock = Clock.system();
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private Gateway gateway;
+
+    /** Whether what is published is confirmed by a control process in touch with a majority. */
+    private boolean confirmed = true;
+
     private Address callers;
     private Address ready;
 
@@ -264,6 +268,22 @@
                 .startsWith("HTTP/1.1 404");
     }
 
+    /** A restarted gateway may have learned only of a configuration that is older than what is in force. */
+    @Test
+    void what_a_configuration_that_is_not_confirmed_does_not_know_is_not_denied_for_good() throws Exception {
+        confirmed = false;
+        publish(RequestKind.IDEMPOTENT, 2, answering("ok", ""));
+        String unknownKey = "GET /x/1 HTTP/1.1\r\nHost: h\r\nId: a1\r\nKey: other\r\nConnection: close\r\n\r\n";
+        String unknownRoute = "GET /y/1 HTTP/1.1\r\nHost: h\r\nId: a2\r\nKey: k\r\nConnection: close\r\n\r\n";
+        assertThat(exchange(unknownKey)).startsWith("HTTP/1.1 503");
+        assertThat(exchange(unknownRoute)).startsWith("HTTP/1.1 503");
+        assertThat(call("GET", "a3", "")).startsWith("HTTP/1.1 200");
+        confirmed = true;
+        publish(RequestKind.IDEMPOTENT, 2);
+        assertThat(exchange(unknownKey)).startsWith("HTTP/1.1 401");
+        assertThat(exchange(unknownRoute)).startsWith("HTTP/1.1 404");
+    }
+
     @Test
     void a_planned_stop_lets_a_request_end_and_tells_the_platform_at_once() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
@@ -426,7 +446,7 @@
             sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
         }
         reactor.submit(() -> {
-                    gateway.update(new Published(1, configuration, List.of(), sightings), clock.millis());
+                    gateway.update(new Published(1, configuration, List.of(), sightings, confirmed), clock.millis());
                     return Promise.complete();
                 })
                 .join();
--- a/daemon/src/test/java/org/bankturn/daemon/publication/PublicationFollowerTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/publication/PublicationFollowerTest.java
@@ -38,6 +38,8 @@
     private final BlockingQueue<SettablePromise<NodeReply>> questions = new LinkedBlockingQueue<>();
     private final BlockingQueue<Change> changes = new LinkedBlockingQueue<>();
 
+    private final BlockingQueue<Boolean> confirmations = new LinkedBlockingQueue<>();
+
     private record Change(long index, long changedSinceMillis) {}
 
     @BeforeEach
@@ -86,7 +88,19 @@
         assertThat(changes.take()).isEqualTo(new Change(3, START_MILLIS + 400));
     }
 
+    @Test
+    void what_a_control_process_out_of_touch_publishes_is_shown_but_not_confirmed_until_one_in_touch_answers()
+            throws Exception {
+        answerOutOfTouch(questions.take(), update(1));
+        assertThat(changes.take().index()).isEqualTo(1);
+        assertThat(confirmations.take()).isFalse();
+        answer(null, false);
+        assertThat(changes.take().index()).isEqualTo(1);
+        assertThat(confirmations.take()).isTrue();
+    }
+
     private void note(Published newer, long changedSinceMillis) {
+        confirmations.add(newer.confirmed());
         changes.add(new Change(newer.index(), changedSinceMillis));
     }
 
@@ -98,6 +112,10 @@
         reactor.execute(() -> question.set(new NodeReply.Watched(update, true, waited, "north", List.of(), 0)));
     }
 
+    private void answerOutOfTouch(SettablePromise<NodeReply> question, PublicationUpdate update) {
+        reactor.execute(() -> question.set(new NodeReply.Watched(update, false, false, "north", List.of(), 0)));
+    }
+
     private static PublicationUpdate update(long index) {
         return new PublicationUpdate(index, 0, null, List.of(), List.of(), List.of(), false);
     }
