--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -51,7 +51,9 @@
     private static final AgreementSettings TIMING = new AgreementSettings(500, 100, 64, 3);
     private static final long FIRST_INCARNATION = 1;
     private static final long FRESH_MILLIS = 900;
-    private static final long FORWARD_TIMEOUT_MILLIS = 2_000;
+
+    /** How long the leader may take to commit what it was handed; a majority's syncs take a few milliseconds. */
+    static final long FORWARD_TIMEOUT_MILLIS = 2_000;
 
     private final GroupSettings settings;
     private final Supplier<List<Address>> seeds;
@@ -66,6 +68,7 @@
     private final HttpListener listener;
     private final GroupMember member;
     private final Watchers watchers;
+    private final DocumentReads reads;
     private final TargetWatch targetWatch;
 
     /**
@@ -122,6 +125,7 @@
                         this::applied,
                         log),
                 clock);
+        this.reads = DocumentReads.of(reactor, clients, member);
         this.targetWatch = TargetWatch.of(reactor, clients, member, log, clock, settings.heartbeatMillis());
     }
 
@@ -226,7 +230,7 @@
             return publish(publish.document());
         }
         if (call instanceof ControlCall.Read) {
-            return read();
+            return reads.read();
         }
         if (call instanceof ControlCall.NameWeights named) {
             return change(new PublicationCommand.NameWeights(named.model(), named.version()));
@@ -302,45 +306,6 @@
                 });
     }
 
-    private Promise<ControlAnswer> read() {
-        return ask(member.query(PublicationState::documentVersion))
-                .then(have -> confirmedDocument(have))
-                .then(document -> document.deflated() != null
-                        ? Promise.of(document)
-                        : ask(member.query(state -> new NodeReply.Document(state.documentVersion(), state.document()))))
-                .map(document -> document.deflated() == null
-                        ? new ControlAnswer.Unavailable("no document yet")
-                        : new ControlAnswer.Document(Deflated.inflate(document.deflated())));
-    }
-
-    private Promise<NodeReply.Document> confirmedDocument(long haveVersion) {
-        GroupView view = member.view();
-        if (view.leads()) {
-            return confirmHere(haveVersion);
-        }
-        if (view.leader() == null) {
-            return Promise.ofException(new IOException("no leader"));
-        }
-        return clients.ask(
-                        Address.parse(view.leader().address()),
-                        new NodeRequest.ReadDocument(haveVersion),
-                        FORWARD_TIMEOUT_MILLIS)
-                .then(reply -> reply instanceof NodeReply.Document document
-                        ? Promise.of(document)
-                        : Promise.ofException(new IOException("leader could not confirm")));
-    }
-
-    /** An entry that is committed after the read began proves that this member saw all that was accepted before. */
-    private Promise<NodeReply.Document> confirmHere(long haveVersion) {
-        return ask(member.submit(new PublicationCommand.Confirm())).then(outcome -> {
-            if (outcome != Outcome.COMMITTED) {
-                return Promise.ofException(new IOException("not confirmed: " + outcome));
-            }
-            return ask(member.query(state -> new NodeReply.Document(
-                    state.documentVersion(), state.documentVersion() == haveVersion ? null : state.document())));
-        });
-    }
-
     // ---- messages of other processes
 
     private Promise<NodeReply> answer(NodeRequest request) {
@@ -352,7 +317,7 @@
             return ask(member.submit(submitted.command())).map(NodeReply.PublicationOutcome::new);
         }
         if (request instanceof NodeRequest.ReadDocument read) {
-            return confirmHere(read.haveVersion()).map(document -> document);
+            return reads.confirmHere(read.haveVersion()).map(document -> document);
         }
         if (request instanceof NodeRequest.WatchPublication watch) {
             return watch(watch);
