Weights: the line of a whole copy says where its pieces came from

Change: a tally by source; the line 'copy whole' names how many pieces the origin gave, from how many sources in all, and which gave most. One line a copy, as before. Tests: PieceTallyTest, new with the code.

--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -28,12 +28,23 @@
     FAILURES,
     /** The process that something was learned from. */
     FROM,
+    /** How many pieces the origin gave. */
+    FROM_ORIGIN,
     /** The data hall that the process is in. */
     HALL,
     /** How long a request was held, in milliseconds. */
     HELD_MS,
+    /** How an engine is changed over to other weights. */
     METHOD,
+    /** How many pieces came from the source of most of them. */
+    MOST,
+    /** The source that gave most pieces. */
+    MOST_FROM,
+    /** How long the first event was predicted to take, in milliseconds. */
     PREDICTED_MS,
+    /** How many sources gave pieces. */
+    SOURCES,
+    /** How long the first event took, in milliseconds. */
     FIRST_EVENT_MS,
     /** The index of a publication. */
     INDEX,
--- a/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
@@ -56,6 +56,7 @@
     private final int version;
     private final PieceTaker taker;
     private final Neighbours neighbours;
+    private final PieceTally tally = new PieceTally();
     private final Map<Integer, Set<PieceSource>> failed = new HashMap<>();
     private final Deque<Turn> ready = new ArrayDeque<>();
     private final Deque<Integer> fromOrigin = new ArrayDeque<>();
@@ -100,6 +101,11 @@
         return ready.size() + neighbours.transfersInAll();
     }
 
+    /** Returns where the pieces that are here came from, not null. */
+    PieceTally tally() {
+        return tally;
+    }
+
     /** Returns the plan as of now, corrected by what was learned here. */
     private PieceRouting routing() {
         PieceRouting newest = around.routing(version);
@@ -251,13 +257,21 @@
                 logFailure(turn.piece(), box, "holds nothing");
                 neighbours.holdsNothing(box);
                 fetch(turn.piece(), 0);
-            } else if (isNeeded(turn.piece()) && !takes(turn.piece(), bytes, FROM_NEIGHBOUR)) {
-                tryNext(turn.piece(), turn.from());
+            } else if (isNeeded(turn.piece())) {
+                takeFromNeighbour(turn, bytes);
             }
             transferMore();
         });
     }
 
+    private void takeFromNeighbour(Turn turn, byte[] bytes) {
+        if (takes(turn.piece(), bytes, FROM_NEIGHBOUR)) {
+            tally.tookFrom(turn.from().box());
+        } else {
+            tryNext(turn.piece(), turn.from());
+        }
+    }
+
     private void logFailure(int piece, String from, String reason) {
         around.log()
                 .line(DecisionKind.WEIGHTS)
@@ -289,6 +303,14 @@
         }
     }
 
+    private void takeFromOrigin(int piece, byte[] bytes) {
+        if (takes(piece, bytes, FROM_ORIGIN)) {
+            tally.tookFrom(FROM_ORIGIN);
+        } else {
+            around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, 0));
+        }
+    }
+
     private void callOrigin(int piece) {
         originCalls++;
         around.callOrigin(
@@ -298,8 +320,8 @@
                 .map(HttpCalls.Answer::body)
                 .whenComplete((bytes, failure) -> {
                     originCalls--;
-                    if (isNeeded(piece) && !takes(piece, failure == null ? bytes : null, FROM_ORIGIN)) {
-                        around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, 0));
+                    if (isNeeded(piece)) {
+                        takeFromOrigin(piece, failure == null ? bytes : null);
                     }
                     fetchFromOrigin();
                     transferMore();
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -278,11 +278,16 @@
         if (!isWhole() || abandoned) {
             return;
         }
+        PieceTally tally = fetcher.tally();
         around.log()
                 .line(DecisionKind.WEIGHTS)
                 .with(DecisionField.EVENT, "copy whole")
                 .with(DecisionField.VERSION, version)
                 .with(DecisionField.TOOK_MS, around.clock().millis() - beganMillis)
+                .with(DecisionField.FROM_ORIGIN, tally.from(PieceFetcher.FROM_ORIGIN))
+                .with(DecisionField.SOURCES, tally.sources())
+                .with(DecisionField.MOST_FROM, tally.mostFrom())
+                .with(DecisionField.MOST, tally.from(tally.mostFrom()))
                 .write();
         whenWhole.run();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/PieceTallyTest.java
@@ -0,0 +1,32 @@
+package org.bankturn.daemon.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class PieceTallyTest {
+    private final PieceTally tally = new PieceTally();
+
+    @Test
+    void the_source_of_most_pieces_is_named() {
+        tally.tookFrom("10.0.0.1:7");
+        tally.tookFrom("10.0.0.2:7");
+        tally.tookFrom("10.0.0.2:7");
+        assertThat(tally.mostFrom()).isEqualTo("10.0.0.2:7");
+        assertThat(tally.from("10.0.0.2:7")).isEqualTo(2);
+        assertThat(tally.sources()).isEqualTo(2);
+    }
+
+    @Test
+    void of_equal_sources_the_first_by_name_is_named_so_that_logs_can_be_compared() {
+        tally.tookFrom("b");
+        tally.tookFrom("a");
+        assertThat(tally.mostFrom()).isEqualTo("a");
+    }
+
+    @Test
+    void nothing_taken_names_no_source() {
+        assertThat(tally.mostFrom()).isEmpty();
+        assertThat(tally.from("a")).isZero();
+    }
+}
