--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -31,7 +31,10 @@
  * holds, as a restarted process would. Public methods are thread-safe.
  */
 public final class GroupMember {
+    /** Several elections: what is not committed by then is not known to be, and callers ask again. */
     private static final long SUBMISSION_MILLIS = 3_000;
+
+    /** A quarter of a heartbeat between steps; a snapshot holds the last state only, so it is written seldom. */
     private static final MemberTiming TIMING = new MemberTiming(25, SUBMISSION_MILLIS, 400, true, 512);
 
     private final Wiring wiring;
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -48,8 +48,12 @@
  * a thread of its own.
  */
 public final class GroupNode {
+    /** Halls are a few milliseconds apart: five heartbeats may be lost before an election, and a group keeps three. */
     private static final AgreementSettings TIMING = new AgreementSettings(500, 100, 64, 3);
+
     private static final long FIRST_INCARNATION = 1;
+
+    /** Nine of the leader's heartbeats; less than two election timeouts, after which another may lead. */
     private static final long FRESH_MILLIS = 900;
 
     /** How long the leader may take to commit what it was handed; a majority's syncs take a few milliseconds. */
--- a/daemon/src/main/java/org/bankturn/daemon/group/TargetWatch.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/TargetWatch.java
@@ -22,7 +22,10 @@
  * heard for long. TargetWatch is confined to its reactor's thread.
  */
 final class TargetWatch {
+    /** Four of the group's heartbeats: heartbeats of targets that one control process heard reach the leader together. */
     private static final long FORWARD_MILLIS = 400;
+
+    /** More than gateways need to avoid a silent target by themselves, so that a short cut drops nobody. */
     private static final int HEARTBEATS_MISSED = 7;
 
     private final Eventloop reactor;
