--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -128,8 +128,8 @@
      * @param changedSinceMillis a moment at which nothing of what is new in it was in force yet
      */
     public void update(Published newer, long changedSinceMillis) {
-        boolean namedAtAnyTime = changedSinceMillis < startedMillis;
-        long due = namedAtAnyTime
+        boolean mayPredateStart = changedSinceMillis < startedMillis;
+        long due = mayPredateStart
                 ? clock.millis() + DUE_AFTER_START_MILLIS
                 : changedSinceMillis + settings.weightsDeadlineMillis();
         for (NamedWeights named : newer.weights()) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -22,6 +22,7 @@
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.publication.NamedWeights;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.RetryLimits;
 import org.bankturn.service.Account;
@@ -31,6 +32,7 @@
 import org.bankturn.service.Service;
 import org.bankturn.service.ServingConfiguration;
 import org.bankturn.service.WeightedService;
+import org.bankturn.service.WeightsLayout;
 import org.bankturn.time.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -40,6 +42,8 @@
 /** A gateway on loopback before targets that misbehave as each test says. */
 @Timeout(30)
 class GatewayTest {
+    private static final long LONG_AGO = Long.MIN_VALUE / 2;
+
     private final Eventloop reactor =
             Eventloop.builder().withThreadName("gateway-test").build();
     private final Clock clock = Clock.system();
@@ -284,6 +288,21 @@
         assertThat(exchange(unknownRoute)).startsWith("HTTP/1.1 404");
     }
 
+    /** The first publication after a start may lack what was named long ago or just now; which of the two is not known. */
+    @Test
+    void a_version_that_comes_with_the_second_publication_after_a_start_is_not_taken_for_one_named_long_ago()
+            throws Exception {
+        ScriptedTarget target = answering("ok", "");
+        Service engines = new Service("chat", "/health", 100, null, new WeightsLayout("m", 1, 4, 10), null, null);
+        Map<String, TargetSighting> sightings =
+                Map.of("t", new TargetSighting("t", "chat", target.address(), "north", 4, false, 1, 1));
+        ServingConfiguration configuration = configuration(RequestKind.IDEMPOTENT, 1, 2_000, engines);
+        List<NamedWeights> named = List.of(new NamedWeights("m", 2, 2));
+        update(new Published(1, configuration, List.of(), sightings, false), LONG_AGO);
+        update(new Published(2, configuration, named, sightings, true), LONG_AGO);
+        assertThat(call("GET", "a1", "")).startsWith("HTTP/1.1 200");
+    }
+
     @Test
     void a_planned_stop_lets_a_request_end_and_tells_the_platform_at_once() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
@@ -431,22 +450,31 @@
     }
 
     private void publish(RequestKind kind, int attempts, long timeoutMillis, ScriptedTarget... published) {
+        Service service = new Service("chat", "/health", 100, null, null, null, null);
+        ServingConfiguration configuration = configuration(kind, attempts, timeoutMillis, service);
+        Map<String, TargetSighting> sightings = new HashMap<>();
+        for (ScriptedTarget target : published) {
+            String id = "t-" + target.address();
+            sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
+        }
+        update(new Published(1, configuration, List.of(), sightings, confirmed), clock.millis());
+    }
+
+    private static ServingConfiguration configuration(
+            RequestKind kind, int attempts, long timeoutMillis, Service service) {
         Route route = new Route(
                 "r", "h", "/x/", kind, timeoutMillis, 300, 0, List.of(new WeightedService("chat", 1)), attempts, false);
-        Service service = new Service("chat", "/health", 100, null, null, null, null);
-        ServingConfiguration configuration = ServingConfiguration.of(
+        return ServingConfiguration.of(
                 1,
                 List.of(route),
                 List.of(service),
                 ClientLimits.DEFAULT,
                 List.of(new Account("acme", List.of("k"), 0)));
-        Map<String, TargetSighting> sightings = new HashMap<>();
-        for (ScriptedTarget target : published) {
-            String id = "t-" + target.address();
-            sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
-        }
+    }
+
+    private void update(Published newer, long changedSinceMillis) {
         reactor.submit(() -> {
-                    gateway.update(new Published(1, configuration, List.of(), sightings, confirmed), clock.millis());
+                    gateway.update(newer, changedSinceMillis);
                     return Promise.complete();
                 })
                 .join();
