Routing: what predictions lack is added to them, not multiplied

Ruled out: too few places (56 engines after 10 s for a load that 32 carried). Change: the correction is a time that is added. It fades by 3 in 100 with a refusal, and below 1 ms it is nothing. Test: FirstEventTest.what_was_learned_from_small_prompts_adds_as_much_to_a_large_one, seen failing on the factor. The test of fading holds as it was.

--- a/core/src/main/java/org/bankturn/routing/PredictionCorrection.java
+++ b/core/src/main/java/org/bankturn/routing/PredictionCorrection.java
@@ -1,18 +1,28 @@
 package org.bankturn.routing;
 
 /**
- * How much longer first events take than predicted, learned from those that came.
+ * How much longer first events take than predicted, in milliseconds, learned from those that came.
  *
- * <p>One gateway sees a part of the load only, so its predictions are too low when the others are busy. Refusals bring no
- * news, so each lets the correction fade a little, and some requests are let through again. PredictionCorrection is
- * mutable and not thread-safe.
+ * <p>One gateway sees a part of the load only, so its predictions are too low when the others are busy: prompts that the
+ * others sent are read first. That wait is the same for a small prompt and a large one, so the correction is added and
+ * not multiplied; a factor learned from small prompts would have the largest ones refused wherever engines are busy.
+ * Refusals bring no news, so each lets the correction fade a little, and some requests are let through again.
+ * PredictionCorrection is mutable and not thread-safe.
  */
 public final class PredictionCorrection {
+    /** Share of a new observation in the correction: about the last seven count. */
     private static final double LEARNING = 0.15;
-    private static final double FADING = 0.985;
-    private static final double MOST = 8;
 
-    private double factor = 1;
+    /** What a refusal leaves of the correction: half is gone after 23. */
+    private static final double FADING = 0.97;
+
+    /** A correction that is smaller than that is nothing. */
+    private static final double LEAST_MILLIS = 1;
+
+    /** One event that comes very late, as behind a lost connection, says little of the next. */
+    private static final double MOST_MILLIS = 1_000;
+
+    private double extraMillis;
 
     /** Returns a correction that has learned nothing, not null. */
     public static PredictionCorrection none() {
@@ -21,24 +31,25 @@
 
     private PredictionCorrection() {}
 
-    /** Returns a prediction as corrected. */
+    /** Returns a prediction as corrected; it never gets shorter. */
     public double applyTo(double predictedMillis) {
-        return predictedMillis * Math.max(1, factor);
+        return predictedMillis + Math.max(0, extraMillis);
     }
 
     /** Learns from a first event. */
     public void observed(double predictedMillis, double actualMillis) {
-        double ratio = Math.min(MOST, actualMillis / Math.max(1, predictedMillis));
-        factor += LEARNING * (ratio - factor);
+        double extra = Math.min(MOST_MILLIS, actualMillis - predictedMillis);
+        extraMillis += LEARNING * (extra - extraMillis);
     }
 
     /** Fades a little, since a request was refused and will tell nothing. */
     public void refused() {
-        factor = Math.max(1, factor * FADING);
+        double faded = extraMillis * FADING;
+        extraMillis = faded < LEAST_MILLIS ? 0 : faded;
     }
 
     @Override
     public String toString() {
-        return "PredictionCorrection[" + factor + "]";
+        return "PredictionCorrection[" + extraMillis + " ms]";
     }
 }
--- a/core/src/test/java/org/bankturn/routing/FirstEventTest.java
+++ b/core/src/test/java/org/bankturn/routing/FirstEventTest.java
@@ -45,6 +45,17 @@
         assertThat(correction.applyTo(100)).isEqualTo(100);
     }
 
+    /** Else the largest prompts are refused wherever engines are busy with small ones. */
+    @Test
+    void what_was_learned_from_small_prompts_adds_as_much_to_a_large_one() {
+        PredictionCorrection correction = PredictionCorrection.none();
+        for (int count = 0; count < 30; count++) {
+            correction.observed(30, 130);
+        }
+        assertThat(correction.applyTo(30)).isBetween(125.0, 130.0);
+        assertThat(correction.applyTo(300)).isBetween(395.0, 400.0);
+    }
+
     private static EngineLoad load(int active, int queued, double pace) {
         return new EngineLoad(active, queued, 0, 0, pace, false);
     }
