Publication: a view is confirmed where it is taken in, and the line says so; names and comments read again

The follower marked its view as confirmed before it had read the update that confirmed it, so a document that it cannot read would have left it marked without telling the gateway; the confirmation alone wrote no line although from then on requests may be denied for good. GroupView had 'current' beside 'currentMillis', which mean different things. Change: one place shows a view (state, line, metrics, listener); 'hasLeader' in place of 'current'; the comments say what a limit is and that it is not measured; the fields of the log stand in alphabetical order again. Measured: GroupNodeTest, PublicationFollowerTest, GatewayTest, AgreementTest, Weights*Test pass.

--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -31,10 +31,10 @@
  * holds, as a restarted process would. Public methods are thread-safe.
  */
 public final class GroupMember {
-    /** Several elections: what is not committed by then is not known to be, and callers ask again. */
+    /** What is not committed by then is not known to be, and callers ask again; six election timeouts, not measured. */
     private static final long SUBMISSION_MILLIS = 3_000;
 
-    /** A quarter of a heartbeat between steps; a snapshot holds the last state only, so it is written seldom. */
+    /** Steps of a quarter of a heartbeat, a snapshot every 512 entries; not measured. */
     private static final MemberTiming TIMING = new MemberTiming(25, SUBMISSION_MILLIS, 400, true, 512);
 
     private final Wiring wiring;
@@ -197,9 +197,9 @@
         public void publishView(Agreement agreement) {
             Member leader = agreement.leader().orElse(null);
             boolean leads = agreement.isEstablishedLeader();
-            boolean current = leads || (leader != null && agreement.role() == Role.FOLLOWER);
+            boolean hasLeader = leads || (leader != null && agreement.role() == Role.FOLLOWER);
             view = new GroupView(
-                    agreement.self(), leader, agreement.members(), leads, current, agreement.currentMillis());
+                    agreement.self(), leader, agreement.members(), leads, hasLeader, agreement.currentMillis());
         }
 
         @Override
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -48,15 +48,15 @@
  * a thread of its own.
  */
 public final class GroupNode {
-    /** Halls are a few milliseconds apart: five heartbeats may be lost before an election, and a group keeps three. */
+    /** Five heartbeats may be lost before an election; silent members are dropped from groups of more than three. */
     private static final AgreementSettings TIMING = new AgreementSettings(500, 100, 64, 3);
 
     private static final long FIRST_INCARNATION = 1;
 
-    /** Nine of the leader's heartbeats; less than two election timeouts, after which another may lead. */
+    /** Nine of the leader's heartbeats; not measured. Another may lead sooner, so reads are confirmed besides. */
     private static final long FRESH_MILLIS = 900;
 
-    /** How long the leader may take to commit what it was handed; a majority's syncs take a few milliseconds. */
+    /** How long the leader may take to commit what it was handed; not measured. */
     static final long FORWARD_TIMEOUT_MILLIS = 2_000;
 
     private final GroupSettings settings;
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupView.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupView.java
@@ -10,11 +10,11 @@
  * @param leader the leader as far as known, null if none is
  * @param members the members, not null
  * @param leads true if this member leads and its state is current
- * @param current true if it leads or follows a leader
+ * @param hasLeader true if it leads or follows a leader
  * @param currentMillis when it last held all that its leader had committed, or as leader last heard from a majority
  */
 public record GroupView(
-        Member self, Member leader, List<Member> members, boolean leads, boolean current, long currentMillis) {
+        Member self, Member leader, List<Member> members, boolean leads, boolean hasLeader, long currentMillis) {
     /** Returns the view of a member that knows nothing, not null. */
     public static GroupView unknown() {
         return new GroupView(null, null, List.of(), false, false, Long.MIN_VALUE / 2);
@@ -22,6 +22,6 @@
 
     /** Returns true if the member was in touch with a majority, and held what that had committed, within a span. */
     public boolean isFresh(long nowMillis, long withinMillis) {
-        return current && nowMillis - currentMillis <= withinMillis;
+        return hasLeader && nowMillis - currentMillis <= withinMillis;
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/group/TargetWatch.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/TargetWatch.java
@@ -22,10 +22,10 @@
  * heard for long. TargetWatch is confined to its reactor's thread.
  */
 final class TargetWatch {
-    /** Four of the group's heartbeats: heartbeats of targets that one control process heard reach the leader together. */
+    /** How often the targets that were heard here are told to the leader, all together; not measured. */
     private static final long FORWARD_MILLIS = 400;
 
-    /** More than gateways need to avoid a silent target by themselves, so that a short cut drops nobody. */
+    /** Heartbeats that a target may miss before it is dropped, by everyone; not measured. */
     private static final int HEARTBEATS_MISSED = 7;
 
     private final Eventloop reactor;
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -4,14 +4,14 @@
 
 /** The name of a value in a line of the decision log. */
 public enum DecisionField {
-    /** How many pieces wait for their neighbour's transfer. */
-    AT_NEIGHBOURS,
-    /** How many pieces wait for the origin. */
-    AT_ORIGIN,
     /** The address of the process or target concerned. */
     ADDRESS,
     /** The answer that was given. */
     ANSWER,
+    /** How many pieces wait for their neighbour's transfer. */
+    AT_NEIGHBOURS,
+    /** How many pieces wait for the origin. */
+    AT_ORIGIN,
     /** For how long a target is avoided, in milliseconds. */
     AVOIDED_MS,
     /** The kind of call that was made. */
@@ -26,6 +26,8 @@
     EVENT,
     /** How many failures came in a row. */
     FAILURES,
+    /** How long the first event took, in milliseconds. */
+    FIRST_EVENT_MS,
     /** The process that something was learned from. */
     FROM,
     /** How many pieces the origin gave. */
@@ -34,18 +36,6 @@
     HALL,
     /** How long a request was held, in milliseconds. */
     HELD_MS,
-    /** How an engine is changed over to other weights. */
-    METHOD,
-    /** How many pieces came from the source of most of them. */
-    MOST,
-    /** The source that gave most pieces. */
-    MOST_FROM,
-    /** How long the first event was predicted to take, in milliseconds. */
-    PREDICTED_MS,
-    /** How many sources gave pieces. */
-    SOURCES,
-    /** How long the first event took, in milliseconds. */
-    FIRST_EVENT_MS,
     /** The index of a publication. */
     INDEX,
     /** The index of the last entry of the log. */
@@ -54,8 +44,14 @@
     MAY_HAVE_RUN,
     /** The number of members of the group. */
     MEMBERS,
+    /** How an engine is changed over to other weights. */
+    METHOD,
     /** The model whose weights are meant. */
     MODEL,
+    /** How many pieces came from the source of most of them. */
+    MOST,
+    /** The source that gave most pieces. */
+    MOST_FROM,
     /** The neighbour that a piece comes from. */
     NEIGHBOUR,
     /** What came of it. */
@@ -64,6 +60,8 @@
     PIECE,
     /** How many pieces of weights are here. */
     PIECES,
+    /** How long the first event was predicted to take, in milliseconds. */
+    PREDICTED_MS,
     /** Why it was decided so. */
     REASON,
     /** The request's id, as the caller gave it. */
@@ -76,6 +74,8 @@
     SEEDS,
     /** To how many targets the request was sent. */
     SENDS,
+    /** How many sources gave pieces. */
+    SOURCES,
     /** The status that was answered, 0 if there was none. */
     STATUS,
     /** The target concerned, by its incarnation. */
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
@@ -31,7 +31,7 @@
  * What it shows never goes back. PublicationFollower is confined to its reactor's thread.
  */
 public final class PublicationFollower {
-    /** How long a question waits at a control process for news; each answer confirms what is shown. */
+    /** How long a question waits at a control process for news; each answer confirms what is shown. Not measured. */
     private static final long WAIT_MILLIS = 500;
 
     /** How much later than that the answer may be; another control process is asked then. */
@@ -40,7 +40,7 @@
     /** The pause after all control processes were asked in vain. */
     private static final long PAUSE_MILLIS = 100;
 
-    /** How long one in another hall is kept before the own hall's is tried again. */
+    /** How long one in another hall is kept before the own hall's is tried again; not measured. */
     private static final long PREFER_OWN_HALL_MILLIS = 5_000;
 
     private final NioReactor reactor;
@@ -162,14 +162,11 @@
             watched.members().forEach(text -> members.add(Address.parse(text)));
         }
         boolean newer = watched.update() != null && watched.update().index() > published.index();
-        boolean confirmsFirst = watched.fresh() && !published.confirmed();
-        if (confirmsFirst) {
-            published = published.confirm();
-        }
+        Published before = watched.fresh() ? published.confirm() : published;
         if (newer) {
-            apply(watched.update(), from, watched.waited() ? askedMillis : confirmedMillis);
-        } else if (confirmsFirst) {
-            listener.published(published, confirmedMillis);
+            apply(before, watched.update(), from, watched.waited() ? askedMillis : confirmedMillis);
+        } else if (before.confirmed() && !published.confirmed()) {
+            show(before, from, confirmedMillis);
         }
         if (!watched.fresh()) {
             lost(from, "not in touch with a majority");
@@ -182,8 +179,8 @@
         ask();
     }
 
-    private void apply(PublicationUpdate update, Address from, long changedSinceMillis) {
-        ServingConfiguration configuration = published.configuration();
+    private void apply(Published before, PublicationUpdate update, Address from, long changedSinceMillis) {
+        ServingConfiguration configuration = before.configuration();
         if (update.document() != null
                 && (configuration == null || update.documentVersion() > configuration.version())) {
             try {
@@ -196,15 +193,20 @@
                 return;
             }
         }
-        published = published.after(update, configuration);
+        show(before.after(update, configuration), from, changedSinceMillis);
+    }
+
+    private void show(Published newer, Address from, long changedSinceMillis) {
+        published = newer;
+        ServingConfiguration configuration = newer.configuration();
+        long version = configuration == null ? 0 : configuration.version();
         log.line(DecisionKind.PUBLISHED)
                 .with(DecisionField.INDEX, published.index())
-                .with(DecisionField.VERSION, configuration == null ? 0 : configuration.version())
+                .with(DecisionField.VERSION, version)
                 .with(DecisionField.TARGETS, published.targets().size())
                 .with(DecisionField.CONFIRMED, published.confirmed())
                 .with(DecisionField.FROM, from)
                 .write();
-        long version = configuration == null ? 0 : configuration.version();
         metrics.published(published.index(), version, published.targets().size());
         listener.published(published, changedSinceMillis);
     }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/Neighbours.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/Neighbours.java
@@ -14,9 +14,10 @@
  * <p>Neighbours is mutable and confined to one thread.
  */
 final class Neighbours {
-    /** How long a box that did not answer is passed over; half a copy's time, after which it may be back. */
+    /** How long a box that did not answer is passed over; not measured. */
     private static final long AVOIDED_MILLIS = 2_000;
-    /** One piece on the wire and one about to follow keep a link busy; more only wait behind each other. */
+
+    /** Pieces that one box is asked for at a time, so that a frozen one does not take every slot; two is not measured. */
     private static final int TRANSFERS_FROM_ONE = 2;
 
     private final Clock clock;
