--- a/core/src/test/java/org/bankturn/routing/FirstEventTest.java
+++ b/core/src/test/java/org/bankturn/routing/FirstEventTest.java
@@ -34,10 +34,7 @@
 
     @Test
     void a_correction_learns_from_late_events_and_fades_with_refusals() {
-        PredictionCorrection correction = PredictionCorrection.none();
-        for (int count = 0; count < 30; count++) {
-            correction.observed(100, 300);
-        }
+        PredictionCorrection correction = learnedFrom(100, 300);
         assertThat(correction.applyTo(100)).isBetween(290.0, 300.0);
         for (int count = 0; count < 200; count++) {
             correction.refused();
@@ -48,12 +45,17 @@
     /** Else the largest prompts are refused wherever engines are busy with small ones. */
     @Test
     void what_was_learned_from_small_prompts_adds_as_much_to_a_large_one() {
+        PredictionCorrection correction = learnedFrom(30, 130);
+        assertThat(correction.applyTo(30)).isBetween(125.0, 130.0);
+        assertThat(correction.applyTo(300)).isBetween(395.0, 400.0);
+    }
+
+    private static PredictionCorrection learnedFrom(double predictedMillis, double actualMillis) {
         PredictionCorrection correction = PredictionCorrection.none();
         for (int count = 0; count < 30; count++) {
-            correction.observed(30, 130);
+            correction.observed(predictedMillis, actualMillis);
         }
-        assertThat(correction.applyTo(30)).isBetween(125.0, 130.0);
-        assertThat(correction.applyTo(300)).isBetween(395.0, 400.0);
+        return correction;
     }
 
     private static EngineLoad load(int active, int queued, double pace) {
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -0,0 +1,183 @@
+package org.bankturn.daemon.gateway;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.daemon.publication.Published;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
+import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.RetryLimits;
+import org.bankturn.service.Account;
+import org.bankturn.service.ClientLimits;
+import org.bankturn.service.RequestKind;
+import org.bankturn.service.Route;
+import org.bankturn.service.Service;
+import org.bankturn.service.ServingConfiguration;
+import org.bankturn.service.WeightedService;
+import org.bankturn.time.Clock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+
+/** A gateway on loopback before targets that misbehave as each test says; tests extend it. */
+@Timeout(30)
+abstract class GatewayFixture {
+    static final long LONG_AGO = Long.MIN_VALUE / 2;
+
+    final Eventloop reactor = Eventloop.builder().withThreadName("gateway-test").build();
+    final Clock clock = Clock.system();
+    final List<ScriptedTarget> targets = new ArrayList<>();
+    Gateway gateway;
+
+    /** Whether what is published is confirmed by a control process in touch with a majority. */
+    boolean confirmed = true;
+
+    Address callers;
+    Address ready;
+
+    @BeforeEach
+    void startGateway() throws Exception {
+        callers = FreeAddresses.next();
+        ready = FreeAddresses.next();
+        DecisionLog log = DecisionLog.start("test", clock);
+        gateway = Gateway.of(
+                new GatewaySettings(
+                        "test", "north", callers, ready, 1, new RetryLimits(0.5, 960, 10_000), 1_000, 20_000),
+                new PlainDialect(),
+                reactor,
+                NodeClients.on(reactor),
+                clock,
+                log,
+                ServingMetrics.of(log));
+        reactor.keepAlive(true);
+        new Thread(reactor, "gateway-test").start();
+        reactor.submit(() -> {
+                    gateway.start();
+                    return Promise.complete();
+                })
+                .join();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (ScriptedTarget target : targets) {
+            target.close();
+        }
+        reactor.keepAlive(false);
+        reactor.breakEventloop();
+    }
+
+    // ---- targets
+
+    ScriptedTarget answering(String body, String fields) throws IOException {
+        return keep(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + fields + "Content-Length: " + body.length() + "\r\n\r\n"
+                            + body);
+            return true;
+        }));
+    }
+
+    ScriptedTarget keep(ScriptedTarget target) {
+        targets.add(target);
+        return target;
+    }
+
+    // ---- calls
+
+    void publish(RequestKind kind, int attempts, ScriptedTarget... published) {
+        publish(kind, attempts, 2_000, published);
+    }
+
+    void publish(RequestKind kind, int attempts, long timeoutMillis, ScriptedTarget... published) {
+        Service service = new Service("chat", "/health", 100, null, null, null, null);
+        ServingConfiguration configuration = configuration(kind, attempts, timeoutMillis, service);
+        Map<String, TargetSighting> sightings = new HashMap<>();
+        for (ScriptedTarget target : published) {
+            String id = "t-" + target.address();
+            sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
+        }
+        update(new Published(1, configuration, List.of(), sightings, confirmed), clock.millis());
+    }
+
+    static ServingConfiguration configuration(RequestKind kind, int attempts, long timeoutMillis, Service service) {
+        Route route = new Route(
+                "r", "h", "/x/", kind, timeoutMillis, 300, 0, List.of(new WeightedService("chat", 1)), attempts, false);
+        return ServingConfiguration.of(
+                1,
+                List.of(route),
+                List.of(service),
+                ClientLimits.DEFAULT,
+                List.of(new Account("acme", List.of("k"), 0)));
+    }
+
+    void update(Published newer, long changedSinceMillis) {
+        reactor.submit(() -> {
+                    gateway.update(newer, changedSinceMillis);
+                    return Promise.complete();
+                })
+                .join();
+    }
+
+    String call(String method, String id, String body) throws IOException {
+        return exchange(method + " /x/1 HTTP/1.1\r\nHost: h\r\nId: " + id
+                + "\r\nDeadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body);
+    }
+
+    String exchange(String request) throws IOException {
+        try (Socket socket = new Socket(callers.host(), callers.port())) {
+            ScriptedTarget.write(socket, request);
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    String askReady() throws IOException {
+        try (Socket socket = new Socket(ready.host(), ready.port())) {
+            ScriptedTarget.write(socket, "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            return readAll(socket.getInputStream());
+        }
+    }
+
+    static String readAll(InputStream input) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        try (InputStream buffered = new BufferedInputStream(input)) {
+            buffered.transferTo(all);
+        } catch (IOException e) {
+            // a reset ends what can be read
+        }
+        return all.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    static void pause() {
+        await(new CountDownLatch(1), 20);
+    }
+
+    static void await(CountDownLatch latch) {
+        await(latch, 10_000);
+    }
+
+    static void await(CountDownLatch latch, long millis) {
+        try {
+            boolean unused = latch.await(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
