--- a/core/src/main/java/org/bankturn/storage/AgreementStorage.java
+++ b/core/src/main/java/org/bankturn/storage/AgreementStorage.java
@@ -18,7 +18,7 @@
  * <p>Three files: {@code identity} says which life of the disk this is, {@code snapshot} holds the newest snapshot, and
  * {@code log} holds votes and entries in the order they came, rewritten whenever a snapshot is stored. An entry cuts off
  * whatever the log held from its index on. The commit index is stored along with them and never synced for itself, so it
- * may be a step behind. After any failed write or sync this object must not be used again.
+ * lags by the entries that were on their way then. After any failed write or sync this object must not be used again.
  *
  * <p>AgreementStorage is mutable and not thread-safe.
  */
