Wire: a connection between processes that went silent is given up when a request runs out of time on it

A process keeps one connection to each other process; when a link is cut, what was sent waits for ever longer retransmissions, and some connections never carry anything again. NodeClient failed the request and kept the connection.

Change: if nothing at all was read on the connection while a request ran out of time, it is closed, and the next request makes a new one.

NodeClientTest.a_connection_that_went_silent_is_replaced_by_a_new_one failed before (the second request ran out of time as well) and passes now.

--- a/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
@@ -23,6 +23,7 @@
     private final Consumer<Exception> closed;
     private final ByteBufs received = new ByteBufs();
     private final Deque<ByteBuf> unsent = new ArrayDeque<>();
+    private long reads;
     private boolean sending;
     private boolean ended;
 
@@ -49,6 +50,11 @@
         sendMore();
     }
 
+    /** Returns how often bytes were read. */
+    long reads() {
+        return reads;
+    }
+
     void close(Exception reason) {
         if (ended) {
             return;
@@ -85,6 +91,7 @@
                 bytes.recycle();
                 return;
             }
+            reads++;
             received.add(bytes);
             takeFrames();
             if (!ended) {
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
@@ -1,5 +1,6 @@
 package org.bankturn.daemon.wire;
 
+import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
@@ -17,7 +18,8 @@
  * Asks one other process, over one connection that is made when needed.
  *
  * <p>Replies are matched to requests by correlation, whatever order they come in; a lost connection fails everything
- * that waits on it.
+ * that waits on it. A connection on which nothing at all came while a request ran out of time is given up, since links
+ * that were cut may leave connections that stay silent for good while new ones work.
  *
  * <p>NodeClient is confined to its reactor's thread.
  */
@@ -47,6 +49,8 @@
         long correlation = ++lastCorrelation;
         SettablePromise<NodeReply> reply = new SettablePromise<>();
         waiting.put(correlation, reply);
+        long readsBefore = channel == null ? 0 : channel.reads();
+        FrameChannel usedBefore = channel;
         connected().whenComplete((open, failure) -> {
             if (failure != null) {
                 reply.trySetException(failure);
@@ -54,7 +58,18 @@
                 open.send(new Frame(correlation, request, null));
             }
         });
-        return Promises.timeout(timeoutMillis, reply).whenComplete(() -> waiting.remove(correlation));
+        return Promises.timeout(timeoutMillis, reply)
+                .whenException(
+                        AsyncTimeoutException.class, timedOut -> giveUpIfSilent(usedBefore, readsBefore, timeoutMillis))
+                .whenComplete(() -> waiting.remove(correlation));
+    }
+
+    /** Closes the connection if it is still the one that was used, or was made since, and nothing was read on it. */
+    private void giveUpIfSilent(FrameChannel usedBefore, long readsBefore, long timeoutMillis) {
+        boolean sameOrNew = channel != null && (usedBefore == null || channel == usedBefore);
+        if (sameOrNew && channel.reads() == readsBefore) {
+            channel.close(new IOException("silent for " + timeoutMillis + " ms"));
+        }
     }
 
     /** Closes the connection; what waits on it fails. */
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/NodeClientTest.java
@@ -0,0 +1,117 @@
+package org.bankturn.daemon.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class NodeClientTest {
+    private static final long SHORT_MILLIS = 200;
+    private static final long LONG_MILLIS = 10_000;
+
+    private final Eventloop reactor =
+            Eventloop.builder().withThreadName("node-client-test").build();
+    private final List<Socket> open = new CopyOnWriteArrayList<>();
+    private final AtomicInteger connections = new AtomicInteger();
+    private final Address server = FreeAddresses.next();
+    private ServerSocket entrance;
+    private NodeClients clients;
+
+    @BeforeEach
+    void start() throws IOException {
+        reactor.keepAlive(true);
+        new Thread(reactor, "node-client-test").start();
+        reactor.submit(() -> {
+                    NodeServer.create(reactor, server, request -> Promise.of(new NodeReply.Received()))
+                            .listen();
+                    return Promise.complete();
+                })
+                .join();
+        entrance = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        clients = NodeClients.on(reactor);
+        new Thread(this::admit, "entrance").start();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        entrance.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+        reactor.keepAlive(false);
+        reactor.breakEventloop();
+    }
+
+    /** A link that was cut may leave connections that carry nothing any more, while new ones work. */
+    @Test
+    void a_connection_that_went_silent_is_replaced_by_a_new_one() {
+        assertThatThrownBy(() -> ask(SHORT_MILLIS)).hasRootCauseMessage("Promise timeout");
+        assertThat(ask(LONG_MILLIS)).isInstanceOf(NodeReply.Received.class);
+        assertThat(connections).hasValue(2);
+    }
+
+    @Test
+    void a_connection_that_answers_is_kept() {
+        clients = NodeClients.on(reactor);
+        connections.set(1);
+        for (int count = 0; count < 3; count++) {
+            assertThat(ask(LONG_MILLIS)).isInstanceOf(NodeReply.Received.class);
+        }
+        assertThat(connections).hasValue(2);
+    }
+
+    private NodeReply ask(long timeoutMillis) {
+        Address address = new Address("127.0.0.1", entrance.getLocalPort());
+        return clients.askFromAnyThread(address, new NodeRequest.GetLoad(), timeoutMillis)
+                .join();
+    }
+
+    /** Takes the first connection and says nothing on it; passes the others on to the server. */
+    private void admit() {
+        try {
+            while (true) {
+                Socket caller = entrance.accept();
+                open.add(caller);
+                if (connections.incrementAndGet() > 1) {
+                    Socket inner = new Socket(server.host(), server.port());
+                    open.add(inner);
+                    pump(caller, inner);
+                    pump(inner, caller);
+                }
+            }
+        } catch (IOException e) {
+            // the test has ended
+        }
+    }
+
+    private static void pump(Socket from, Socket to) {
+        new Thread(
+                        () -> {
+                            try (InputStream input = from.getInputStream();
+                                    OutputStream output = to.getOutputStream()) {
+                                input.transferTo(output);
+                            } catch (IOException e) {
+                                // the test has ended
+                            }
+                        },
+                        "pump")
+                .start();
+    }
+}
