Weights: the process beside an engine looks at it when a gateway asks, and less often by itself

Cause: gateways ask before they place a request, and were told what the engine had said up to 0.1 s before. To keep that news young, each of these processes called its engine ten times a second, requests or not.

Change: a question has the process look at the engine then; several questions share a look. By itself it looks every 0.3 s while the engine holds what it should (0.1 s while it does not), and at once when newer weights are named.

--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -235,7 +235,7 @@
             return agent.awaitPiece(asked);
         }
         if (request instanceof NodeRequest.GetLoad) {
-            return Promise.of(agent.giveLoad());
+            return agent.giveLoad();
         }
         return Promise.of(new NodeReply.Failed("not for a weights process"));
     }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -26,7 +26,13 @@
  */
 public final class WeightsAgent {
     private static final byte[] NOTHING = new byte[0];
+
+    /** How often the engine is looked at while it lacks what it should hold. */
     private static final long CHECK_MILLIS = 100;
+
+    /** The same while it holds it: an engine that came back empty needs seconds for a copy; gateways' questions look too. */
+    private static final long RESTING_CHECK_MILLIS = 300;
+
     private static final long NOT_COMING_MILLIS = 200;
     private static final long LOAD_USABLE_MILLIS = 1_000;
     private static final long START_AGAIN_MILLIS = 1_500;
@@ -53,6 +59,9 @@
     private boolean starting;
     private long reportedMillis;
 
+    /** The look at the engine that is under way, null if none is. */
+    private Promise<Void> looking;
+
     /** Returns an agent that does not run yet, not null. */
     public static WeightsAgent of(WeightsSettings settings, WeightsWiring wiring) {
         return new WeightsAgent(settings, wiring);
@@ -80,6 +89,7 @@
             namedVersion = named.version();
             namedMillis.put(named.version(), around.clock().millis());
             namedMillis.headMap(named.version() - VERSIONS_TIMED).clear();
+            look();
         }
     }
 
@@ -90,7 +100,23 @@
     // ---- looking after the engine
 
     private void check() {
-        checkOnce().whenComplete(() -> around.reactor().delayBackground(CHECK_MILLIS, this::check));
+        look().whenComplete(() -> {
+            boolean rests = lastReport != null && lastReport.heldVersion() >= Math.max(1, namedVersion);
+            around.reactor().delayBackground(rests ? RESTING_CHECK_MILLIS : CHECK_MILLIS, this::check);
+        });
+    }
+
+    /** Looks at the engine; several that want to know at a time share one look. */
+    private Promise<Void> look() {
+        if (looking != null) {
+            return looking;
+        }
+        Promise<Void> begun = checkOnce();
+        if (!begun.isComplete()) {
+            looking = begun.whenComplete(() -> looking = null);
+            return looking;
+        }
+        return begun;
     }
 
     private Promise<Void> checkOnce() {
@@ -242,8 +268,12 @@
                 || (lastReport != null && lastReport.heldVersion() == version);
     }
 
-    /** Answers a gateway that asks for the engine's load. */
-    public NodeReply giveLoad() {
+    /** Answers a gateway that asks for the engine's load, with what the engine says now. */
+    public Promise<NodeReply> giveLoad() {
+        return look().map(nothing -> loadAsKnown());
+    }
+
+    private NodeReply loadAsKnown() {
         long age = around.clock().millis() - reportedMillis;
         boolean usable = lastReport != null && age < LOAD_USABLE_MILLIS;
         return new NodeReply.Load(usable ? lastReport.load() : null, age);
--- a/standins/src/main/java/org/bankturn/replay/ReplayWorld.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayWorld.java
@@ -25,7 +25,7 @@
 final class ReplayWorld {
     static final String SERVICE = "chat";
 
-    /** How often the process beside an engine asks it for its load. */
+    /** How old news could be, before the process beside an engine looked when it was asked: it looked that often. */
     private static final double SAMPLE_MILLIS = 100;
 
     /** How long after it joined an engine is known to every gateway. */
@@ -39,6 +39,7 @@
     private static final double MOST_MEANS = 4;
 
     private final LoadPattern pattern;
+    private final PlacementSettings settings;
     private final VirtualTime time = new VirtualTime();
     private final ReplayTally tally = new ReplayTally();
     private final UniformRandomProvider random;
@@ -58,6 +59,7 @@
 
     ReplayWorld(LoadPattern pattern, PlacementSettings settings, long seed) {
         this.pattern = pattern;
+        this.settings = settings;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         this.service = new Service(SERVICE, "/", 100, pattern.engine().model(), null, null, null);
         for (int hall = 0; hall < pattern.halls(); hall++) {
@@ -121,7 +123,11 @@
         return from.equals(to) ? WAY_IN_HALL_MILLIS : pattern.crossHallMillis();
     }
 
+    /** Returns what the process beside an engine answers: what holds now, or what it saw last where it does not look. */
     Sample sampleOf(ReplayedEngine engine) {
+        if (settings.asked() > 0) {
+            return new Sample(engine.load(), time.now());
+        }
         return samples.getOrDefault(engine.id(), new Sample(engine.load(), time.now()));
     }
 
