Start: the class archive holds every class of bankturn's own

Cause: the build archives what a rehearsal on loopback loads; no engine answers there, so an answer that is passed on, questions for load and the like were not in it, and were read and verified from the jar at the first requests after each start.

Change: the rehearsal also loads, without running it, each class of bankturn's own in the jar.

--- a/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/Rehearsal.java
@@ -5,7 +5,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.jar.JarEntry;
+import java.util.jar.JarFile;
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.settings.Address;
@@ -25,6 +28,8 @@
     private static final long CALL_MILLIS = 1_000;
     private static final long BYTES_PER_SECOND = 1_000_000;
     private static final String HALL = "hall";
+    private static final String OWN_CLASSES = "org/bankturn/";
+    private static final String CLASS_SUFFIX = ".class";
 
     private final Dialects dialects;
     private final SettingsSource source;
@@ -46,6 +51,32 @@
         new Rehearsal(dialects, source).run(controlCalls, requests);
     }
 
+    /**
+     * Loads every class of bankturn's own that lies in an archive, without running any of it.
+     *
+     * <p>What a rehearsal on loopback does not reach, such as an answer that is passed on, is archived as well.
+     *
+     * @param archive the archive that the programs are started from, not null
+     */
+    public static void loadOwnClasses(Path archive) throws IOException {
+        List<String> names;
+        try (JarFile jar = new JarFile(archive.toFile())) {
+            names = jar.stream()
+                    .map(JarEntry::getName)
+                    .filter(name -> name.startsWith(OWN_CLASSES) && name.endsWith(CLASS_SUFFIX))
+                    .toList();
+        }
+        for (String name : names) {
+            String type =
+                    name.substring(0, name.length() - CLASS_SUFFIX.length()).replace('/', '.');
+            try {
+                Class.forName(type, false, Rehearsal.class.getClassLoader());
+            } catch (ClassNotFoundException | LinkageError e) {
+                System.err.println("not archived: " + type + ", " + e);
+            }
+        }
+    }
+
     private Rehearsal(Dialects dialects, SettingsSource source) throws IOException {
         this.dialects = dialects;
         this.source = source;
