Registry: a delayed heartbeat of a former incarnation does not displace its successor

Cause: when an incarnation is replaced, its departure keeps the number of the last heartbeat that was recorded; heartbeats that say nothing new are not. One that a cut delayed until after the successor had registered therefore looked newer, took the address back, and had the successor removed until its next heartbeat.

Change: an incarnation that departed does not return while another lives at its address; if that one falls silent, it may. Left: an incarnation that was never recorded at all and whose first heartbeat comes that late still displaces the other until it is dropped as silent.

--- a/core/src/main/java/org/bankturn/registry/TargetRegistry.java
+++ b/core/src/main/java/org/bankturn/registry/TargetRegistry.java
@@ -92,7 +92,17 @@
                     && !known.sighting().saysTheSameAs(stickyDraining(known, sighting));
         }
         Departure departure = departures.get(sighting.id());
-        return departure == null || (!departure.byItself() && sighting.sequence() > departure.lastSequence());
+        if (departure == null) {
+            return true;
+        }
+        boolean mayReturn = !departure.byItself() && !isSucceeded(sighting);
+        return mayReturn && sighting.sequence() > departure.lastSequence();
+    }
+
+    /** Returns true if another incarnation lives at the address; a heartbeat that a cut delayed must not displace it. */
+    private boolean isSucceeded(TargetSighting departed) {
+        return targets.values().stream()
+                .anyMatch(each -> each.sighting().address().equals(departed.address()));
     }
 
     /**
--- a/core/src/test/java/org/bankturn/registry/TargetRegistryTest.java
+++ b/core/src/test/java/org/bankturn/registry/TargetRegistryTest.java
@@ -55,6 +55,25 @@
         assertThat(registry.find("b")).isPresent();
     }
 
+    /** Heartbeats that say nothing new are not recorded, so one that a cut delayed may have a number never seen here. */
+    @Test
+    void a_delayed_heartbeat_of_an_incarnation_that_was_replaced_does_not_displace_its_successor() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 1));
+        registry.record(2, sighting("b", "10.0.0.1:80", false, 1));
+        registry.record(3, sighting("a", "10.0.0.1:80", false, 9));
+        assertThat(registry.find("b")).isPresent();
+        assertThat(registry.find("a")).isEmpty();
+    }
+
+    @Test
+    void a_delayed_heartbeat_of_an_incarnation_that_fell_silent_does_not_displace_its_successor() {
+        registry.record(1, sighting("a", "10.0.0.1:80", false, 1));
+        registry.depart(2, "a", false);
+        registry.record(3, sighting("b", "10.0.0.1:80", false, 1));
+        registry.record(4, sighting("a", "10.0.0.1:80", false, 9));
+        assertThat(registry.find("b")).isPresent();
+    }
+
     @Test
     void a_restored_registry_holds_the_same() {
         registry.record(1, sighting("a", "10.0.0.1:80", false, 7));
