Placement looks at watched engines only, and at others when none of these can take the request

Change: targets are kept by service, those that are watched in a list of their own. What is chosen is the same (LoadReplayTest).

--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -37,7 +37,9 @@
     private final PlacementSettings settings;
     private final UniformRandomProvider random;
     private final Map<String, TargetState> targets = new HashMap<>();
+    private final Map<String, List<TargetState>> byService = new HashMap<>();
     private Set<String> watched = Set.of();
+    private List<TargetState> watchedStates = List.of();
 
     /**
      * What a target must be to take a request.
@@ -100,12 +102,20 @@
             }
         }
         targets.keySet().removeAll(gone);
+        byService.clear();
+        targets.values()
+                .forEach(state -> byService
+                        .computeIfAbsent(state.sighting().service(), key -> new ArrayList<>())
+                        .add(state));
+        watch(watched);
         return gone;
     }
 
     /** Takes in which engines the gateway asks for their load; others are used only where these would be late. */
     public void watch(Set<String> ids) {
         watched = Set.copyOf(ids);
+        watchedStates =
+                targets.values().stream().filter(state -> isWatched(state)).toList();
     }
 
     /** Takes in what a target's engine said of its load. */
@@ -184,29 +194,42 @@
                 .or(() -> leastOf(candidates.avoided, Integer.MAX_VALUE).map(Weighed::choice));
     }
 
+    /** Looks at the engines that are watched, and at all others only if none of these may take the request. */
     private Candidates candidates(Wanted wanted, long now) {
         Candidates candidates = new Candidates();
-        for (TargetState state : targets.values()) {
-            if (!mayTake(state, wanted)) {
-                continue;
-            }
-            Choice choice = new Choice(state, predictedMillis(state, wanted, now));
-            if (!wanted.due().mayBegin(state.heldVersion(), now, choice.predictedMillis())) {
-                continue;
-            }
-            if (state.isAvoided(now) || state.isChanging(now)) {
-                candidates.avoided.add(choice);
-            } else if (!isWatched(state, wanted.service())) {
-                candidates.unwatched.add(choice);
-            } else if (isNear(state)) {
-                candidates.near.add(choice);
-            } else {
-                candidates.far.add(choice);
-            }
+        List<TargetState> ofService = byService.getOrDefault(wanted.service().name(), List.of());
+        if (wanted.service().engine() == null) {
+            ofService.forEach(state -> consider(state, wanted, now, candidates, true));
+            return candidates;
+        }
+        watchedStates.forEach(state -> consider(state, wanted, now, candidates, true));
+        if (candidates.near.isEmpty() && candidates.far.isEmpty()) {
+            ofService.stream()
+                    .filter(state -> !isWatched(state))
+                    .forEach(state -> consider(state, wanted, now, candidates, false));
         }
         return candidates;
     }
 
+    private void consider(TargetState state, Wanted wanted, long now, Candidates candidates, boolean isUsual) {
+        if (!mayTake(state, wanted)) {
+            return;
+        }
+        Choice choice = new Choice(state, predictedMillis(state, wanted, now));
+        if (!wanted.due().mayBegin(state.heldVersion(), now, choice.predictedMillis())) {
+            return;
+        }
+        if (state.isAvoided(now) || state.isChanging(now)) {
+            candidates.avoided.add(choice);
+        } else if (!isUsual) {
+            candidates.unwatched.add(choice);
+        } else if (isNear(state)) {
+            candidates.near.add(choice);
+        } else {
+            candidates.far.add(choice);
+        }
+    }
+
     private Optional<Choice> best(Candidates candidates, Wanted wanted) {
         Optional<Weighed> drawn = leastOf(freshOf(candidates.near), settings.drawn());
         if (drawn.isPresent() && isComfortable(drawn.get().choice(), wanted)) {
@@ -270,8 +293,8 @@
         return state.sighting().dataHall().equals(dataHall);
     }
 
-    private boolean isWatched(TargetState state, Service service) {
-        return service.engine() == null || watched.contains(state.sighting().id());
+    private boolean isWatched(TargetState state) {
+        return watched.contains(state.sighting().id());
     }
 
     private static boolean mayTake(TargetState state, Wanted wanted) {
