--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.daemon.http.HttpHead;
@@ -134,22 +135,28 @@
         published = newer;
         policy.update(newer.configuration(), gatewaysThere());
         connections.forget(targets.update(newer.targets().values()));
-        loads.update(newer, gatewaysIn(settings.dataHall()));
+        loads.update(newer, gatewaysHere());
     }
 
     /** Returns how many gateways are published, or more than there are while this one is not among them. */
     private int gatewaysThere() {
-        Set<String> gateways = gatewaysIn(null);
+        Set<String> gateways = addresses(gateways());
         return gateways.contains(settings.nodeAddress().toString()) ? gateways.size() : Integer.MAX_VALUE;
     }
 
-    /** Returns the node addresses of the gateways of a data hall, or of all if it is null; each is a relay as well. */
-    private Set<String> gatewaysIn(String dataHall) {
+    /** Returns the node addresses of the gateways in the same data hall. */
+    private Set<String> gatewaysHere() {
+        return addresses(gateways().filter(gateway -> gateway.dataHall().equals(settings.dataHall())));
+    }
+
+    /** Returns the gateways as they announce themselves: each is a relay as well. */
+    private Stream<TargetSighting> gateways() {
         return published.targets().values().stream()
-                .filter(target -> target.service().equals(WeightsRelay.SERVICE))
-                .filter(target -> dataHall == null || target.dataHall().equals(dataHall))
-                .map(TargetSighting::address)
-                .collect(Collectors.toSet());
+                .filter(target -> target.service().equals(WeightsRelay.SERVICE));
+    }
+
+    private static Set<String> addresses(Stream<TargetSighting> sightings) {
+        return sightings.map(TargetSighting::address).collect(Collectors.toSet());
     }
 
     /** Stops as planned; the promise completes when nothing is under way or time is up. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
@@ -2,6 +2,7 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
 import java.util.HashSet;
 import java.util.List;
@@ -88,15 +89,7 @@
     /** Asks some engines at once; the promise completes when all have answered, or a request should not wait longer. */
     Promise<Void> ask(List<String> ids) {
         SettablePromise<Void> answered = new SettablePromise<>();
-        int[] open = {ids.size()};
-        for (String id : ids) {
-            ask(id).whenComplete(() -> {
-                open[0]--;
-                if (open[0] == 0) {
-                    answered.trySet(null);
-                }
-            });
-        }
+        Promises.all(ids.stream().map(this::ask).toList()).whenComplete(() -> answered.trySet(null));
         reactor.delayBackground(QUESTION_MILLIS, () -> {
             if (answered.trySet(null)) {
                 ids.forEach(id -> targets.unheardSince(id, clock.millis() - QUESTION_MILLIS));
