Placement: a small deployment is watched as a whole

Three halls of five engines: a gateway watched its own hall's and four of the ten others, and so missed free ones when its own were away.

Change: a gateway watches 16 engines in all, if there are as many.

WatchPlanTest.a_small_deployment_is_watched_as_a_whole fails with the former limit.

--- a/core/src/main/java/org/bankturn/routing/PlacementSettings.java
+++ b/core/src/main/java/org/bankturn/routing/PlacementSettings.java
@@ -6,7 +6,9 @@
  * @param watchedAtLeast the engines of its own data hall that a gateway watches, if there are as many
  * @param watchedWidth engines watched for each engine that the gateway's own requests would fill
  * @param watchersAtLeast the gateways that watch each engine of a data hall, on average
- * @param watchedElsewhere the engines of other data halls that a gateway watches
+ * @param watchedElsewhere the engines of other data halls that a gateway watches, at least
+ * @param watchedInAll the engines that a gateway watches, at least, if there are as many: a few halls of a few engines are
+ *     one pool, and a gateway that misses the free ones among them refuses what could be served
  * @param drawn the targets that are compared for a request, drawn at random
  * @param asked the engines that are asked for their load before a request is placed, 0 for none
  * @param freshMillis how old the news of an engine may be that is not asked again
@@ -21,6 +23,7 @@
         double watchedWidth,
         double watchersAtLeast,
         int watchedElsewhere,
+        int watchedInAll,
         int drawn,
         int asked,
         long freshMillis,
@@ -32,9 +35,9 @@
 
     /** What gateways use; the reasons and measurements are in docs/design/09-decisions.md. */
     public static final PlacementSettings DEFAULT =
-            new PlacementSettings(8, 2, 3, 4, 3, 2, 150, 0.1, 12, 0.5, 2_000, 4_000);
+            new PlacementSettings(8, 2, 3, 4, 16, 3, 2, 150, 0.1, 12, 0.5, 2_000, 4_000);
 
     /** Every gateway watches every engine and takes the best: what was used before, kept to compare with. */
     public static final PlacementSettings WATCH_ALL = new PlacementSettings(
-            Integer.MAX_VALUE, 0, 0, Integer.MAX_VALUE, Integer.MAX_VALUE, 0, 0, 0.3, 12, 0, 120, 300);
+            Integer.MAX_VALUE, 0, 0, Integer.MAX_VALUE, 0, Integer.MAX_VALUE, 0, 0, 0.3, 12, 0, 120, 300);
 }
--- a/core/src/main/java/org/bankturn/routing/WatchPlan.java
+++ b/core/src/main/java/org/bankturn/routing/WatchPlan.java
@@ -65,9 +65,10 @@
         }
         Set<String> watched = new HashSet<>();
         stretch(near, gatewaysHere, ownRequests).forEach(engine -> watched.add(engine.id()));
+        int elsewhere = Math.max(settings.watchedElsewhere(), settings.watchedInAll() - watched.size());
         far.stream()
                 .sorted(Comparator.comparingLong(engine -> hash(gateway + " " + engine.id())))
-                .limit(settings.watchedElsewhere())
+                .limit(elsewhere)
                 .forEach(engine -> watched.add(engine.id()));
         return watched;
     }
--- a/core/src/test/java/org/bankturn/routing/WatchPlanTest.java
+++ b/core/src/test/java/org/bankturn/routing/WatchPlanTest.java
@@ -54,12 +54,22 @@
         Set<String> all = new HashSet<>();
         for (int gateway = 0; gateway < 10; gateway++) {
             Set<String> watched = plan(gateway).watched(engines, gateways(10), 0);
-            assertThat(watched).hasSize(SETTINGS.watchedElsewhere());
+            assertThat(watched).hasSize(SETTINGS.watchedInAll());
             all.addAll(watched);
         }
         assertThat(all).hasSizeGreaterThan(20);
     }
 
+    /** Three halls of five engines are one pool: a gateway that misses the free ones refuses what could be served. */
+    @Test
+    void a_small_deployment_is_watched_as_a_whole() {
+        List<WatchPlan.Engine> engines = new ArrayList<>(engines("here", 5));
+        for (int number = 5; number < 15; number++) {
+            engines.add(new WatchPlan.Engine("engine-" + number, "there", 8));
+        }
+        assertThat(plan(0).watched(engines, gateways(2), 0)).hasSize(15);
+    }
+
     @Test
     void a_gateway_that_is_not_published_yet_watches_as_one_more() {
         assertThat(plan(99).watched(engines("here", 29), gateways(10), 0)).isNotEmpty();
--- a/standins/src/main/java/org/bankturn/replay/PlacementRule.java
+++ b/standins/src/main/java/org/bankturn/replay/PlacementRule.java
@@ -23,11 +23,11 @@
     public PlacementSettings settings() {
         return switch (this) {
             case PRESENT -> PlacementSettings.DEFAULT;
-            case ASK_IN_TURN -> new PlacementSettings(8, 2, 3, 4, 3, 0, 0, 0.1, 12, 0.5, 500, 2_000);
+            case ASK_IN_TURN -> new PlacementSettings(8, 2, 3, 4, 0, 3, 0, 0, 0.1, 12, 0.5, 500, 2_000);
             case WATCH_ALL -> PlacementSettings.WATCH_ALL;
-            case TWO_OF_ALL -> new PlacementSettings(ALL, 0, 0, ALL, 2, 0, 0, 0, 12, ANY_TIME, 120, 300);
+            case TWO_OF_ALL -> new PlacementSettings(ALL, 0, 0, ALL, 0, 2, 0, 0, 0, 12, ANY_TIME, 120, 300);
             case RANDOM ->
-                new PlacementSettings(ALL, 0, 0, ALL, 1, 0, 0, 0, 12, ANY_TIME, SELDOM_MILLIS, SELDOM_MILLIS);
+                new PlacementSettings(ALL, 0, 0, ALL, 0, 1, 0, 0, 0, 12, ANY_TIME, SELDOM_MILLIS, SELDOM_MILLIS);
         };
     }
 }
