--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -118,7 +118,7 @@
         this.metrics = metrics;
         this.watchers = new Watchers(reactor);
         this.clients = NodeClients.on(reactor);
-        this.nodeServer = NodeServer.create(reactor, settings.nodeAddress(), this::answer);
+        this.nodeServer = NodeServer.create(reactor, settings.listenAddress(), this::answer);
         this.listener = HttpListener.create(
                 reactor, clock, settings.callAddress().toSocketAddress(), () -> ServerLimits.CONTROL, this::handle);
         this.member = GroupMember.of(
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupSettings.java
@@ -10,6 +10,7 @@
  * @param dataHall the data hall it is in, not null
  * @param callAddress where operators and targets call, not null
  * @param nodeAddress where other processes call, not null
+ * @param listenAddress where it listens for them; another address only where a forwarder stands before it, not null
  * @param dataFolder where its files lie, not null
  * @param formsGroup true only at the very first start of all control boxes
  * @param seeds node addresses of control boxes, not null
@@ -20,6 +21,7 @@
         String dataHall,
         Address callAddress,
         Address nodeAddress,
+        Address listenAddress,
         String dataFolder,
         boolean formsGroup,
         List<Address> seeds,
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -194,6 +194,7 @@
                         settings.dataHall(),
                         settings.callAddress(),
                         settings.nodeAddress(),
+                        settings.nodeAddress(),
                         settings.dataFolder(),
                         settings.formsGroup(),
                         settings.seeds(),
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -40,9 +40,6 @@
 abstract class GatewayFixture {
     static final long LONG_AGO = Long.MIN_VALUE / 2;
 
-    /** Where the gateway is known as one of the gateways; nothing listens there. */
-    static final Address NODE = new Address("127.0.0.1", 1);
-
     final Eventloop reactor = Eventloop.builder().withThreadName("gateway-test").build();
     final Clock clock = Clock.system();
     final List<ScriptedTarget> targets = new ArrayList<>();
@@ -54,14 +51,18 @@
     Address callers;
     Address ready;
 
+    /** Where the gateway is known as one of the gateways; nothing listens there. */
+    Address node;
+
     @BeforeEach
     void startGateway() throws Exception {
         callers = FreeAddresses.next();
         ready = FreeAddresses.next();
+        node = FreeAddresses.next();
         DecisionLog log = DecisionLog.start("test", clock);
         gateway = Gateway.of(
                 new GatewaySettings(
-                        "test", "north", callers, ready, NODE, new RetryLimits(0.5, 960, 10_000), 1_000, 20_000),
+                        "test", "north", callers, ready, node, new RetryLimits(0.5, 960, 10_000), 1_000, 20_000),
                 new PlainDialect(),
                 reactor,
                 NodeClients.on(reactor),
@@ -115,7 +116,7 @@
         Map<String, TargetSighting> sightings = new HashMap<>();
         sightings.put(
                 "relay-test",
-                new TargetSighting("relay-test", WeightsRelay.SERVICE, NODE.toString(), "north", 0, false, -1, 1));
+                new TargetSighting("relay-test", WeightsRelay.SERVICE, node.toString(), "north", 0, false, -1, 1));
         for (ScriptedTarget target : published) {
             String id = "t-" + target.address();
             sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/SilentTargetsTest.java
@@ -0,0 +1,168 @@
+package org.bankturn.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.bankturn.daemon.publication.Published;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
+import org.bankturn.daemon.weights.WeightsRelay;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeServer;
+import org.bankturn.daemon.wire.SilencingRelay;
+import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.EngineLoad;
+import org.bankturn.service.EngineModel;
+import org.bankturn.service.RequestKind;
+import org.bankturn.service.Service;
+import org.bankturn.service.WeightsLayout;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A gateway before targets whose open connections all go silent at one moment. */
+class SilentTargetsTest extends GatewayFixture {
+    private static final EngineModel ENGINE = new EngineModel(16, 1_000_000, 10, 0.02, 0.03, 20, 2_048, 5, 40);
+    private static final int TARGETS = 8;
+    private static final int REQUESTS_BEFORE = 120;
+    private static final int REQUESTS_AFTER = 360;
+    private static final long BETWEEN_REQUESTS_MILLIS = 12;
+    private static final long BETWEEN_EVENTS_MILLIS = 40;
+    private static final int EVENTS = 8;
+    private static final long WINDOW_MILLIS = 500;
+
+    private final List<SilencingRelay> relays = new ArrayList<>();
+    private final ExecutorService callersThere = Executors.newCachedThreadPool();
+
+    private record Outcome(long sentMillis, long tookMillis, boolean whole, boolean refused) {}
+
+    @AfterEach
+    void closeRelays() throws IOException {
+        callersThere.shutdownNow();
+        for (SilencingRelay relay : relays) {
+            relay.close();
+        }
+    }
+
+    @Test
+    void streams_are_answered_whole_again_after_all_open_connections_went_silent() throws Exception {
+        publishBehindRelays(RequestKind.RESUMABLE_STREAM);
+        ConcurrentLinkedQueue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
+        List<Future<?>> calls = new ArrayList<>();
+        send(REQUESTS_BEFORE, "before", outcomes, calls);
+        long silentMillis = clock.millis();
+        relays.forEach(SilencingRelay::silence);
+        send(REQUESTS_AFTER, "after", outcomes, calls);
+        for (Future<?> call : calls) {
+            call.get(30, TimeUnit.SECONDS);
+        }
+        report(outcomes, silentMillis);
+        assertThat(call("POST", "last", "x")).contains("id: " + EVENTS);
+    }
+
+    private void send(int requests, String name, ConcurrentLinkedQueue<Outcome> outcomes, List<Future<?>> calls) {
+        for (int number = 0; number < requests; number++) {
+            String id = name + number;
+            calls.add(callersThere.submit(() -> outcomes.add(timed(id))));
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(BETWEEN_REQUESTS_MILLIS));
+        }
+    }
+
+    private Outcome timed(String id) throws IOException {
+        long sent = clock.millis();
+        String answer = call("POST", id, "x");
+        return new Outcome(
+                sent,
+                clock.millis() - sent,
+                answer.endsWith("0\r\n\r\n") && answer.contains("id: " + EVENTS),
+                answer.startsWith("HTTP/1.1 503"));
+    }
+
+    private void report(ConcurrentLinkedQueue<Outcome> outcomes, long silentMillis) {
+        for (long window = -1; window < 10; window++) {
+            long from = silentMillis + window * WINDOW_MILLIS;
+            List<Outcome> sent = outcomes.stream()
+                    .filter(each -> each.sentMillis() >= from && each.sentMillis() < from + WINDOW_MILLIS)
+                    .toList();
+            long whole = sent.stream().filter(Outcome::whole).count();
+            long prompt = sent.stream()
+                    .filter(each -> each.whole() && each.tookMillis() < 2 * EVENTS * BETWEEN_EVENTS_MILLIS)
+                    .count();
+            System.out.printf(
+                    "sent from %d ms: %d requests, %d answered whole, %d of them promptly, %d refused%n",
+                    window * WINDOW_MILLIS,
+                    sent.size(),
+                    whole,
+                    prompt,
+                    sent.stream().filter(Outcome::refused).count());
+        }
+        System.out.printf(
+                "silent connections that were used: %d, opened in all: %d%n",
+                relays.stream().mapToInt(SilencingRelay::usedWhenSilent).sum(),
+                relays.stream().mapToInt(SilencingRelay::opened).sum());
+    }
+
+    // ---- targets
+
+    private void publishBehindRelays(RequestKind kind) throws IOException {
+        Service service = new Service("chat", "/health", 100, ENGINE, new WeightsLayout("m", 1, 4, 10), null, null);
+        Map<String, TargetSighting> sightings = new HashMap<>();
+        sightings.put(
+                "relay-test",
+                new TargetSighting("relay-test", WeightsRelay.SERVICE, node.toString(), "north", 0, false, -1, 1));
+        Address loads = listenForQuestions();
+        for (int number = 0; number < TARGETS; number++) {
+            String host = "127.0.1." + (number + 1);
+            Address engine = Address.parse(streaming().address());
+            SilencingRelay relay = SilencingRelay.at(new Address(host, engine.port()), engine);
+            relays.add(relay);
+            relays.add(SilencingRelay.at(new Address(host, node.port()), loads));
+            String id = "t" + number;
+            sightings.put(id, new TargetSighting(id, "chat", relay.address().toString(), "north", 16, false, 1, 1));
+        }
+        update(new Published(1, configuration(kind, 2, 6_000, service), List.of(), sightings, true), clock.millis());
+    }
+
+    /** Answers questions for the load of every engine, as the processes beside them do. */
+    private Address listenForQuestions() {
+        Address address = FreeAddresses.next();
+        NodeReply idle = new NodeReply.Load(new EngineLoad(3, 0, 0, 1_000_000, 1, false), 0);
+        reactor.submit(() -> {
+                    NodeServer.create(reactor, address, question -> Promise.of(idle))
+                            .listen();
+                    return Promise.complete();
+                })
+                .join();
+        return address;
+    }
+
+    private ScriptedTarget streaming() throws IOException {
+        Map<String, ScriptedTarget> self = new HashMap<>();
+        ScriptedTarget target = new ScriptedTarget((number, id, socket) -> {
+            String last = ScriptedTarget.field(self.get("target").heads.get(number - 1), "last-event");
+            int next = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+            StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nId: " + id);
+            head.append("\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+            ScriptedTarget.write(socket, head.toString());
+            for (int event = next; event <= EVENTS; event++) {
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(BETWEEN_EVENTS_MILLIS));
+                String text = "id: " + event + "\ndata: a\n\n";
+                ScriptedTarget.write(socket, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            }
+            ScriptedTarget.write(socket, "0\r\n\r\n");
+            return true;
+        });
+        self.put("target", target);
+        return keep(target);
+    }
+}
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -9,7 +9,6 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -28,12 +27,6 @@
 import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.registry.TargetSighting;
-import org.bankturn.service.ClientLimits;
-import org.bankturn.service.DocumentFormat;
-import org.bankturn.service.RequestKind;
-import org.bankturn.service.Route;
-import org.bankturn.service.ServingConfiguration;
-import org.bankturn.service.UnreadableDocumentException;
 import org.bankturn.time.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -191,6 +184,7 @@
                         "north",
                         callAddresses.get(box),
                         seeds.get(box),
+                        seeds.get(box),
                         folder.resolve("box-" + box).toString(),
                         true,
                         seeds,
@@ -310,22 +304,4 @@
                 .build();
         return http.send(request, HttpResponse.BodyHandlers.ofString());
     }
-
-    /** A document that is only its version, or a version and the word that makes it faulty. */
-    private static final class NumberedDocument implements DocumentFormat {
-        @Override
-        public ServingConfiguration read(byte[] document) throws UnreadableDocumentException {
-            String[] words = new String(document, StandardCharsets.UTF_8).split(" ", -1);
-            try {
-                boolean faulty = words.length > 1 && words[1].equals("faulty");
-                List<Route> routes = faulty
-                        ? List.of(new Route("r", "h", "/", RequestKind.UNSAFE, 1, 1, 0, List.of(), 1, true))
-                        : List.of();
-                return ServingConfiguration.of(
-                        Long.parseLong(words[0]), routes, List.of(), ClientLimits.DEFAULT, List.of());
-            } catch (NumberFormatException e) {
-                throw new UnreadableDocumentException(e.getMessage());
-            }
-        }
-    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/group/NumberedDocument.java
@@ -0,0 +1,28 @@
+package org.bankturn.daemon.group;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.bankturn.service.ClientLimits;
+import org.bankturn.service.DocumentFormat;
+import org.bankturn.service.RequestKind;
+import org.bankturn.service.Route;
+import org.bankturn.service.ServingConfiguration;
+import org.bankturn.service.UnreadableDocumentException;
+
+/** A document that is only its version, or a version and the word that makes it faulty. */
+final class NumberedDocument implements DocumentFormat {
+    @Override
+    public ServingConfiguration read(byte[] document) throws UnreadableDocumentException {
+        String[] words = new String(document, StandardCharsets.UTF_8).split(" ", -1);
+        try {
+            boolean faulty = words.length > 1 && words[1].equals("faulty");
+            List<Route> routes = faulty
+                    ? List.of(new Route("r", "h", "/", RequestKind.UNSAFE, 1, 1, 0, List.of(), 1, true))
+                    : List.of();
+            return ServingConfiguration.of(
+                    Long.parseLong(words[0]), routes, List.of(), ClientLimits.DEFAULT, List.of());
+        } catch (NumberFormatException e) {
+            throw new UnreadableDocumentException(e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/SilencingRelay.java
@@ -0,0 +1,137 @@
+package org.bankturn.daemon.wire;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
+
+/**
+ * A link whose open connections can go silent for good, without a reset, while new ones work.
+ *
+ * <p>SilencingRelay is thread-safe.
+ */
+public final class SilencingRelay implements AutoCloseable {
+    private static final int BUFFER_BYTES = 1 << 16;
+
+    private final Address address;
+    private final Address destination;
+    private final ServerSocket listener;
+    private final List<Link> links = new CopyOnWriteArrayList<>();
+    private final AtomicInteger opened = new AtomicInteger();
+    private final AtomicInteger usedWhenSilent = new AtomicInteger();
+
+    /** Opens a relay at an address of its own. */
+    public static SilencingRelay before(Address destination) throws IOException {
+        return at(FreeAddresses.next(), destination);
+    }
+
+    /** Opens a relay at a loopback address. */
+    public static SilencingRelay at(Address address, Address destination) throws IOException {
+        return new SilencingRelay(address, destination);
+    }
+
+    private SilencingRelay(Address address, Address destination) throws IOException {
+        this.address = address;
+        this.destination = destination;
+        this.listener = new ServerSocket(address.port(), 50, InetAddress.getByName(address.host()));
+        startThread(this::acceptAll);
+    }
+
+    /** Returns where to connect. */
+    public Address address() {
+        return address;
+    }
+
+    /** Returns how many connections were opened. */
+    public int opened() {
+        return opened.get();
+    }
+
+    /** Returns how many silent connections somebody still sent something on. */
+    public int usedWhenSilent() {
+        return usedWhenSilent.get();
+    }
+
+    /** From now on the connections that are open carry nothing, and stay open. */
+    public void silence() {
+        links.forEach(link -> link.silent.set(true));
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Link link : links) {
+            link.close();
+        }
+    }
+
+    private void acceptAll() throws IOException {
+        while (!listener.isClosed()) {
+            Socket near = listener.accept();
+            Link link = new Link(near, new Socket(destination.host(), destination.port()));
+            opened.incrementAndGet();
+            links.add(link);
+            startThread(() -> link.pass(link.near, link.far, true));
+            startThread(() -> link.pass(link.far, link.near, false));
+        }
+    }
+
+    private final class Link {
+        private final Socket near;
+        private final Socket far;
+        private final AtomicBoolean silent = new AtomicBoolean();
+        private final AtomicBoolean counted = new AtomicBoolean();
+
+        Link(Socket near, Socket far) throws IOException {
+            this.near = near;
+            this.far = far;
+            near.setTcpNoDelay(true);
+            far.setTcpNoDelay(true);
+        }
+
+        void pass(Socket from, Socket to, boolean outward) throws IOException {
+            byte[] buffer = new byte[BUFFER_BYTES];
+            InputStream input = from.getInputStream();
+            for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+                if (!silent.get()) {
+                    to.getOutputStream().write(buffer, 0, count);
+                } else if (outward && counted.compareAndSet(false, true)) {
+                    usedWhenSilent.incrementAndGet();
+                }
+            }
+            if (!silent.get()) {
+                close();
+            }
+        }
+
+        void close() throws IOException {
+            near.close();
+            far.close();
+        }
+    }
+
+    private interface Task {
+        void run() throws IOException;
+    }
+
+    private static void startThread(Task task) {
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (IOException e) {
+                        // the link or the test has ended
+                    }
+                },
+                "silencing-relay");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
