--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -155,7 +155,8 @@
         if (request.sends() == 0 && isTooLate(request, choice.get())) {
             correction(request.service()).refused();
             return new NextStep.GiveUp(
-                    "would begin after " + Math.round(choice.get().predictedMillis()) + " ms",
+                    "would begin after " + Math.round(choice.get().predictedMillis()) + " ms, "
+                            + choice.get().target().pathMillis() + " ms of it on the way",
                     ComeBack.afterAnswers(request.service().engine(), random));
         }
         if (request.sends() > 0 && !retryBudget(request.service()).tryRetry()) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -10,6 +10,7 @@
 import org.bankturn.daemon.http.TargetConnection;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.routing.TargetState;
 import org.bankturn.routing.TargetTable.Choice;
@@ -126,12 +127,25 @@
         if (!request.mayGoElsewhere()) {
             return;
         }
+        noteSilence();
         finish(false);
         targetFailed("silent");
         request.outcomeUnknown();
         request.retry("silent for " + (now() - heardMillis) + " ms");
     }
 
+    private void noteSilence() {
+        gateway.metrics().connectionSilent(ServingMetrics.PEER_TARGET);
+        gateway.log()
+                .line(DecisionKind.LOST)
+                .with(DecisionField.DEPENDENCY, "connection")
+                .with(DecisionField.TARGET, targetId())
+                .with(DecisionField.REQUEST, terms.id())
+                .with(DecisionField.KEPT, connection.hasCarried())
+                .with(DecisionField.SILENT_MS, now() - connection.heardMillis())
+                .write();
+    }
+
     private long silenceBound() {
         return gateway.policy().silenceMillis(request.progress(), choice);
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -98,7 +98,7 @@
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         this.targets = TargetTable.of(clock, settings.dataHall(), PlacementSettings.DEFAULT, random);
         this.policy = RequestPolicy.of(clock, targets, settings.retries(), random);
-        this.loads = LoadPoller.of(reactor, clock, clients, targets, settings);
+        this.loads = LoadPoller.of(reactor, clock, clients, targets, settings, metrics);
         this.callers = HttpListener.create(
                 reactor, clock, settings.callerAddress().toSocketAddress(), this::callerLimits, this::handle);
         this.readiness = HttpListener.create(
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.wire.NodeClients;
@@ -42,6 +43,7 @@
     private final NodeClients clients;
     private final TargetTable targets;
     private final GatewaySettings settings;
+    private final ServingMetrics metrics;
     private final WatchPlan plan;
     private final LoadQuestions questions;
     private Published published = Published.NOTHING;
@@ -50,17 +52,28 @@
     private boolean started;
 
     static LoadPoller of(
-            Eventloop reactor, Clock clock, NodeClients clients, TargetTable targets, GatewaySettings settings) {
-        return new LoadPoller(reactor, clock, clients, targets, settings);
+            Eventloop reactor,
+            Clock clock,
+            NodeClients clients,
+            TargetTable targets,
+            GatewaySettings settings,
+            ServingMetrics metrics) {
+        return new LoadPoller(reactor, clock, clients, targets, settings, metrics);
     }
 
     private LoadPoller(
-            Eventloop reactor, Clock clock, NodeClients clients, TargetTable targets, GatewaySettings settings) {
+            Eventloop reactor,
+            Clock clock,
+            NodeClients clients,
+            TargetTable targets,
+            GatewaySettings settings,
+            ServingMetrics metrics) {
         this.reactor = reactor;
         this.clock = clock;
         this.clients = clients;
         this.targets = targets;
         this.settings = settings;
+        this.metrics = metrics;
         this.plan =
                 WatchPlan.of(PlacementSettings.DEFAULT, settings.nodeAddress().toString(), settings.dataHall());
         this.questions = LoadQuestions.of(PlacementSettings.DEFAULT);
@@ -151,7 +164,9 @@
         long askedMillis = clock.millis();
         return clients.ask(process, new NodeRequest.GetLoad(), ANSWER_MILLIS).then((reply, failure) -> {
             long tookMillis = clock.millis() - askedMillis;
-            if (failure == null && reply instanceof NodeReply.Load told && told.load() != null) {
+            boolean answered = failure == null && reply instanceof NodeReply.Load;
+            metrics.loadQuestionEnded(answered);
+            if (answered && reply instanceof NodeReply.Load told && told.load() != null) {
                 targets.reported(id, told.load(), told.ageMillis(), tookMillis);
             } else {
                 targets.unheard(id, tookMillis);
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -33,6 +33,8 @@
     private boolean spoilt;
     private boolean ended;
     private long restingSince;
+    private long heardMillis;
+    private boolean hasCarried;
     private long mostRestMillis = UNKNOWN_REST_MILLIS;
 
     /** Connects; the promise fails if that takes longer than {@code timeoutMillis}. */
@@ -50,6 +52,7 @@
         this.socket = socket;
         this.clock = clock;
         this.restingSince = clock.millis();
+        this.heardMillis = restingSince;
     }
 
     /** Returns true if a request may be sent now. */
@@ -62,6 +65,16 @@
         return restingSince;
     }
 
+    /** Returns when something came on it last, or when it was opened. */
+    public long heardMillis() {
+        return heardMillis;
+    }
+
+    /** Returns true if it carried an answer before the request that is under way. */
+    public boolean hasCarried() {
+        return hasCarried;
+    }
+
     /** Returns true if the connection is no longer open. */
     public boolean hasEnded() {
         return ended;
@@ -111,6 +124,7 @@
                 endOfInput();
                 return;
             }
+            heardMillis = clock.millis();
             received.add(bytes);
             takeAnswers();
             if (!ended) {
@@ -226,6 +240,7 @@
         AnswerListener waiting = listener;
         listener = null;
         restingSince = clock.millis();
+        hasCarried = true;
         spoilt |= received.size() > 0 || writing;
         if (spoilt) {
             close();
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -38,6 +38,8 @@
     HELD_MS,
     /** The index of a publication. */
     INDEX,
+    /** True if a connection had carried something before. */
+    KEPT,
     /** The index of the last entry of the log. */
     LAST,
     /** True if the request may have run at a target. */
@@ -74,6 +76,8 @@
     SEEDS,
     /** To how many targets the request was sent. */
     SENDS,
+    /** For how long nothing came on a connection, in milliseconds. */
+    SILENT_MS,
     /** How many sources gave pieces. */
     SOURCES,
     /** The status that was answered, 0 if there was none. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -20,10 +20,18 @@
     private static final double[] RATIOS = {0.25, 0.5, 0.75, 1, 1.25, 1.5, 2, 3, 5, 8};
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** The label of connections to other processes of bankturn. */
+    public static final String PEER_PROCESS = "process";
+
+    /** The label of connections to targets. */
+    public static final String PEER_TARGET = "target";
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests;
     private final Counter retries;
     private final Counter targetFailures;
+    private final Counter silentConnections;
+    private final Counter loadQuestions;
     private final Counter pieceBytes;
     private final Counter piecesRejected;
     private final Histogram heldSeconds;
@@ -44,6 +52,9 @@
         requests = counter("requests", "Requests by service and outcome.", "service", "outcome");
         retries = counter("retries", "Requests sent to a further target, by service.", "service");
         targetFailures = counter("target_failures", "Failures seen at targets, by service.", "service");
+        silentConnections =
+                counter("silent_connections", "Connections given up because nothing came on them, by peer.", "peer");
+        loadQuestions = counter("load_questions", "Questions for engines' load, by outcome.", "outcome");
         pieceBytes = counter("piece_bytes", "Bytes of good pieces of weights, by source.", "source");
         piecesRejected = counter("pieces_rejected", "Pieces missing or spoilt, by source.", "source");
         heldSeconds = histogram("held_seconds", "Time a request was held, by outcome.", "outcome");
@@ -118,6 +129,16 @@
         targetFailures.labelValues(service).inc();
     }
 
+    /** Counts a connection that was given up because it was silent; {@code peer} is one of the labels above. */
+    public void connectionSilent(String peer) {
+        silentConnections.labelValues(peer).inc();
+    }
+
+    /** Counts a question for an engine's load, by whether its answer came. */
+    public void loadQuestionEnded(boolean answered) {
+        loadQuestions.labelValues(answered ? "answered" : "unanswered").inc();
+    }
+
     /** Takes in a good piece of weights. */
     public void pieceTaken(String source, long bytes) {
         pieceBytes.labelValues(source).inc(bytes);
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -14,6 +14,7 @@
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.daemon.observe.SilentConnections;
 import org.bankturn.daemon.publication.Announcer;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.settings.Address;
@@ -111,7 +112,7 @@
     }
 
     private void startGateway() throws IOException {
-        NodeClients clients = NodeClients.on(reactor);
+        NodeClients clients = nodeClients();
         gateway = Gateway.of(
                 new GatewaySettings(
                         settings.process(),
@@ -132,6 +133,10 @@
         startRelay(clients, gateway);
     }
 
+    private NodeClients nodeClients() {
+        return NodeClients.on(reactor, clock, SilentConnections.of(log, metrics));
+    }
+
     /** An entry box has a wide link, and so hands weights on as well. */
     private void startRelay(NodeClients clients, Gateway served) throws IOException {
         WeightsRelay relay = WeightsRelay.of(
@@ -210,7 +215,7 @@
     }
 
     private void startWeights() throws IOException {
-        NodeClients clients = NodeClients.on(reactor);
+        NodeClients clients = nodeClients();
         WeightsAgent agent = WeightsAgent.of(
                 new WeightsSettings(
                         settings.process(),
--- a/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
@@ -9,6 +9,7 @@
 import java.util.Deque;
 import java.util.function.Consumer;
 import org.bankturn.codec.MessagePackCodec;
+import org.bankturn.time.Clock;
 
 /**
  * Frames over one TCP connection: a length in four big-endian bytes, then MessagePack.
@@ -23,12 +24,16 @@
     private final Consumer<Exception> closed;
     private final ByteBufs received = new ByteBufs();
     private final Deque<ByteBuf> unsent = new ArrayDeque<>();
+    private final Clock clock;
     private long reads;
+    private long heardMillis;
     private boolean sending;
     private boolean ended;
 
-    FrameChannel(ITcpSocket socket, Consumer<Frame> receiver, Consumer<Exception> closed) {
+    FrameChannel(ITcpSocket socket, Clock clock, Consumer<Frame> receiver, Consumer<Exception> closed) {
         this.socket = socket;
+        this.clock = clock;
+        this.heardMillis = clock.millis();
         this.receiver = receiver;
         this.closed = closed;
     }
@@ -55,6 +60,11 @@
         return reads;
     }
 
+    /** Returns when bytes were read last, or when the connection was opened. */
+    long heardMillis() {
+        return heardMillis;
+    }
+
     void close(Exception reason) {
         if (ended) {
             return;
@@ -92,6 +102,7 @@
                 return;
             }
             reads++;
+            heardMillis = clock.millis();
             received.add(bytes);
             takeFrames();
             if (!ended) {
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.time.Clock;
 
 /**
  * Asks one other process, over one connection that is made when needed.
@@ -28,14 +29,18 @@
 
     private final NioReactor reactor;
     private final Address address;
+    private final Clock clock;
+    private final ConnectionObserver observer;
     private final Map<Long, SettablePromise<NodeReply>> waiting = new HashMap<>();
     private FrameChannel channel;
     private Promise<FrameChannel> connecting;
     private long lastCorrelation;
 
-    NodeClient(NioReactor reactor, Address address) {
+    NodeClient(NioReactor reactor, Address address, Clock clock, ConnectionObserver observer) {
         this.reactor = reactor;
         this.address = address;
+        this.clock = clock;
+        this.observer = observer;
     }
 
     /**
@@ -68,6 +73,7 @@
     private void giveUpIfSilent(FrameChannel usedBefore, long readsBefore, long timeoutMillis) {
         boolean sameOrNew = channel != null && (usedBefore == null || channel == usedBefore);
         if (sameOrNew && channel.reads() == readsBefore) {
+            observer.wentSilent(address, clock.millis() - channel.heardMillis(), channel.reads() > 0);
             channel.close(new IOException("silent for " + timeoutMillis + " ms"));
         }
     }
@@ -95,7 +101,7 @@
     }
 
     private FrameChannel open(TcpSocket socket) {
-        channel = new FrameChannel(socket, this::received, this::lost);
+        channel = new FrameChannel(socket, clock, this::received, this::lost);
         channel.start();
         return channel;
     }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeClients.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeClients.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.time.Clock;
 
 /**
  * The clients of one process, one for each other process that it asks.
@@ -16,6 +17,8 @@
     private static final long TELL_TIMEOUT_MILLIS = 1_000;
 
     private final NioReactor reactor;
+    private final Clock clock;
+    private final ConnectionObserver observer;
     private final Map<Address, NodeClient> clients = new HashMap<>();
 
     /**
@@ -25,11 +28,25 @@
      * @return the clients, not null
      */
     public static NodeClients on(NioReactor reactor) {
-        return new NodeClients(reactor);
+        return on(reactor, Clock.system(), ConnectionObserver.NONE);
     }
 
-    private NodeClients(NioReactor reactor) {
+    /**
+     * Creates an empty set of clients.
+     *
+     * @param reactor the reactor whose thread they run on, not null
+     * @param clock the time, not null
+     * @param observer hears of connections that went silent, not null
+     * @return the clients, not null
+     */
+    public static NodeClients on(NioReactor reactor, Clock clock, ConnectionObserver observer) {
+        return new NodeClients(reactor, clock, observer);
+    }
+
+    private NodeClients(NioReactor reactor, Clock clock, ConnectionObserver observer) {
         this.reactor = reactor;
+        this.clock = clock;
+        this.observer = observer;
     }
 
     /**
@@ -41,7 +58,7 @@
      * @return the reply; fails if none came
      */
     public Promise<NodeReply> ask(Address address, NodeRequest request, long timeoutMillis) {
-        return clients.computeIfAbsent(address, key -> new NodeClient(reactor, key))
+        return clients.computeIfAbsent(address, key -> new NodeClient(reactor, key, clock, observer))
                 .ask(request, timeoutMillis);
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.time.Clock;
 
 /**
  * Takes requests of other processes and answers each with its own correlation.
@@ -59,7 +60,8 @@
 
     private void serve(ITcpSocket socket) {
         FrameChannel[] own = new FrameChannel[1];
-        own[0] = new FrameChannel(socket, frame -> answer(own[0], frame), reason -> channels.remove(own[0]));
+        own[0] = new FrameChannel(
+                socket, Clock.system(), frame -> answer(own[0], frame), reason -> channels.remove(own[0]));
         channels.add(own[0]);
         own[0].start();
     }
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.LogFile;
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
@@ -59,7 +60,7 @@
         callers = FreeAddresses.next();
         ready = FreeAddresses.next();
         node = FreeAddresses.next();
-        DecisionLog log = DecisionLog.start("test", clock);
+        DecisionLog log = DecisionLog.startTo(LogFile.of(getClass().getSimpleName()), "test", clock);
         gateway = Gateway.of(
                 new GatewaySettings(
                         "test", "north", callers, ready, node, new RetryLimits(0.5, 960, 10_000), 1_000, 20_000),
--- a/daemon/src/test/java/org/bankturn/daemon/group/SilentConnectionsTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/SilentConnectionsTest.java
@@ -5,13 +5,10 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import java.io.IOException;
-import java.io.OutputStream;
-import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,7 +17,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.LogFile;
 import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.daemon.observe.SilentConnections;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.settings.Address;
@@ -48,8 +47,8 @@
     private Path folder;
 
     private final Clock clock = Clock.system();
-    private final DecisionLog log = DecisionLog.startTo(logFile(), "silent", clock);
-    private final ServingMetrics metrics = ServingMetrics.of(log);
+    private DecisionLog log;
+    private ServingMetrics metrics;
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<Address> callAddresses = new ArrayList<>();
     private final List<SilencingRelay> relays = new ArrayList<>();
@@ -60,6 +59,8 @@
 
     @BeforeEach
     void form() throws IOException {
+        log = DecisionLog.startTo(LogFile.of("silent-connections"), "silent", clock);
+        metrics = ServingMetrics.of(log);
         List<Address> listen = new ArrayList<>();
         for (int box = 0; box < BOXES; box++) {
             listen.add(FreeAddresses.next());
@@ -105,16 +106,6 @@
                 .allSatisfy(follower -> assertThat(follower.wentBack).isFalse());
     }
 
-    /** Keeps the lines of the last run beside the reports of the build, to be read when it fails. */
-    private static OutputStream logFile() {
-        try {
-            return Files.newOutputStream(
-                    Files.createDirectories(Path.of("target")).resolve("silent-connections.log"));
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     // ---- boxes
 
     private List<Address> nodeAddresses() {
@@ -170,7 +161,7 @@
 
         Follower(int number) {
             reactor = reactor("follower-" + number);
-            clients = NodeClients.on(reactor);
+            clients = NodeClients.on(reactor, clock, SilentConnections.of(log, metrics));
             PublicationFollower follower = PublicationFollower.of(
                     new PublicationFollower.Wiring(
                             reactor,
