Tests: a gateway whose kept connections to targets went silent, failing

Cause: see the test's opening. What the tests with silenced targets share stands in SilencedFixture.

--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -45,6 +45,7 @@
     final Clock clock = Clock.system();
     final List<ScriptedTarget> targets = new ArrayList<>();
     Gateway gateway;
+    ServingMetrics metrics;
 
     /** Whether what is published is confirmed by a control process in touch with a majority. */
     boolean confirmed = true;
@@ -61,6 +62,7 @@
         ready = FreeAddresses.next();
         node = FreeAddresses.next();
         DecisionLog log = DecisionLog.startTo(LogFile.of(getClass().getSimpleName()), "test", clock);
+        metrics = ServingMetrics.of(log);
         gateway = Gateway.of(
                 new GatewaySettings(
                         "test", "north", callers, ready, node, new RetryLimits(0.5, 960, 10_000), 1_000, 20_000),
@@ -69,7 +71,7 @@
                 NodeClients.on(reactor),
                 clock,
                 log,
-                ServingMetrics.of(log));
+                metrics);
         reactor.keepAlive(true);
         new Thread(reactor, "gateway-test").start();
         reactor.submit(() -> {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/SilentTargetsTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/SilentTargetsTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.activej.promise.Promise;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,25 +13,13 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import org.bankturn.daemon.publication.Published;
-import org.bankturn.daemon.settings.Address;
-import org.bankturn.daemon.settings.FreeAddresses;
-import org.bankturn.daemon.weights.WeightsRelay;
-import org.bankturn.daemon.wire.NodeReply;
-import org.bankturn.daemon.wire.NodeServer;
 import org.bankturn.daemon.wire.SilencingRelay;
-import org.bankturn.registry.TargetSighting;
-import org.bankturn.routing.EngineLoad;
-import org.bankturn.service.EngineModel;
 import org.bankturn.service.RequestKind;
-import org.bankturn.service.Service;
-import org.bankturn.service.WeightsLayout;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** A gateway before targets whose open connections all go silent at one moment. */
-class SilentTargetsTest extends GatewayFixture {
-    private static final EngineModel ENGINE = new EngineModel(16, 1_000_000, 10, 0.02, 0.03, 20, 2_048, 5, 40);
+class SilentTargetsTest extends SilencedFixture {
     private static final int TARGETS = 8;
     private static final int REQUESTS_BEFORE = 120;
     private static final int REQUESTS_AFTER = 360;
@@ -41,27 +28,24 @@
     private static final int EVENTS = 8;
     private static final long WINDOW_MILLIS = 500;
 
-    private final List<SilencingRelay> relays = new ArrayList<>();
     private final ExecutorService callersThere = Executors.newCachedThreadPool();
 
     private record Outcome(long sentMillis, long tookMillis, boolean whole, boolean refused) {}
 
     @AfterEach
-    void closeRelays() throws IOException {
+    void stopCallers() {
         callersThere.shutdownNow();
-        for (SilencingRelay relay : relays) {
-            relay.close();
-        }
     }
 
     @Test
     void streams_are_answered_whole_again_after_all_open_connections_went_silent() throws Exception {
-        publishBehindRelays(RequestKind.RESUMABLE_STREAM);
+        publishEngines(RequestKind.RESUMABLE_STREAM, streamingTargets());
         ConcurrentLinkedQueue<Outcome> outcomes = new ConcurrentLinkedQueue<>();
         List<Future<?>> calls = new ArrayList<>();
         send(REQUESTS_BEFORE, "before", outcomes, calls);
         long silentMillis = clock.millis();
-        relays.forEach(SilencingRelay::silence);
+        targetRelays.forEach(SilencingRelay::silence);
+        questionRelays.forEach(SilencingRelay::silence);
         send(REQUESTS_AFTER, "after", outcomes, calls);
         for (Future<?> call : calls) {
             call.get(30, TimeUnit.SECONDS);
@@ -108,42 +92,16 @@
         }
         System.out.printf(
                 "silent connections that were used: %d, opened in all: %d%n",
-                relays.stream().mapToInt(SilencingRelay::usedWhenSilent).sum(),
-                relays.stream().mapToInt(SilencingRelay::opened).sum());
+                targetRelays.stream().mapToInt(SilencingRelay::usedWhenSilent).sum(),
+                targetRelays.stream().mapToInt(SilencingRelay::opened).sum());
     }
 
-    // ---- targets
-
-    private void publishBehindRelays(RequestKind kind) throws IOException {
-        Service service = new Service("chat", "/health", 100, ENGINE, new WeightsLayout("m", 1, 4, 10), null, null);
-        Map<String, TargetSighting> sightings = new HashMap<>();
-        sightings.put(
-                "relay-test",
-                new TargetSighting("relay-test", WeightsRelay.SERVICE, node.toString(), "north", 0, false, -1, 1));
-        Address loads = listenForQuestions();
+    private List<ScriptedTarget> streamingTargets() throws IOException {
+        List<ScriptedTarget> streaming = new ArrayList<>();
         for (int number = 0; number < TARGETS; number++) {
-            String host = "127.0.1." + (number + 1);
-            Address engine = Address.parse(streaming().address());
-            SilencingRelay relay = SilencingRelay.at(new Address(host, engine.port()), engine);
-            relays.add(relay);
-            relays.add(SilencingRelay.at(new Address(host, node.port()), loads));
-            String id = "t" + number;
-            sightings.put(id, new TargetSighting(id, "chat", relay.address().toString(), "north", 16, false, 1, 1));
+            streaming.add(streaming());
         }
-        update(new Published(1, configuration(kind, 2, 6_000, service), List.of(), sightings, true), clock.millis());
-    }
-
-    /** Answers questions for the load of every engine, as the processes beside them do. */
-    private Address listenForQuestions() {
-        Address address = FreeAddresses.next();
-        NodeReply idle = new NodeReply.Load(new EngineLoad(3, 0, 0, 1_000_000, 1, false), 0);
-        reactor.submit(() -> {
-                    NodeServer.create(reactor, address, question -> Promise.of(idle))
-                            .listen();
-                    return Promise.complete();
-                })
-                .join();
-        return address;
+        return streaming;
     }
 
     private ScriptedTarget streaming() throws IOException {
