Placement: questions that all engines leave open say nothing of the way to any one of them

Cause: a question for load that is open for 25 ms made the way to its engine count as 400 ms, more than any request is admitted with. When the connections to the processes beside engines went silent together, all requests were refused although all engines were well. Class: one explanation of a missing answer (a slow way) acted upon where another fits better.

Ruled out: dropping the rule. A single slow way must still count, since requests that are held up on it begin on weights that are no longer due.

Change: OpenQuestions. An open question counts against its engine if any engine answered since it was asked, or if it is the only one that is open. The way that counted is a part of the choice, and of the reason of a refusal.

--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -41,6 +41,7 @@
     private final UniformRandomProvider random;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, List<TargetState>> byService = new HashMap<>();
+    private final OpenQuestions openQuestions;
     private Set<String> watched = Set.of();
     private List<TargetState> watchedStates = List.of();
 
@@ -67,8 +68,9 @@
      *
      * @param target the target, not null
      * @param predictedMillis the time until the first event
+     * @param wayMillis the part of it that is the way there and back
      */
-    public record Choice(TargetState target, double predictedMillis) {}
+    public record Choice(TargetState target, double predictedMillis, long wayMillis) {}
 
     /**
      * Returns an empty table, not null.
@@ -88,6 +90,7 @@
         this.dataHall = dataHall;
         this.settings = settings;
         this.random = random;
+        this.openQuestions = OpenQuestions.none(clock);
     }
 
     // ---- what is known
@@ -105,6 +108,7 @@
             }
         }
         targets.keySet().removeAll(gone);
+        openQuestions.forget(gone);
         byService.clear();
         targets.values()
                 .forEach(state -> byService
@@ -128,22 +132,24 @@
             state.reported(load, clock.millis() - tookMillis / 2 - ageMillis);
             state.pathTook(tookMillis);
             state.heardOfLoad(clock.millis());
+            openQuestions.answered(id);
         }
     }
 
     /** Takes in that nothing was heard of a target's engine for a while. */
     public void unheard(String id, long tookMillis) {
-        TargetState state = targets.get(id);
-        if (state != null) {
-            state.pathTook(Math.max(UNHEARD_MILLIS, tookMillis));
-        }
+        stayedOpen(id, clock.millis() - tookMillis, Math.max(UNHEARD_MILLIS, tookMillis));
     }
 
     /** Takes in that a question to a target's engine, asked at a moment, is still open longer than a request should wait. */
     public void unheardSince(String id, long askedMillis) {
+        stayedOpen(id, askedMillis, UNHEARD_MILLIS);
+    }
+
+    private void stayedOpen(String id, long askedMillis, long openMillis) {
         TargetState state = targets.get(id);
         if (state != null && !state.heardOfLoadSince(askedMillis)) {
-            state.pathTook(UNHEARD_MILLIS);
+            openQuestions.stayedOpen(id, askedMillis, openMillis);
         }
     }
 
@@ -222,7 +228,9 @@
         if (!mayTake(state, wanted)) {
             return;
         }
-        Choice choice = new Choice(state, predictedMillis(state, wanted, now));
+        long way = Math.max(
+                state.pathMillis(), openQuestions.wayMillis(state.sighting().id()));
+        Choice choice = new Choice(state, predictedMillis(state, wanted, now) + way, way);
         double unknownMillis = sends ? unknownPathMillis(state, wanted, now) : 0;
         if (!wanted.due().mayBegin(state.heldVersion(), now, choice.predictedMillis() + unknownMillis)) {
             return;
@@ -321,7 +329,7 @@
                 && !wanted.excluded().contains(sighting.id());
     }
 
-    /** Returns how long a request would wait there for its first event, as far as is known here. */
+    /** Returns how long a request would wait there for its first event, the way aside, as far as is known here. */
     private static double predictedMillis(TargetState state, Wanted wanted, long now) {
         EngineModel engine = wanted.service().engine();
         if (engine == null) {
@@ -331,7 +339,6 @@
         int sentSince = load == null ? state.inFlight() : state.sentSinceLoad() - state.endedSinceLoad();
         EngineLoad assumed = load == null ? EngineLoad.NONE : load;
         return FirstEventEstimate.of(engine).millis(assumed, sentSince, state.unreadTokens(), wanted.promptTokens())
-                        * Math.max(1, state.lateness())
-                + state.pathMillis();
+                * Math.max(1, state.lateness());
     }
 }
