Tests: connections that went silent and are held for good, failing

Cause: found while looking for the same cause elsewhere; see the tests' openings. A server of the processes among each other can be given a clock; no logic.

--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
@@ -17,6 +17,7 @@
  * <p>NodeServer is confined to its reactor's thread.
  */
 public final class NodeServer {
+    private final Clock clock;
     private final SimpleServer server;
     private final Function<NodeRequest, Promise<NodeReply>> handler;
     private final Set<FrameChannel> channels = new HashSet<>();
@@ -31,10 +32,26 @@
      */
     public static NodeServer create(
             NioReactor reactor, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
-        return new NodeServer(reactor, address, handler);
+        return create(reactor, Clock.system(), address, handler);
     }
 
-    private NodeServer(NioReactor reactor, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param reactor the reactor whose thread serves, not null
+     * @param clock the time, not null
+     * @param address where to listen, not null
+     * @param handler answers a request, not null
+     * @return the server, not null
+     */
+    public static NodeServer create(
+            NioReactor reactor, Clock clock, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
+        return new NodeServer(reactor, clock, address, handler);
+    }
+
+    private NodeServer(
+            NioReactor reactor, Clock clock, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
+        this.clock = clock;
         this.handler = handler;
         this.server = SimpleServer.builder(reactor, this::serve)
                 .withListenAddress(address.toSocketAddress())
@@ -60,8 +77,7 @@
 
     private void serve(ITcpSocket socket) {
         FrameChannel[] own = new FrameChannel[1];
-        own[0] = new FrameChannel(
-                socket, Clock.system(), frame -> answer(own[0], frame), reason -> channels.remove(own[0]));
+        own[0] = new FrameChannel(socket, clock, frame -> answer(own[0], frame), reason -> channels.remove(own[0]));
         channels.add(own[0]);
         own[0].start();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/http/HttpListenerTest.java
@@ -0,0 +1,65 @@
+package org.bankturn.daemon.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
+import org.bankturn.time.ManualClock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(20)
+class HttpListenerTest {
+    private static final int WAITS = 100;
+    private static final long WAIT_MILLIS = 50;
+    private static final int MORE_THAN_LINKS_HOLD = 64 << 20;
+
+    /**
+     * A caller whose connection went silent takes nothing any more, and its end never comes. The connection counted as busy
+     * for good, since a part of an answer was still to be sent: it held the answer in memory, and a planned stop waited for
+     * it until its time was up.
+     */
+    @Test
+    void a_caller_that_takes_nothing_of_its_answer_any_more_is_given_up() throws Exception {
+        Eventloop reactor = Eventloop.builder().withThreadName("listener-test").build();
+        ManualClock clock = ManualClock.startingAt(1_000_000);
+        Address address = FreeAddresses.next();
+        CountDownLatch answered = new CountDownLatch(1);
+        HttpListener listener =
+                HttpListener.create(reactor, clock, address.toSocketAddress(), () -> ServerLimits.CONTROL, exchange -> {
+                    exchange.answer(HttpHead.answer(200, List.of()), new byte[MORE_THAN_LINKS_HOLD]);
+                    answered.countDown();
+                });
+        reactor.keepAlive(true);
+        new Thread(reactor, "listener-test").start();
+        reactor.submit(() -> {
+                    listener.listen();
+                    return Promise.complete();
+                })
+                .join();
+        try (Socket silent = new Socket(address.host(), address.port())) {
+            silent.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(answered.await(10, TimeUnit.SECONDS)).isTrue();
+            assertThat(underWay(reactor, listener)).isEqualTo(1);
+            for (int wait = 0; wait < WAITS && underWay(reactor, listener) > 0; wait++) {
+                clock.advance(ServerLimits.CONTROL.idleTimeoutMillis());
+                Thread.sleep(WAIT_MILLIS);
+            }
+            assertThat(underWay(reactor, listener)).isZero();
+        } finally {
+            reactor.keepAlive(false);
+            reactor.breakEventloop();
+        }
+    }
+
+    private static int underWay(Eventloop reactor, HttpListener listener) {
+        return reactor.submit(() -> Promise.of(listener.underWay())).join();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/NodeServerTest.java
@@ -0,0 +1,51 @@
+package org.bankturn.daemon.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.net.Socket;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
+import org.bankturn.time.ManualClock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class NodeServerTest {
+    private static final int ANY_SWEEP_MILLIS = 15_000;
+    private static final long LONGER_THAN_ANY_PEER_RESTS_MILLIS = 60_000;
+
+    /**
+     * Peers replace connections that went silent, and the end of the old ones never reaches the server, which kept each of
+     * them for good. After every connection had gone silent once, one control process held 15 connections where its peers
+     * used about half of them; descriptors are limited.
+     */
+    @Test
+    void a_connection_on_which_nothing_comes_any_more_is_closed() throws Exception {
+        Eventloop reactor =
+                Eventloop.builder().withThreadName("node-server-test").build();
+        ManualClock clock = ManualClock.startingAt(1_000_000);
+        Address address = FreeAddresses.next();
+        reactor.keepAlive(true);
+        new Thread(reactor, "node-server-test").start();
+        reactor.submit(() -> {
+                    NodeServer.create(reactor, clock, address, request -> Promise.of(new NodeReply.Received()))
+                            .listen();
+                    return Promise.complete();
+                })
+                .join();
+        try (Socket silent = new Socket(address.host(), address.port())) {
+            NodeReply reply = NodeClients.on(reactor)
+                    .askFromAnyThread(address, new NodeRequest.GetLoad(), 10_000)
+                    .join();
+            assertThat(reply).isInstanceOf(NodeReply.Received.class);
+            silent.setSoTimeout(ANY_SWEEP_MILLIS);
+            clock.advance(LONGER_THAN_ANY_PEER_RESTS_MILLIS);
+            assertThat(silent.getInputStream().read()).isNegative();
+        } finally {
+            reactor.keepAlive(false);
+            reactor.breakEventloop();
+        }
+    }
+}
