Servers: connections that went silent are not held for good

Cause: a peer replaces a connection that went silent, but its end never reaches the server, which kept it; a caller that takes nothing of its answer any more counted as busy.

Change: the server of the processes among each other closes what said nothing for 30 s (peers replace what rested 5 s before they use it). A caller that takes nothing for as long as a connection may rest is given up.

--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -30,6 +30,7 @@
     private ServerExchange exchange;
     private long quietSince;
     private long requestSince;
+    private long writingSince;
     private boolean reading;
     private boolean sending;
     private boolean closeWhenSent;
@@ -66,6 +67,11 @@
     }
 
     void closeIfOverdue(long now) {
+        // an answer that is not taken would hold its memory, and a planned stop, for good
+        if (sending && now - writingSince > limits.get().idleTimeoutMillis()) {
+            close();
+            return;
+        }
         boolean waitsForRequest = exchange == null && !sending;
         boolean begun = head != null || received.size() > 0;
         long bound = begun ? 4 * limits.get().headTimeoutMillis() : limits.get().idleTimeoutMillis();
@@ -215,6 +221,7 @@
             return;
         }
         sending = true;
+        writingSince = clock.millis();
         socket.write(ByteBuf.wrapForReading(unsent.poll())).whenComplete((nothing, failure) -> {
             sending = false;
             if (failure != null) {
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
@@ -6,6 +6,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
 import org.bankturn.daemon.settings.Address;
@@ -17,6 +18,12 @@
  * <p>NodeServer is confined to its reactor's thread.
  */
 public final class NodeServer {
+    /** Peers replace a connection that rested for 5 s before they use it, so one that is silent for longer is of no use. */
+    private static final long MOST_SILENT_MILLIS = 30_000;
+
+    private static final long SWEEP_MILLIS = 5_000;
+
+    private final NioReactor reactor;
     private final Clock clock;
     private final SimpleServer server;
     private final Function<NodeRequest, Promise<NodeReply>> handler;
@@ -51,6 +58,7 @@
 
     private NodeServer(
             NioReactor reactor, Clock clock, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
+        this.reactor = reactor;
         this.clock = clock;
         this.handler = handler;
         this.server = SimpleServer.builder(reactor, this::serve)
@@ -65,6 +73,7 @@
      */
     public void listen() throws IOException {
         server.listen();
+        sweepLater();
     }
 
     /** Stops listening and closes every connection. */
@@ -75,6 +84,18 @@
         }
     }
 
+    /** Closes connections whose peers went away without an end that reached this process; descriptors are few. */
+    private void sweepLater() {
+        reactor.delayBackground(SWEEP_MILLIS, () -> {
+            long longAgo = clock.millis() - MOST_SILENT_MILLIS;
+            List<FrameChannel> silent = channels.stream()
+                    .filter(channel -> channel.heardMillis() < longAgo)
+                    .toList();
+            silent.forEach(channel -> channel.close(new IOException("silent for long")));
+            sweepLater();
+        });
+    }
+
     private void serve(ITcpSocket socket) {
         FrameChannel[] own = new FrameChannel[1];
         own[0] = new FrameChannel(socket, clock, frame -> answer(own[0], frame), reason -> channels.remove(own[0]));
