Gateway: words on newer connections do not hide that older ones are silent

Cause: that all targets are silent was learned only while nothing came on any connection. Where kept connections to some targets ran out, new ones were opened and answered within the 300 ms, and requests to other targets went on to take kept connections that were silent. Class: as before, the life of a peer taken for that of a connection.

Change: words count for connections that were open when a waiting request was sent. WordsByOpening holds that for ConnectionTrust and TargetState, which had the same rule twice.

The new test was written with the change, since the call it makes is new; with the rule taken out again it fails, seen on a scratch copy.

--- a/core/src/main/java/org/bankturn/routing/ConnectionTrust.java
+++ b/core/src/main/java/org/bankturn/routing/ConnectionTrust.java
@@ -1,6 +1,7 @@
 package org.bankturn.routing;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import org.bankturn.time.Clock;
 
@@ -15,7 +16,7 @@
  * <p>ConnectionTrust is mutable and not thread-safe.
  */
 public final class ConnectionTrust {
-    /** Peers that answer several requests at once leave no such pause between parts of answers: busy engines 0.1 s. */
+    /** Peers that answer several requests at once leave no such pause between parts of answers; not measured by itself. */
     private static final long ALL_SILENT_MILLIS = 300;
 
     /** One or two requests may wait that long at busy peers; that three do at two peers, with no word from any, is rare. */
@@ -26,7 +27,7 @@
     private final Clock clock;
     private final long mostRestMillis;
     private final Set<Wait> waiting = new LinkedHashSet<>();
-    private long heardMillis = Long.MIN_VALUE / 2;
+    private final WordsByOpening words = WordsByOpening.remembering(ALL_SILENT_MILLIS);
     private long distrustedUntilMillis = Long.MIN_VALUE / 2;
 
     /** A request that waits for a word from a peer. */
@@ -81,9 +82,9 @@
         return wait;
     }
 
-    /** A peer, whichever, said something. */
-    public void heard() {
-        heardMillis = clock.millis();
+    /** A peer, whichever, said something on a connection that was opened at a moment. */
+    public void heard(long openedMillis) {
+        words.heard(openedMillis, clock.millis());
     }
 
     /** A request no longer waits. */
@@ -100,21 +101,23 @@
         distrustedUntilMillis = Math.max(distrustedUntilMillis, askedMillis);
     }
 
-    /** Several requests wait at several peers, and none of these said anything for a while. */
+    /**
+     * Several requests wait at several peers, and none of these said anything for a while but on newer connections: these
+     * answer, and would hide that the older ones went silent.
+     */
     private void noteIfAllAreSilent() {
-        long since = clock.millis() - ALL_SILENT_MILLIS;
-        if (heardMillis > since || waiting.size() < WAITING_AT_LEAST) {
+        long now = clock.millis();
+        long since = now - ALL_SILENT_MILLIS;
+        if (waiting.size() < WAITING_AT_LEAST) {
             return;
         }
-        long longEnough =
-                waiting.stream().filter(wait -> wait.sinceMillis <= since).count();
-        long peers = waiting.stream()
+        List<Wait> unheard = waiting.stream()
                 .filter(wait -> wait.sinceMillis <= since)
-                .map(wait -> wait.peer)
-                .distinct()
-                .count();
-        if (longEnough >= WAITING_AT_LEAST && peers >= PEERS_AT_LEAST) {
-            distrustedUntilMillis = Math.max(distrustedUntilMillis, heardMillis);
+                .filter(wait -> !words.anyOnConnectionsOpenAt(wait.sinceMillis, now))
+                .toList();
+        long peers = unheard.stream().map(wait -> wait.peer).distinct().count();
+        if (unheard.size() >= WAITING_AT_LEAST && peers >= PEERS_AT_LEAST) {
+            distrustedUntilMillis = Math.max(distrustedUntilMillis, since);
         }
     }
 
--- a/core/src/main/java/org/bankturn/routing/TargetState.java
+++ b/core/src/main/java/org/bankturn/routing/TargetState.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
 import org.bankturn.registry.TargetSighting;
 
 /**
@@ -28,9 +26,6 @@
     /** A target that answered any request within that long is at work: busy engines answer each in 0.1 to 0.4 s. */
     private static final long AT_WORK_MILLIS = 600;
 
-    /** Connections whose last word is remembered before old ones are forgotten: twice what a gateway keeps to a target. */
-    private static final int MOST_CONNECTIONS_HEARD = 48;
-
     /** What an answer of a plain service is measured against; only the comparison of targets matters. */
     private static final double PLAIN_ANSWER_MILLIS = 100;
 
@@ -53,7 +48,7 @@
     private EngineLoad load;
     private long loadMillis;
     private long pathMillis;
-    private final Map<Long, Long> heardByOpening = new HashMap<>();
+    private final WordsByOpening words = WordsByOpening.remembering(AT_WORK_MILLIS);
     private long heardOfLoadMillis = Long.MIN_VALUE / 2;
     private final Deque<Long> sentMillis = new ArrayDeque<>();
     private final Deque<Long> endedMillis = new ArrayDeque<>();
@@ -138,8 +133,7 @@
      * @param openAtMillis the moment
      */
     public boolean isAtWork(long nowMillis, long openAtMillis) {
-        return heardByOpening.entrySet().stream()
-                .anyMatch(heard -> heard.getKey() <= openAtMillis && nowMillis - heard.getValue() < AT_WORK_MILLIS);
+        return words.anyOnConnectionsOpenAt(openAtMillis, nowMillis);
     }
 
     // ---- what is learned
@@ -215,10 +209,7 @@
      * @param openedMillis when the connection was opened that it came on
      */
     public void heard(long nowMillis, long openedMillis) {
-        heardByOpening.put(openedMillis, nowMillis);
-        if (heardByOpening.size() > MOST_CONNECTIONS_HEARD) {
-            heardByOpening.values().removeIf(heard -> nowMillis - heard >= AT_WORK_MILLIS);
-        }
+        words.heard(openedMillis, nowMillis);
     }
 
     /** An engine's first event came, that long after the request was sent. */
--- /dev/null
+++ b/core/src/main/java/org/bankturn/routing/WordsByOpening.java
@@ -0,0 +1,45 @@
+package org.bankturn.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * When something last came on connections, by when they were opened.
+ *
+ * <p>What comes on a connection tells nothing of those that were opened before it and may have gone silent. WordsByOpening is
+ * mutable and not thread-safe.
+ */
+final class WordsByOpening {
+    /** Connections remembered before the oldest words are forgotten: more than a process has in use at a moment. */
+    private static final int MOST_REMEMBERED = 256;
+
+    private final long rememberedMillis;
+    private final Map<Long, Long> heardByOpening = new HashMap<>();
+
+    /** Returns words of which none is known, not null; each is remembered for as long as given. */
+    static WordsByOpening remembering(long millis) {
+        return new WordsByOpening(millis);
+    }
+
+    private WordsByOpening(long rememberedMillis) {
+        this.rememberedMillis = rememberedMillis;
+    }
+
+    /** Returns true if something came of late on a connection that was open at a moment. */
+    boolean anyOnConnectionsOpenAt(long openAtMillis, long nowMillis) {
+        return heardByOpening.entrySet().stream()
+                .anyMatch(word -> word.getKey() <= openAtMillis && isRemembered(word.getValue(), nowMillis));
+    }
+
+    /** Something came on a connection that was opened at a moment. */
+    void heard(long openedMillis, long nowMillis) {
+        heardByOpening.put(openedMillis, nowMillis);
+        if (heardByOpening.size() > MOST_REMEMBERED) {
+            heardByOpening.values().removeIf(heard -> !isRemembered(heard, nowMillis));
+        }
+    }
+
+    private boolean isRemembered(long heardMillis, long nowMillis) {
+        return nowMillis - heardMillis < rememberedMillis;
+    }
+}
--- a/core/src/test/java/org/bankturn/routing/ConnectionTrustTest.java
+++ b/core/src/test/java/org/bankturn/routing/ConnectionTrustTest.java
@@ -35,15 +35,15 @@
 
     @Test
     void when_several_peers_say_nothing_for_a_while_no_connection_that_was_open_before_is_trusted() {
-        trust.heard();
         long heard = clock.millis();
+        trust.heard(heard);
         wait("one", "two", "two");
         clock.advance(299);
         assertThat(trust.mayCarry(heard)).isTrue();
         clock.advance(2);
         assertThat(trust.mayCarry(heard)).isFalse();
         long opened = clock.millis();
-        trust.heard();
+        trust.heard(opened);
         assertThat(trust.mayCarry(opened)).isTrue();
         assertThat(trust.isDistrusted(heard)).isTrue();
     }
@@ -53,11 +53,29 @@
         long heard = clock.millis();
         wait("one", "two", "two");
         clock.advance(250);
-        trust.heard();
+        trust.heard(heard);
         clock.advance(250);
         assertThat(trust.mayCarry(heard)).isTrue();
     }
 
+    /**
+     * Kept connections to some targets ran out, and new ones to these were answered, which hid that all older ones were
+     * silent: of 40 streams sent in the first 500 ms 10 were in time, where 31 had been in another run.
+     */
+    @Test
+    void words_on_connections_opened_since_do_not_hide_that_all_older_ones_are_silent() {
+        long kept = clock.millis();
+        wait("one", "two", "two");
+        clock.advance(100);
+        long opened = clock.millis();
+        for (int word = 0; word < 3; word++) {
+            clock.advance(100);
+            trust.heard(opened);
+        }
+        assertThat(trust.mayCarry(kept)).isFalse();
+        assertThat(trust.mayCarry(clock.millis())).isTrue();
+    }
+
     @Test
     void few_requests_or_a_single_peer_that_says_nothing_prove_nothing() {
         long heard = clock.millis();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/SilenceWatch.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/SilenceWatch.java
@@ -76,7 +76,7 @@
     void heard() {
         heardMillis = now();
         begun = true;
-        gateway.trust().heard();
+        gateway.trust().heard(connection.openedMillis());
         choice.target().heard(heardMillis, connection.openedMillis());
     }
 
