--- a/daemon/src/test/java/org/bankturn/daemon/group/SilentConnectionsTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/SilentConnectionsTest.java
@@ -41,6 +41,8 @@
     private static final int FOLLOWERS = 6;
     private static final int CHANGES_BEFORE = 5;
     private static final int CHANGES_AFTER = 10;
+    private static final int SILENCES = 3;
+    private static final int CHANGES_BETWEEN_SILENCES = 4;
     private static final Duration OPERATOR_PATIENCE = Duration.ofSeconds(1);
 
     @TempDir
@@ -106,6 +108,22 @@
                 .allSatisfy(follower -> assertThat(follower.wentBack).isFalse());
     }
 
+    @Test
+    void changes_go_on_being_accepted_and_shown_while_connections_go_silent_again_and_again() throws Exception {
+        long version = 1;
+        change(version++);
+        awaitAll(version - 1);
+        for (int silence = 0; silence < SILENCES; silence++) {
+            relays.forEach(SilencingRelay::silence);
+            for (int count = 0; count < CHANGES_BETWEEN_SILENCES; count++) {
+                change(version++);
+            }
+        }
+        awaitAll(version - 1);
+        assertThat(followers)
+                .allSatisfy(follower -> assertThat(follower.wentBack).isFalse());
+    }
+
     // ---- boxes
 
     private List<Address> nodeAddresses() {
