--- a/standins/src/main/java/org/bankturn/harness/LocalDeployment.java
+++ b/standins/src/main/java/org/bankturn/harness/LocalDeployment.java
@@ -256,6 +256,7 @@
         engines.values().forEach(EngineStandin::close);
         services.forEach(PlainServiceStandin::close);
         origin.close();
+        ports.close();
         for (HallLink link : links) {
             link.relay().close();
         }
