Weights: a resting connection to the engine or the origin is closed although its timer fires early

Cause: when the rest of a connection was over, it was closed only if the clock said that a whole second had passed. The timer counts from the beginning of the reactor's round; on a busy machine 999 ms had passed, and nothing looked at the connection again. Class: one look at two clocks.

Change: the timer closes the connection if it has carried no further answer.

--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
@@ -89,9 +89,11 @@
     private void rest(InetSocketAddress address, TargetConnection connection) {
         Deque<TargetConnection> kept = resting.computeIfAbsent(address, key -> new ArrayDeque<>());
         kept.add(connection);
+        long calls = connection.answers();
+        // the timer may fire a millisecond early by the clock, and the connection would then stay open for good
         reactor.delayBackground(REST_MILLIS, () -> {
-            boolean rested = clock.millis() - connection.restingSince() >= REST_MILLIS;
-            if (rested && kept.remove(connection)) {
+            boolean unused = connection.answers() == calls;
+            if (unused && kept.remove(connection)) {
                 connection.close();
             }
         });
