Tests: what a follower shows is compared once it shows the accepted file

("expected: 0L but was: 2L"). The test read the index at one process right after a file was accepted, and took what it read for the state after it. A follower shows an accepted file when it hears of the commit.

Ruled out: that the second file changed something.

Change: tests only. The test starts with the version in service, compares the whole of what all three processes show, and the history, before and after: more than one index at one process. Three other tests that read an index at once after an acceptance wait for the file first (one could have passed on index 0).

--- a/standins/src/test/java/org/bankturn/harness/ControlFailureTest.java
+++ b/standins/src/test/java/org/bankturn/harness/ControlFailureTest.java
@@ -21,7 +21,7 @@
                 loseDiskOf(deployment, box);
             }
             assertThat(deployment.apply(2, "v2")).isZero();
-            deployment.awaitIndex("two-entry", deployment.indexAt("one-entry"));
+            deployment.awaitFile("two-entry", 2);
             JsonNode history = deployment.read("history", "two-entry");
             assertThat(history.path("files")).hasSize(2);
         }
@@ -58,6 +58,7 @@
                     return false;
                 }
             });
+            deployment.awaitFile(other, 2);
             long accepted = deployment.indexAt(other);
             frozen.thaw();
             assertThat(deployment.applyThrough(deployment.running.httpAddress(leader), 2, "v1", "late"))
@@ -93,6 +94,7 @@
         try (SmallDeployment deployment = SmallDeployment.start(SmallDeployment.ENGINE)) {
             deployment.apply(1, "v1");
             deployment.apply(2, "v2");
+            deployment.awaitFile("one-entry", 2);
             long index = deployment.indexAt("one-entry");
             deployment.awaitIndex("three-entry", index);
             DaemonHandle restarted = deployment.running.daemon("three-entry");
@@ -103,15 +105,31 @@
         }
     }
 
+    /**
+     * A follower showed an accepted file up to 149 ms after its acceptance, on a machine with more busy processes than
+     * cores, and this test once read index 0 there right after it, then 2 ("expected: 0L but was: 2L"). What is shown is
+     * compared only once every process shows the file and has its version in service, after which nothing else changes it.
+     */
     @Test
     void a_bad_file_changes_nothing_and_a_resent_one_gets_the_same_answer() throws IOException {
-        try (SmallDeployment deployment = SmallDeployment.start(SmallDeployment.ENGINE)) {
-            assertThat(deployment.apply(1, "v1")).isZero();
-            long index = deployment.indexAt("one-entry");
+        try (SmallDeployment deployment = SmallDeployment.serving()) {
+            List<JsonNode> shown = shownEverywhere(deployment);
+            assertThat(shown).allSatisfy(each -> assertThat(each.path("files")).hasSize(1));
             assertThat(deployment.apply(2, "no-such-version")).isEqualTo(3);
             assertThat(deployment.applyThrough(deployment.running.httpAddress("two-entry"), 1, "v1", "again"))
                     .isZero();
-            assertThat(deployment.indexAt("one-entry")).isEqualTo(index);
+            assertThat(shownEverywhere(deployment)).isEqualTo(shown);
+            assertThat(deployment.read("history", deployment.leader()).path("files"))
+                    .hasSize(1);
+        }
+    }
+
+    /** Returns the whole of what each entry process shows. */
+    private static List<JsonNode> shownEverywhere(SmallDeployment deployment) throws IOException {
+        List<JsonNode> shown = new ArrayList<>();
+        for (DeploymentPlan.Place entry : deployment.running.plan().entries()) {
+            shown.add(deployment.read("show", entry.name()));
         }
+        return shown;
     }
 }
--- a/standins/src/test/java/org/bankturn/harness/CutHallTest.java
+++ b/standins/src/test/java/org/bankturn/harness/CutHallTest.java
@@ -31,6 +31,7 @@
                     .isEqualTo(ResultCode.NOT_RUN_NO_CLAIM.number());
             assertThat(deployment.applyThrough(address, 2, "v1", "minority")).isEqualTo(5);
             assertThat(deployment.indexAt(leader)).isGreaterThanOrEqualTo(before);
+            deployment.awaitFile(other, 2);
             long accepted = deployment.indexAt(other);
             deployment.running.setCutOff(hall, false);
             deployment.awaitIndex(leader, accepted);
--- a/standins/src/test/java/org/bankturn/harness/SmallDeployment.java
+++ b/standins/src/test/java/org/bankturn/harness/SmallDeployment.java
@@ -103,6 +103,22 @@
         });
     }
 
+    /** Waits until a process shows an operators' file; an accepted one is shown there a little later than it is accepted. */
+    void awaitFile(String process, long number) {
+        Await.until("file " + number + " shown by " + process, PATIENCE, () -> {
+            try {
+                return read("show", process)
+                                .path("files")
+                                .path(0)
+                                .path("number")
+                                .asLong()
+                        >= number;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
     boolean hasFile(Path path) {
         return Files.exists(path);
     }
