--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/CountingDialect.java
@@ -0,0 +1,58 @@
+package org.bankturn.daemon.weights;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.bankturn.daemon.http.HttpHead;
+import org.bankturn.routing.EngineLoad;
+
+/** Reports hold the number of requests that run, and that every layer of version 1 is there. */
+final class CountingDialect implements WeightsDialect {
+    private final PlainWeightsDialect plain = new PlainWeightsDialect();
+
+    @Override
+    public HttpHead report() {
+        return HttpHead.request("GET", "/report", List.of());
+    }
+
+    @Override
+    public Optional<EngineReport> report(byte[] body) {
+        int active = Integer.parseInt(new String(body, StandardCharsets.UTF_8));
+        return Optional.of(new EngineReport("m", 1, false, new EngineLoad(active, 0, 0, 0, 1, false)));
+    }
+
+    @Override
+    public HttpHead stage(String model, int piece) {
+        return plain.stage(model, piece);
+    }
+
+    @Override
+    public HttpHead readBack(String model, int piece) {
+        return plain.readBack(model, piece);
+    }
+
+    @Override
+    public HttpHead order() {
+        return plain.order();
+    }
+
+    @Override
+    public byte[] startOrder(String model, int version, ChangeMethod method) {
+        return plain.startOrder(model, version, method);
+    }
+
+    @Override
+    public HttpHead manifest(String model, int version) {
+        return plain.manifest(model, version);
+    }
+
+    @Override
+    public Optional<PieceManifest> manifest(byte[] body) {
+        return plain.manifest(body);
+    }
+
+    @Override
+    public HttpHead piece(String model, int version, int piece) {
+        return plain.piece(model, version, piece);
+    }
+}
