Weights: the process beside an engine asks again on a new connection when a kept one is silent

Cause: what an engine reports was asked on a kept connection and waited for 1,500 ms whatever was known of the connection. Gateways that ask for the load meanwhile share that look, and a load of over a second ago counts as none.

Ruled out: answering gateways at once with the last load known. That hides an engine that crashed for a second more, where an open question now tells.

Change: HttpCalls.ask, for what has no effect: after 250 ms without a head on a kept connection it is asked on a new one, and the caller's other kept connections that were not heard since are not used. Reports and pieces read back use it; staging and orders do not. Connections found silent so leave a line and count as those to targets.

--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
@@ -10,6 +10,9 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.wire.ConnectionObserver;
+import org.bankturn.routing.ConnectionTrust;
 import org.bankturn.time.Clock;
 
 /**
@@ -20,8 +23,15 @@
 public final class HttpCalls {
     private static final long REST_MILLIS = 1_000;
 
+    /** A question to a process on the same box takes 1 to 20 ms; one that is asked twice does no harm. */
+    private static final long KEPT_SILENT_MILLIS = 250;
+
+    private static final byte[] NOTHING = new byte[0];
+
     private final NioReactor reactor;
     private final Clock clock;
+    private final ConnectionObserver observer;
+    private final ConnectionTrust trust;
     private final Map<InetSocketAddress, Deque<TargetConnection>> resting = new HashMap<>();
 
     /**
@@ -39,12 +49,25 @@
 
     /** Returns a caller on the reactor's thread, not null. */
     public static HttpCalls on(NioReactor reactor, Clock clock) {
-        return new HttpCalls(reactor, clock);
+        return on(reactor, clock, ConnectionObserver.NONE);
     }
 
-    private HttpCalls(NioReactor reactor, Clock clock) {
+    /**
+     * Returns a caller on the reactor's thread, not null.
+     *
+     * @param reactor the reactor, not null
+     * @param clock the time, not null
+     * @param observer hears of connections that went silent, not null
+     */
+    public static HttpCalls on(NioReactor reactor, Clock clock, ConnectionObserver observer) {
+        return new HttpCalls(reactor, clock, observer);
+    }
+
+    private HttpCalls(NioReactor reactor, Clock clock, ConnectionObserver observer) {
         this.reactor = reactor;
         this.clock = clock;
+        this.observer = observer;
+        this.trust = ConnectionTrust.of(clock, REST_MILLIS);
     }
 
     /**
@@ -72,17 +95,39 @@
      */
     public Promise<Answer> call(
             InetSocketAddress address, HttpHead head, byte[] body, long connectMillis, long timeoutMillis) {
+        Call call = new Call(address, bytesOf(head, body));
+        reactor.delayBackground(timeoutMillis, call::timeOut);
+        call.begin(takeRested(address), connectMillis);
+        return call.result;
+    }
+
+    /**
+     * Asks something that has no effect, so that it may be asked again on a new connection when a kept one is silent.
+     *
+     * @param address where to, not null
+     * @param head the request's head without framing, not null
+     * @param timeoutMillis how long to wait for the whole answer
+     * @return the answer; fails if there is no whole one in time
+     */
+    public Promise<Answer> ask(InetSocketAddress address, HttpHead head, long timeoutMillis) {
+        Call call = new Call(address, bytesOf(head, NOTHING));
+        reactor.delayBackground(timeoutMillis, call::timeOut);
+        TargetConnection rested = takeRested(address);
+        call.begin(rested, timeoutMillis);
+        if (rested != null) {
+            // without it an engine's load was not known for 1,500 ms after its connection went silent
+            // (SilentEngineTest)
+            reactor.delayBackground(KEPT_SILENT_MILLIS, () -> call.beginAgainIfSilent(timeoutMillis));
+        }
+        return call.result;
+    }
+
+    private static byte[] bytesOf(HttpHead head, byte[] body) {
         HttpHead framed = head.with("Content-Length", Integer.toString(body.length));
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(body.length + 256);
         bytes.writeBytes(framed.encode());
         bytes.writeBytes(body);
-        Call call = new Call(address);
-        reactor.delayBackground(timeoutMillis, call::timeOut);
-        TargetConnection rested = takeRested(address);
-        Promise<TargetConnection> connected =
-                rested != null ? Promise.of(rested) : TargetConnection.connect(reactor, clock, address, connectMillis);
-        connected.whenComplete((connection, failure) -> call.connected(connection, failure, bytes.toByteArray()));
-        return call.result;
+        return bytes.toByteArray();
     }
 
     /** Keeps a connection for the next call, but not for long: a callee may take few, and counts those it lost as well. */
@@ -103,7 +148,7 @@
         Deque<TargetConnection> kept = resting.getOrDefault(address, new ArrayDeque<>());
         while (!kept.isEmpty()) {
             TargetConnection connection = kept.pollLast();
-            if (connection.isUsable()) {
+            if (connection.isUsable() && trust.mayCarry(connection.heardMillis())) {
                 return connection;
             }
             connection.close();
@@ -113,16 +158,27 @@
 
     private final class Call implements AnswerListener {
         private final InetSocketAddress address;
+        private final byte[] request;
         private final SettablePromise<Answer> result = new SettablePromise<>();
         private final ByteArrayOutputStream content = new ByteArrayOutputStream();
         private TargetConnection connection;
         private HttpHead answer;
+        private long sentMillis;
 
-        Call(InetSocketAddress address) {
+        Call(InetSocketAddress address, byte[] request) {
             this.address = address;
+            this.request = request;
+        }
+
+        /** Sends the request on a connection that rested, or on a new one if that is null. */
+        void begin(TargetConnection rested, long connectMillis) {
+            Promise<TargetConnection> connected = rested != null
+                    ? Promise.of(rested)
+                    : TargetConnection.connect(reactor, clock, address, connectMillis);
+            connected.whenComplete(this::connected);
         }
 
-        void connected(TargetConnection opened, Exception failure, byte[] request) {
+        private void connected(TargetConnection opened, Exception failure) {
             if (failure != null) {
                 result.trySetException(failure);
                 return;
@@ -132,9 +188,23 @@
                 return;
             }
             connection = opened;
+            sentMillis = clock.millis();
             opened.send(request, false, this);
         }
 
+        void beginAgainIfSilent(long connectMillis) {
+            if (result.isComplete() || answer != null) {
+                return;
+            }
+            observer.wentSilent(
+                    new Address(address.getHostString(), address.getPort()),
+                    clock.millis() - connection.heardMillis(),
+                    true);
+            trust.wentSilent(sentMillis);
+            connection.close();
+            begin(null, connectMillis);
+        }
+
         void timeOut() {
             if (result.trySetException(new IOException("no answer in time from " + address)) && connection != null) {
                 connection.close();
--- a/daemon/src/main/java/org/bankturn/daemon/observe/SilentConnections.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/SilentConnections.java
@@ -4,27 +4,34 @@
 import org.bankturn.daemon.wire.ConnectionObserver;
 
 /**
- * Writes a line for each connection between processes that was given up because it was silent, and counts them.
+ * Writes a line for each connection that was given up because it was silent, and counts them.
  *
  * <p>SilentConnections is thread-safe.
  */
 public final class SilentConnections implements ConnectionObserver {
+    private final String peer;
     private final DecisionLog log;
     private final ServingMetrics metrics;
 
-    /** Returns an observer, not null. */
+    /** Returns an observer of connections to other processes, not null. */
     public static SilentConnections of(DecisionLog log, ServingMetrics metrics) {
-        return new SilentConnections(log, metrics);
+        return to(ServingMetrics.PEER_PROCESS, log, metrics);
     }
 
-    private SilentConnections(DecisionLog log, ServingMetrics metrics) {
+    /** Returns an observer of connections to one kind of peer, by its label in metrics, not null. */
+    public static SilentConnections to(String peer, DecisionLog log, ServingMetrics metrics) {
+        return new SilentConnections(peer, log, metrics);
+    }
+
+    private SilentConnections(String peer, DecisionLog log, ServingMetrics metrics) {
+        this.peer = peer;
         this.log = log;
         this.metrics = metrics;
     }
 
     @Override
     public void wentSilent(Address address, long silentMillis, boolean kept) {
-        metrics.connectionSilent(ServingMetrics.PEER_PROCESS);
+        metrics.connectionSilent(peer);
         log.line(DecisionKind.LOST)
                 .with(DecisionField.DEPENDENCY, "connection")
                 .with(DecisionField.ADDRESS, address)
--- a/daemon/src/main/java/org/bankturn/daemon/weights/ProcessSurroundings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/ProcessSurroundings.java
@@ -3,11 +3,14 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.function.Function;
 import org.bankturn.daemon.http.HttpCalls;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.daemon.observe.SilentConnections;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.wire.NodeReply;
 import org.bankturn.daemon.wire.NodeRequest;
@@ -59,7 +62,10 @@
     ProcessSurroundings(WeightsWiring wiring, Place place) {
         this.wiring = wiring;
         this.place = place;
-        this.calls = HttpCalls.on(wiring.reactor(), wiring.clock());
+        this.calls = HttpCalls.on(
+                wiring.reactor(),
+                wiring.clock(),
+                SilentConnections.to(ServingMetrics.PEER_TARGET, wiring.log(), wiring.metrics()));
     }
 
     @Override
@@ -109,8 +115,17 @@
 
     @Override
     public Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body) {
+        return withEngine(engine -> calls.call(engine, head, body, LOCAL_CALL_MILLIS));
+    }
+
+    @Override
+    public Promise<HttpCalls.Answer> askEngine(HttpHead head) {
+        return withEngine(engine -> calls.ask(engine, head, LOCAL_CALL_MILLIS));
+    }
+
+    private Promise<HttpCalls.Answer> withEngine(Function<InetSocketAddress, Promise<HttpCalls.Answer>> call) {
         return place.engine()
-                .map(engine -> succeeding(calls.call(engine.toSocketAddress(), head, body, LOCAL_CALL_MILLIS)))
+                .map(engine -> succeeding(call.apply(engine.toSocketAddress())))
                 .orElseGet(() -> Promise.ofException(new IOException("no engine on this box")));
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -25,8 +25,6 @@
  * version. Engines change over by turns. WeightsAgent is confined to its reactor's thread.
  */
 public final class WeightsAgent {
-    private static final byte[] NOTHING = new byte[0];
-
     /** How often the engine is looked at while it lacks what it should hold. */
     private static final long CHECK_MILLIS = 100;
 
@@ -123,7 +121,7 @@
         if (layout().isEmpty()) {
             return Promise.complete();
         }
-        return around.callEngine(around.dialect().report(), NOTHING)
+        return around.askEngine(around.dialect().report())
                 .then(
                         answer -> {
                             around.dialect().report(answer.body()).ifPresent(this::take);
@@ -244,7 +242,7 @@
         if (!lies || asked.piece() == WeightsCopy.MANIFEST) {
             return Promise.of(new NodeReply.Piece(null));
         }
-        return around.callEngine(around.dialect().readBack(asked.model(), asked.piece()), NOTHING)
+        return around.askEngine(around.dialect().readBack(asked.model(), asked.piece()))
                 .then(answer -> sender.reply(answer.body(), around.engineServes()));
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -323,7 +323,7 @@
     }
 
     private Promise<Boolean> readBackMatches(int piece) {
-        return around.callEngine(around.dialect().readBack(layout.model(), piece), new byte[0])
+        return around.askEngine(around.dialect().readBack(layout.model(), piece))
                 .then(answer -> Promise.of(matches(piece, answer.body())), failure -> Promise.of(false));
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsSurroundings.java
@@ -36,9 +36,12 @@
     /** Returns the plan for a version as of now. */
     PieceRouting routing(int version);
 
-    /** Calls the engine on this box; fails unless it says success. */
+    /** Has the engine on this box do something, once; fails unless it says success. */
     Promise<HttpCalls.Answer> callEngine(HttpHead head, byte[] body);
 
+    /** Asks the engine on this box something that changes nothing there; fails unless it says success. */
+    Promise<HttpCalls.Answer> askEngine(HttpHead head);
+
     /** Returns how many calls this box may have under way at the origin. */
     int originCallsAtOnce();
 
--- a/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
@@ -123,6 +123,11 @@
         return Promise.of(new HttpCalls.Answer(HttpHead.answer(200, List.of()), answer));
     }
 
+    @Override
+    public Promise<HttpCalls.Answer> askEngine(HttpHead head) {
+        return callEngine(head, new byte[0]);
+    }
+
     private void put(int piece, byte[] body) {
         boolean rots = rotsAlways.contains(piece) || rotsOnce.remove(piece);
         staged.put(piece, rots ? new byte[] {7} : body);
