--- a/core/src/test/java/org/bankturn/agreement/MemberGroup.java
+++ b/core/src/test/java/org/bankturn/agreement/MemberGroup.java
@@ -100,6 +100,14 @@
         }
     }
 
+    /** Delivers the oldest message. */
+    void deliverFirst() {
+        Outbound outbound = bag.remove(0);
+        Agreement member = running.get(outbound.to().box());
+        member.receive(outbound.message());
+        carryOut(member);
+    }
+
     void settle(int rounds) {
         for (int round = 0; round < rounds; round++) {
             tickAll();
