Group: members replace connections after three heartbeats without news of the group

Cause: a member gave a connection up when a message had stayed unanswered for a second; a leader that hears no majority steps down after half one.

Change: GroupSilence, a pure rule with its load pattern: a member that knows a leader and had no news for three heartbeats distrusts what was not heard for two. QuietGroup applies it after each step and writes a line when a group goes quiet and is back.

--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -66,6 +66,7 @@
      * @param send sends a message to a member; may lose it, not null
      * @param contacts where to ask when this box must join, not null
      * @param applied hears of each change of the state, on the member's thread, not null
+     * @param stepped looks at the member after each step, on the member's thread, not null
      * @param log the decision log, not null
      */
     public record Wiring(
@@ -73,6 +74,7 @@
             BiConsumer<Member, AgreementMessage> send,
             Supplier<List<Member>> contacts,
             Consumer<PublicationState> applied,
+            Consumer<Agreement> stepped,
             DecisionLog log) {}
 
     /** Returns a member that does not run yet, not null. */
@@ -195,6 +197,7 @@
 
         @Override
         public void publishView(Agreement agreement) {
+            wiring.stepped().accept(agreement);
             Member leader = agreement.leader().orElse(null);
             boolean leads = agreement.isEstablishedLeader();
             boolean hasLeader = leads || (leader != null && agreement.role() == Role.FOLLOWER);
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -122,12 +122,14 @@
         this.nodeServer = NodeServer.create(reactor, settings.listenAddress(), this::answer);
         this.listener = HttpListener.create(
                 reactor, clock, settings.callAddress().toSocketAddress(), () -> ServerLimits.CONTROL, this::handle);
+        QuietGroup quiet = QuietGroup.of(TIMING, clock, log, this::distrust);
         this.member = GroupMember.of(
                 new GroupMember.Wiring(
                         this::openFolder,
                         (to, message) -> clients.tell(Address.parse(to.address()), new NodeRequest.Agree(message)),
                         this::contacts,
                         this::applied,
+                        quiet::look,
                         log),
                 clock);
         this.reads = DocumentReads.of(reactor, clients, member);
@@ -205,6 +207,10 @@
         reactor.execute(() -> watchers.wake(index));
     }
 
+    private void distrust(long heardMillis) {
+        reactor.execute(() -> clients.trust().wentSilent(heardMillis));
+    }
+
     // ---- calls of operators and targets
 
     private void handle(ServerExchange exchange) {
