--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -1,5 +1,7 @@
 package org.bankturn.daemon.gateway;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import java.io.BufferedInputStream;
@@ -12,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.bankturn.daemon.observe.DecisionLog;
@@ -42,7 +45,13 @@
 abstract class GatewayFixture {
     static final long LONG_AGO = Long.MIN_VALUE / 2;
 
-    final Eventloop reactor = Eventloop.builder().withThreadName("gateway-test").build();
+    /** What was thrown on the reactor's thread and would be lost: a request that it happens to is not taken care of. */
+    private final List<Throwable> thrown = new CopyOnWriteArrayList<>();
+
+    final Eventloop reactor = Eventloop.builder()
+            .withThreadName("gateway-test")
+            .withFatalErrorHandler((error, context) -> thrown.add(error))
+            .build();
     final Clock clock = Clock.system();
     final List<ScriptedTarget> targets = new ArrayList<>();
     Gateway gateway;
@@ -89,6 +98,7 @@
         }
         reactor.keepAlive(false);
         reactor.breakEventloop();
+        assertThat(thrown).isEmpty();
     }
 
     // ---- targets
