Gateway: an attempt is watched before anything of it is written

Cause: set an attempt's watch after the request was written. A kept connection whose reset is not read yet fails while it is written to, which ends the attempt before its watch is there: NullPointerException, thrown away by the event loop; the request goes on only when its silence is noticed, 1.4 s later. Happens where connections to several targets are reset together, as at a loss of power.

Ruled out: telling listeners of a failed write later. Calls to engines and the origin use the same connections, and have what they need before they write.

Change: the watch starts first. TargetConnection says that it may tell its listener of the end before send returns.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -101,8 +101,9 @@
                                 request.urgency()));
         boolean hasBody = exchange.body().length > 0 || !exchange.head().first().equals("GET");
         HttpHead framed = hasBody ? sent.with("Content-Length", Integer.toString(exchange.body().length)) : sent;
-        connection.send(joined(framed, exchange.body()), exchange.head().first().equals("HEAD"), this);
+        // first the watch: a write that fails at once ends the attempt before send returns
         watch = SilenceWatch.start(gateway, request, choice, connection, this::takeAway);
+        connection.send(joined(framed, exchange.body()), exchange.head().first().equals("HEAD"), this);
     }
 
     /** Takes a request that may be repeated away from a target, or from a connection, that says nothing for long. */
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request. A connection that turns out to have ended tells the listener so before this returns.
      *
      * @param request its bytes, head and body, not null
      * @param expectsNoBody true if the answer has no body whatever its head says
