Logs: an error that nothing handles leaves a line and is counted

Change: ThrownErrors writes a line of kind error with the place in our code, and counts bankturn_errors_total.

--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -8,6 +8,8 @@
     ADDRESS,
     /** The answer that was given. */
     ANSWER,
+    /** The class, method and line of the code that was at work. */
+    AT_CODE,
     /** How many pieces wait for their neighbour's transfer. */
     AT_NEIGHBOURS,
     /** How many pieces wait for the origin. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -16,6 +16,8 @@
     REGAINED,
     /** A request got its target's whole answer; only one in some is written. */
     ANSWERED,
+    /** An error was thrown that nothing handles: a fault of this program. */
+    ERROR,
     /** A request was refused without having run. */
     REFUSED,
     /** A request failed, or its outcome is unknown. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -32,6 +32,7 @@
     private final Counter targetFailures;
     private final Counter silentConnections;
     private final Counter loadQuestions;
+    private final Counter errors;
     private final Counter pieceBytes;
     private final Counter piecesRejected;
     private final Histogram heldSeconds;
@@ -55,6 +56,7 @@
         silentConnections =
                 counter("silent_connections", "Connections given up because nothing came on them, by peer.", "peer");
         loadQuestions = counter("load_questions", "Questions for engines' load, by outcome.", "outcome");
+        errors = counter("errors", "Errors thrown that nothing handles.");
         pieceBytes = counter("piece_bytes", "Bytes of good pieces of weights, by source.", "source");
         piecesRejected = counter("pieces_rejected", "Pieces missing or spoilt, by source.", "source");
         heldSeconds = histogram("held_seconds", "Time a request was held, by outcome.", "outcome");
@@ -134,6 +136,11 @@
         silentConnections.labelValues(peer).inc();
     }
 
+    /** Counts an error that was thrown and that nothing handles. */
+    public void errorThrown() {
+        errors.inc();
+    }
+
     /** Counts a question for an engine's load, by whether its answer came. */
     public void loadQuestionEnded(boolean answered) {
         loadQuestions.labelValues(answered ? "answered" : "unanswered").inc();
--- /dev/null
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ThrownErrors.java
@@ -0,0 +1,46 @@
+package org.bankturn.daemon.observe;
+
+import io.activej.common.exception.FatalErrorHandler;
+import java.util.Arrays;
+
+/**
+ * Writes a line for each error that was thrown on an event loop and that nothing handles, and counts them.
+ *
+ * <p>Such an error is a fault of this program: whatever was at work when it was thrown is not carried on, a request for
+ * example, which then waits until its time is up. ThrownErrors is thread-safe.
+ */
+public final class ThrownErrors implements FatalErrorHandler {
+    private static final String OWN_PACKAGE = "org.bankturn.";
+    private static final String UNKNOWN_PLACE = "unknown";
+
+    private final DecisionLog log;
+    private final ServingMetrics metrics;
+
+    /** Returns a handler, not null. */
+    public static ThrownErrors of(DecisionLog log, ServingMetrics metrics) {
+        return new ThrownErrors(log, metrics);
+    }
+
+    private ThrownErrors(DecisionLog log, ServingMetrics metrics) {
+        this.log = log;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void handle(Throwable error, Object context) {
+        metrics.errorThrown();
+        log.line(DecisionKind.ERROR)
+                .with(DecisionField.ERROR, error)
+                .with(DecisionField.AT_CODE, place(error))
+                .write();
+    }
+
+    /** Returns the innermost place in our own code that the error came through. */
+    private static String place(Throwable error) {
+        return Arrays.stream(error.getStackTrace())
+                .filter(frame -> frame.getClassName().startsWith(OWN_PACKAGE))
+                .findFirst()
+                .map(StackTraceElement::toString)
+                .orElse(UNKNOWN_PLACE);
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -15,6 +15,7 @@
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.observe.SilentConnections;
+import org.bankturn.daemon.observe.ThrownErrors;
 import org.bankturn.daemon.publication.Announcer;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.settings.Address;
@@ -40,10 +41,9 @@
     private final SettingsSource source;
     private final Dialects dialects;
     private final Clock clock = Clock.system();
-    private final Eventloop reactor =
-            Eventloop.builder().withThreadName("serving").build();
     private final DecisionLog log;
     private final ServingMetrics metrics;
+    private final Eventloop reactor;
     private volatile ServingSettings settings;
     private long stamp;
     private Gateway gateway;
@@ -60,6 +60,10 @@
         this.dialects = dialects;
         this.log = DecisionLog.start(settings.process(), clock);
         this.metrics = ServingMetrics.of(log);
+        this.reactor = Eventloop.builder()
+                .withThreadName("serving")
+                .withFatalErrorHandler(ThrownErrors.of(log, metrics))
+                .build();
     }
 
     /** Starts the process; the future completes when it listens. */
