--- a/daemon/src/test/java/org/bankturn/daemon/wire/SilencingRelay.java
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/SilencingRelay.java
@@ -19,6 +19,7 @@
  */
 public final class SilencingRelay implements AutoCloseable {
     private static final int BUFFER_BYTES = 1 << 16;
+    private static final String THREAD = "silencing-relay";
 
     private final Address address;
     private final Address destination;
@@ -41,7 +42,7 @@
         this.address = address;
         this.destination = destination;
         this.listener = new ServerSocket(address.port(), 50, InetAddress.getByName(address.host()));
-        startThread(this::acceptAll);
+        BackgroundThread.start(THREAD, this::acceptAll);
     }
 
     /** Returns where to connect. */
@@ -78,8 +79,8 @@
             Link link = new Link(near, new Socket(destination.host(), destination.port()));
             opened.incrementAndGet();
             links.add(link);
-            startThread(() -> link.pass(link.near, link.far, true));
-            startThread(() -> link.pass(link.far, link.near, false));
+            BackgroundThread.start(THREAD, () -> link.pass(link.near, link.far, true));
+            BackgroundThread.start(THREAD, () -> link.pass(link.far, link.near, false));
         }
     }
 
@@ -116,22 +117,4 @@
             far.close();
         }
     }
-
-    private interface Task {
-        void run() throws IOException;
-    }
-
-    private static void startThread(Task task) {
-        Thread thread = new Thread(
-                () -> {
-                    try {
-                        task.run();
-                    } catch (IOException e) {
-                        // the link or the test has ended
-                    }
-                },
-                "silencing-relay");
-        thread.setDaemon(true);
-        thread.start();
-    }
 }
