Tests: a question that must have passed before a silence is asked on an open connection

Two questions were asked while their connection was being made; the peer saw the second first (run: GetLoad, GetManifest). The answer to the second says nothing of the first then, which reached the relay when it was silent.

Ruled out: that the connection was used after it was given up: the answer came within 311 ms on a new one, where a question on a silent one waits for 20 s.

Change: the test opens the connection first; its check is the same.

--- a/daemon/src/test/java/org/bankturn/daemon/wire/SilentPeersTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/SilentPeersTest.java
@@ -93,6 +93,8 @@
 
     @Test
     void a_connection_that_went_silent_after_answers_to_later_questions_is_not_used_again() {
+        // the connection is open first: while it is made, the second question goes out before the first
+        ask(0, LONG_MILLIS);
         CompletableFuture<NodeReply> unanswered =
                 clients.askFromAnyThread(relays.get(0).address(), new NodeRequest.GetManifest("never"), SHORT_MILLIS);
         ask(0, LONG_MILLIS);
