--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -219,6 +219,7 @@
                 .line(DecisionKind.HEALTH)
                 .with(DecisionField.TARGET, targetId())
                 .with(DecisionField.REQUEST, terms.id())
+                .with(DecisionField.FINGERPRINT, request.fingerprint())
                 .with(DecisionField.REASON, reason)
                 .with(DecisionField.FAILURES, target.failuresInARow())
                 .with(DecisionField.AVOIDED_MS, avoidedMillis)
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -1,6 +1,7 @@
 package org.bankturn.daemon.gateway;
 
 import java.util.Optional;
+import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.daemon.http.ServerExchange;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
@@ -30,6 +31,7 @@
     private final long endMillis;
     private final RequestProgress progress;
     private Attempt attempt;
+    private RequestFingerprint fingerprint;
 
     ForwardedRequest(Gateway gateway, ServerExchange exchange, CallerTerms terms, Route route, Account account) {
         this.gateway = gateway;
@@ -191,6 +193,15 @@
         return account == null ? null : account.name();
     }
 
+    /** Returns what the same request has in common whenever it comes again, not null; made only once it is needed. */
+    RequestFingerprint fingerprint() {
+        if (fingerprint == null) {
+            String caller = account == null ? "" : account.name();
+            fingerprint = RequestFingerprint.of(terms.path(), caller, exchange.body());
+        }
+        return fingerprint;
+    }
+
     long remainingMillis() {
         return endMillis - now();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -28,6 +28,8 @@
     EVENT,
     /** How many failures came in a row. */
     FAILURES,
+    /** The request's fingerprint: the same whenever the same request comes again. */
+    FINGERPRINT,
     /** How long the first event took, in milliseconds. */
     FIRST_EVENT_MS,
     /** The process that something was learned from. */
