--- a/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
@@ -7,7 +7,7 @@
 import org.bankturn.daemon.http.HttpHead;
 
 /** A dialect with short names, for tests. */
-final class PlainDialect implements RequestDialect {
+public final class PlainDialect implements RequestDialect {
     @Override
     public CallerTerms terms(HttpHead head) {
         return new CallerTerms(
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -14,20 +14,21 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A target on loopback that answers each request as a test says. */
-final class ScriptedTarget implements AutoCloseable {
+public final class ScriptedTarget implements AutoCloseable {
     private final ServerSocket server;
     private final Script script;
+    private final List<Socket> open = new CopyOnWriteArrayList<>();
     final List<String> heads = new CopyOnWriteArrayList<>();
-    final List<String> bodies = new CopyOnWriteArrayList<>();
+    public final List<String> bodies = new CopyOnWriteArrayList<>();
 
     /** Answers one request on its connection. */
     @FunctionalInterface
-    interface Script {
+    public interface Script {
         /** Writes what it likes; returns false to close the connection. */
         boolean answer(int number, String id, Socket socket) throws IOException;
     }
 
-    ScriptedTarget(Script script) throws IOException {
+    public ScriptedTarget(Script script) throws IOException {
         this.script = script;
         this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Thread acceptor = new Thread(this::accept, "scripted-target");
@@ -35,11 +36,19 @@
         acceptor.start();
     }
 
-    String address() {
+    public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    static void write(Socket socket, String text) throws IOException {
+    /** Ends as a process that crashes does: its connections are closed, and its address refuses further ones. */
+    public void end() throws IOException {
+        server.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    public static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
     }
@@ -52,6 +61,7 @@
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
+                open.add(socket);
                 Thread thread = new Thread(() -> serve(socket), "scripted-connection");
                 thread.setDaemon(true);
                 thread.start();
--- a/daemon/src/test/java/org/bankturn/daemon/group/PlainControlDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/PlainControlDialect.java
@@ -5,8 +5,8 @@
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.registry.TargetSighting;
 
-/** A dialect with short paths, for tests. */
-final class PlainControlDialect implements ControlDialect {
+/** A dialect with short paths, for tests; a heartbeat may name an address at its end. */
+public final class PlainControlDialect implements ControlDialect {
     @Override
     public ControlCall read(HttpHead head, byte[] body) {
         String[] parts = head.second().split("/", -1);
@@ -17,7 +17,7 @@
                 new ControlCall.Heartbeat(new TargetSighting(
                         parts[2],
                         "chat",
-                        parts[2] + ":80",
+                        parts.length > 5 ? parts[5] : parts[2] + ":80",
                         "north",
                         4,
                         parts[3].equals("leaving"),
--- a/daemon/src/test/java/org/bankturn/daemon/weights/PlainWeightsDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/PlainWeightsDialect.java
@@ -7,7 +7,7 @@
 import org.bankturn.weights.ChangeMethod;
 
 /** A dialect of tests: each call's target says what it asks, a manifest is its digests one a line. */
-final class PlainWeightsDialect implements WeightsDialect {
+public final class PlainWeightsDialect implements WeightsDialect {
     static final String MODEL = "m";
     static final int VERSION = 2;
 
