Gateways: a request under which three targets ended is sent to no other, at any gateway

Cause: nothing remembered what had been retried. A request that ends each target that begins to run it was as new to every gateway, and every time it came, as any other. Ruled out: that a broken answer is evidence (targets reset connections and change their weights under load and live on), that each gateway learns alone (N times three targets, and anew after each restart), and that all that was under way at a crash is to blame (a run to its end clears a request). Change: a gateway at which something broke off connects to the target once more; an address that refuses shows that it ended, another incarnation there as well. Copies that come are refused at once with 429 and a minute's pause, copies under way are stopped, and nothing is sent again that one end may have condemned.

--- /dev/null
+++ b/core/src/main/java/org/bankturn/crash/KnownSuspects.java
@@ -0,0 +1,76 @@
+package org.bankturn.crash;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * What one gateway holds against requests: what is published, and what it saw itself and the control group has not
+ * published yet. A gateway that is cut off from the control group goes by both.
+ *
+ * <p>KnownSuspects is mutable and not thread-safe.
+ */
+public final class KnownSuspects {
+    private SuspectTable published = SuspectTable.empty();
+    private final SuspectTable seenHere = SuspectTable.empty();
+
+    /** Returns one that holds nothing against any request, not null. */
+    public static KnownSuspects none() {
+        return new KnownSuspects();
+    }
+
+    private KnownSuspects() {}
+
+    // ---- queries
+
+    /** Returns true if nothing is held against any request, so that none need be looked up. */
+    public boolean isEmpty() {
+        return published.isEmpty() && seenHere.isEmpty();
+    }
+
+    /** Returns the requests that must be sent to no target any more, not null. */
+    public Set<RequestFingerprint> condemned() {
+        return Stream.concat(published.content().stream(), seenHere.content().stream())
+                .map(Suspect::fingerprint)
+                .filter(this::isCondemned)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the targets known to have ended under a request, each once, not null. */
+    public Set<String> endedUnder(RequestFingerprint request) {
+        Set<String> ended = new LinkedHashSet<>(published.endedUnder(request));
+        ended.addAll(seenHere.endedUnder(request));
+        return ended;
+    }
+
+    /** Returns true if the request must be sent to no target any more. */
+    public boolean isCondemned(RequestFingerprint request) {
+        return endedUnder(request).size() >= Suspect.ENDS_THAT_CONDEMN;
+    }
+
+    // ---- what is learned
+
+    /** Takes in all that is published; what was cleared there is cleared here. */
+    public void published(List<Suspect> suspects) {
+        published = SuspectTable.restore(
+                suspects.stream().filter(each -> !each.endedTargets().isEmpty()).toList());
+        for (Suspect each : suspects) {
+            boolean covers = each.endedTargets().containsAll(seenHere.endedUnder(each.fingerprint()));
+            if (each.endedTargets().isEmpty() || covers) {
+                seenHere.remove(each.fingerprint());
+            }
+        }
+    }
+
+    /** A target ended while the request ran there. */
+    public void ended(String target, RequestFingerprint request) {
+        seenHere.blame(0, request, target);
+    }
+
+    /** The request ran to its end here. */
+    public void ranWhole(RequestFingerprint request) {
+        seenHere.remove(request);
+    }
+}
--- a/core/src/main/java/org/bankturn/publication/PublicationCommand.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationCommand.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import org.bankturn.crash.EndedTarget;
+import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.registry.TargetSighting;
 
 /** A change of what is published, as it stands in the agreement log. */
@@ -11,6 +14,7 @@
     @JsonSubTypes.Type(value = PublicationCommand.NameWeights.class, name = "weights"),
     @JsonSubTypes.Type(value = PublicationCommand.RecordTarget.class, name = "target"),
     @JsonSubTypes.Type(value = PublicationCommand.RemoveTarget.class, name = "gone"),
+    @JsonSubTypes.Type(value = PublicationCommand.NoteRuns.class, name = "runs"),
     @JsonSubTypes.Type(value = PublicationCommand.Confirm.class, name = "confirm")
 })
 public sealed interface PublicationCommand {
@@ -26,6 +30,15 @@
     /** Takes a target off the list; {@code byItself} if the target said so itself. */
     record RemoveTarget(String id, boolean byItself) implements PublicationCommand {}
 
+    /** Records targets that ended with what ran there, and requests that ran to their end since. */
+    record NoteRuns(List<EndedTarget> ended, List<RequestFingerprint> ranWhole) implements PublicationCommand {
+        /** Copies the lists. */
+        public NoteRuns {
+            ended = List.copyOf(ended);
+            ranWhole = List.copyOf(ranWhole);
+        }
+    }
+
     /** Changes nothing; once it is committed, whoever submitted it knows that it had seen everything before. */
     record Confirm() implements PublicationCommand {}
 }
--- a/core/src/main/java/org/bankturn/publication/PublicationState.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationState.java
@@ -4,6 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import org.bankturn.codec.MessagePackCodec;
+import org.bankturn.crash.EndedTarget;
+import org.bankturn.crash.Suspect;
+import org.bankturn.crash.SuspectTable;
 import org.bankturn.registry.TargetRecord;
 import org.bankturn.registry.TargetRegistry;
 import org.bankturn.registry.TargetRegistry.Departure;
@@ -21,6 +24,7 @@
     private byte[] document;
     private final Map<String, NamedWeights> weights = new LinkedHashMap<>();
     private TargetRegistry registry = TargetRegistry.empty();
+    private SuspectTable suspects = SuspectTable.empty();
 
     private record Content(
             long index,
@@ -28,7 +32,8 @@
             long documentIndex,
             byte[] document,
             List<NamedWeights> weights,
-            TargetRegistry.Content registry) {}
+            TargetRegistry.Content registry,
+            List<Suspect> suspects) {}
 
     /** Returns a state in which nothing is published, not null. */
     public static PublicationState empty() {
@@ -52,6 +57,8 @@
         state.document = content.document();
         content.weights().forEach(each -> state.weights.put(each.model(), each));
         state.registry = TargetRegistry.restore(content.registry());
+        // a snapshot of an earlier version holds none
+        state.suspects = SuspectTable.restore(content.suspects() == null ? List.of() : content.suspects());
         return state;
     }
 
@@ -66,7 +73,8 @@
                         documentIndex,
                         document,
                         List.copyOf(weights.values()),
-                        registry.content()));
+                        registry.content(),
+                        suspects.content()));
     }
 
     /** Returns the last applied index that changed anything. */
@@ -89,6 +97,11 @@
         return registry;
     }
 
+    /** Returns the requests under which targets ended, not null. */
+    public List<Suspect> suspects() {
+        return suspects.content();
+    }
+
     /** Returns the named weights, not null. */
     public List<NamedWeights> weights() {
         return List.copyOf(weights.values());
@@ -109,9 +122,28 @@
         if (command instanceof PublicationCommand.RemoveTarget remove) {
             return registry.find(remove.id()).isPresent() || (remove.byItself() && !registry.hasLeft(remove.id()));
         }
+        if (command instanceof PublicationCommand.NoteRuns runs) {
+            return wouldBlameOrClear(runs);
+        }
         return false;
     }
 
+    private boolean wouldBlameOrClear(PublicationCommand.NoteRuns runs) {
+        boolean blames = runs.ended().stream()
+                .anyMatch(ended ->
+                        ended.underWay().stream().anyMatch(request -> suspects.wouldBlame(request, ended.target())));
+        return blames
+                || runs.ranWhole().stream()
+                        .anyMatch(request -> !suspects.endedUnder(request).isEmpty());
+    }
+
+    private void note(long entryIndex, PublicationCommand.NoteRuns runs) {
+        for (EndedTarget ended : runs.ended()) {
+            ended.underWay().forEach(request -> suspects.blame(entryIndex, request, ended.target()));
+        }
+        runs.ranWhole().forEach(request -> suspects.clear(entryIndex, request));
+    }
+
     /**
      * Applies a committed command.
      *
@@ -133,6 +165,8 @@
             registry.record(entryIndex, record.sighting());
         } else if (command instanceof PublicationCommand.RemoveTarget remove) {
             registry.depart(entryIndex, remove.id(), remove.byItself());
+        } else if (command instanceof PublicationCommand.NoteRuns runs) {
+            note(entryIndex, runs);
         }
     }
 
@@ -152,6 +186,7 @@
                 .map(Departure::id)
                 .toList();
         byte[] sent = whole || documentIndex > haveIndex ? document : null;
-        return new PublicationUpdate(index, documentVersion, sent, weights(), changed, gone, whole);
+        List<Suspect> suspected = whole ? suspects.content() : suspects.changedSince(haveIndex);
+        return new PublicationUpdate(index, documentVersion, sent, weights(), changed, gone, suspected, whole);
     }
 }
--- a/core/src/main/java/org/bankturn/publication/PublicationUpdate.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationUpdate.java
@@ -1,6 +1,7 @@
 package org.bankturn.publication;
 
 import java.util.List;
+import org.bankturn.crash.Suspect;
 import org.bankturn.registry.TargetSighting;
 
 /**
@@ -12,7 +13,8 @@
  * @param weights the named weights, all of them
  * @param changed targets that are new or changed, not null
  * @param gone the incarnations of targets that left, not null
- * @param whole true if {@code changed} lists every target and all others are gone
+ * @param suspects requests under which targets ended, or that were cleared since, not null
+ * @param whole true if {@code changed} and {@code suspects} list everything and all else is gone
  */
 public record PublicationUpdate(
         long index,
@@ -21,4 +23,10 @@
         List<NamedWeights> weights,
         List<TargetSighting> changed,
         List<String> gone,
-        boolean whole) {}
+        List<Suspect> suspects,
+        boolean whole) {
+    /** Takes a sender that knows no suspects for one that has none. */
+    public PublicationUpdate {
+        suspects = suspects == null ? List.of() : List.copyOf(suspects);
+    }
+}
--- a/core/src/main/java/org/bankturn/routing/ComeBack.java
+++ b/core/src/main/java/org/bankturn/routing/ComeBack.java
@@ -22,6 +22,9 @@
     /** Targets that must still be given weights, or that are still to start, are not there within a second or two. */
     public static final long WITHOUT_TARGET_MILLIS = 5_000;
 
+    /** A request that ends its targets is as bad a minute later; callers that wait less come back in vain. */
+    public static final long CONDEMNED_MILLIS = 60_000;
+
     /** Callers come back within this share of an answer's time ... */
     private static final double EARLIEST_SHARE = 0.75;
 
--- /dev/null
+++ b/core/src/test/java/org/bankturn/crash/SuspectTableTest.java
@@ -0,0 +1,63 @@
+package org.bankturn.crash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class SuspectTableTest {
+    private static final RequestFingerprint DEADLY = new RequestFingerprint(1, 1);
+    private static final RequestFingerprint SOUND = new RequestFingerprint(2, 2);
+
+    private final SuspectTable table = SuspectTable.empty();
+
+    @Test
+    void a_target_counts_once_however_often_its_end_is_told() {
+        table.blame(1, DEADLY, "t1");
+        table.blame(2, DEADLY, "t1");
+        assertThat(table.endedUnder(DEADLY)).containsExactly("t1");
+        assertThat(table.changedSince(1)).isEmpty();
+    }
+
+    @Test
+    void three_targets_condemn_a_request_and_no_more_are_remembered() {
+        for (int target = 1; target <= 5; target++) {
+            table.blame(target, DEADLY, "t" + target);
+        }
+        assertThat(table.content()).singleElement().satisfies(suspect -> {
+            assertThat(suspect.isCondemned()).isTrue();
+            assertThat(suspect.endedTargets()).containsExactly("t1", "t2", "t3");
+        });
+    }
+
+    @Test
+    void a_request_that_ran_to_its_end_begins_anew_and_followers_hear_of_it() {
+        table.blame(1, SOUND, "t1");
+        table.clear(2, SOUND);
+        assertThat(table.endedUnder(SOUND)).isEmpty();
+        assertThat(table.changedSince(1)).containsExactly(Suspect.cleared(SOUND, 2));
+    }
+
+    @Test
+    void of_too_many_those_with_the_fewest_ends_are_forgotten_first_and_of_these_the_oldest() {
+        table.blame(1, DEADLY, "t1");
+        table.blame(2, DEADLY, "t2");
+        table.blame(3, SOUND, "t1");
+        for (int number = 0; number < SuspectTable.MOST_SUSPECTS - 1; number++) {
+            table.blame(4 + number, new RequestFingerprint(3, number), "t1");
+        }
+        assertThat(table.content()).hasSize(SuspectTable.MOST_SUSPECTS);
+        assertThat(table.endedUnder(SOUND)).isEmpty();
+        assertThat(table.endedUnder(DEADLY)).hasSize(2);
+    }
+
+    @Test
+    void a_restored_table_forgets_the_same_as_the_one_that_it_was_made_of() {
+        for (int number = 0; number < SuspectTable.MOST_SUSPECTS; number++) {
+            table.blame(number, new RequestFingerprint(3, number), "t1");
+        }
+        SuspectTable restored = SuspectTable.restore(table.content());
+        restored.blame(5_000, DEADLY, "t1");
+        table.blame(5_000, DEADLY, "t1");
+        assertThat(restored.content()).isEqualTo(table.content());
+    }
+}
--- a/core/src/test/java/org/bankturn/publication/PublicationStateTest.java
+++ b/core/src/test/java/org/bankturn/publication/PublicationStateTest.java
@@ -2,6 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
+import org.bankturn.codec.MessagePackCodec;
+import org.bankturn.crash.EndedTarget;
+import org.bankturn.crash.RequestFingerprint;
+import org.bankturn.crash.Suspect;
+import org.bankturn.registry.TargetRegistry;
 import org.bankturn.registry.TargetSighting;
 import org.junit.jupiter.api.Test;
 
@@ -58,6 +64,49 @@
         assertThat(restored.document()).containsExactly(1);
     }
 
+    @Test
+    void ends_and_whole_runs_are_published_and_survive_a_snapshot() {
+        RequestFingerprint one = new RequestFingerprint(1, 1);
+        RequestFingerprint other = new RequestFingerprint(2, 2);
+        state.apply(1, new PublicationCommand.RecordTarget(sighting("a", 1)));
+        state.apply(2, noted(List.of(new EndedTarget("t1", List.of(one, other))), List.of()));
+        state.apply(3, noted(List.of(new EndedTarget("t2", List.of(one))), List.of(other)));
+        PublicationState restored = PublicationState.restore(state.snapshot());
+        assertThat(restored.suspects())
+                .containsExactlyInAnyOrder(new Suspect(one, List.of("t1", "t2"), 3), Suspect.cleared(other, 3));
+        assertThat(restored.updateSince(2).suspects()).hasSize(2);
+        assertThat(restored.updateSince(3).suspects()).isEmpty();
+    }
+
+    @Test
+    void an_end_that_is_told_again_changes_nothing() {
+        PublicationCommand told =
+                noted(List.of(new EndedTarget("t1", List.of(new RequestFingerprint(1, 1)))), List.of());
+        state.apply(1, told);
+        assertThat(state.wouldChange(told)).isFalse();
+    }
+
+    @Test
+    void a_snapshot_of_a_version_that_knew_no_suspects_is_read() {
+        byte[] former = MessagePackCodec.instance()
+                .encode(new FormerContent(
+                        4, 1, 1, new byte[] {1}, List.of(), new TargetRegistry.Content(List.of(), List.of(), 0)));
+        assertThat(PublicationState.restore(former).suspects()).isEmpty();
+        assertThat(PublicationState.restore(former).index()).isEqualTo(4);
+    }
+
+    private record FormerContent(
+            long index,
+            long documentVersion,
+            long documentIndex,
+            byte[] document,
+            List<NamedWeights> weights,
+            TargetRegistry.Content registry) {}
+
+    private static PublicationCommand noted(List<EndedTarget> ended, List<RequestFingerprint> ranWhole) {
+        return new PublicationCommand.NoteRuns(ended, ranWhole);
+    }
+
     @Test
     void a_state_without_anything_is_restored_from_no_bytes() {
         assertThat(PublicationState.restore(new byte[0]).index()).isZero();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -80,6 +80,7 @@
             }
             return;
         }
+        gateway.crashes().connected(target.sighting(), failure);
         if (failure != null) {
             onFailure(HopFailure.NOT_CONNECTED);
             return;
@@ -114,7 +115,7 @@
             targetFailed("silent");
         }
         request.outcomeUnknown();
-        request.retry("silent for " + silentMillis + " ms");
+        request.brokeOff(target.sighting(), "silent for " + silentMillis + " ms");
     }
 
     @Override
@@ -274,11 +275,7 @@
             return;
         }
         request.outcomeUnknown();
-        if (route.kind().mayRepeat()) {
-            request.retry(failure.name());
-        } else {
-            request.giveUp(failure.name() + " from " + target.sighting().id());
-        }
+        request.brokeOff(target.sighting(), failure.name());
     }
 
     void drop() {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -6,6 +6,8 @@
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.RequestOutcome;
+import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.ComeBack;
 import org.bankturn.routing.NextStep;
 import org.bankturn.routing.RequestProgress;
@@ -23,6 +25,9 @@
     private static final byte[] NOTHING = new byte[0];
     private static final int LAST_URGENCY = 9;
 
+    /** Too many of the same request: true of a caller that sends it again and again, and no word on the service's health. */
+    private static final int TOO_MANY = 429;
+
     private final Gateway gateway;
     private final ServerExchange exchange;
     private final CallerTerms terms;
@@ -49,6 +54,12 @@
     }
 
     void start() {
+        if (gateway.crashes().isCondemned(this)) {
+            gateway.metrics().suspected(ServingMetrics.SUSPECT_REFUSED);
+            refuseCondemned();
+            return;
+        }
+        gateway.began(this);
         gateway.policy().arrived(progress);
         exchange.whenGone(this::callerLeft);
         gateway.reactor().delayBackground(Math.max(1, endMillis - now()), this::timeOut);
@@ -83,6 +94,19 @@
         attempt.begin();
     }
 
+    /** The request broke off at a target that may have ended; it goes on once that is known. */
+    void brokeOff(TargetSighting target, String reason) {
+        gateway.crashes().brokeOff(target, this).whenResult(() -> {
+            if (gateway.crashes().isCondemned(this)) {
+                stopCondemned();
+            } else if (route.kind().mayRepeat()) {
+                retry(reason);
+            } else {
+                giveUp(reason + " from " + target.id());
+            }
+        });
+    }
+
     /** Sends the request to another target, if one may still have it. */
     void retry(String reason) {
         gateway.log()
@@ -96,6 +120,30 @@
 
     // ---- ends
 
+    /** Stops the request: too many targets have ended under it. */
+    void stopCondemned() {
+        if (exchange.isFinished()) {
+            return;
+        }
+        gateway.metrics().suspected(ServingMetrics.SUSPECT_STOPPED);
+        if (exchange.hasBegun() || progress.mayHaveRun()) {
+            giveUp(condemnedReason());
+        } else {
+            dropAttempt();
+            refuseCondemned();
+        }
+    }
+
+    /** Says that this attempt did not run and that more of them will not either, for long. */
+    private void refuseCondemned() {
+        ended(RequestOutcome.REFUSED, TOO_MANY, condemnedReason());
+        exchange.answer(gateway.dialect().ownAnswer(TOO_MANY, terms, ComeBack.CONDEMNED_MILLIS), NOTHING);
+    }
+
+    private String condemnedReason() {
+        return gateway.crashes().endsUnder(this) + " targets ended under request " + fingerprint();
+    }
+
     /** Gives the final answer at once: refused if it certainly did not run, failed otherwise. */
     void giveUp(String reason) {
         giveUp(reason, ComeBack.TO_ANOTHER_GATEWAY_MILLIS);
@@ -120,10 +168,12 @@
 
     /** The target's whole answer was passed on. */
     void answered(int status) {
+        gateway.crashes().ranWhole(this);
         ended(RequestOutcome.ANSWERED, status, "answered by " + attempt.targetId());
     }
 
     private void ended(RequestOutcome outcome, int status, String reason) {
+        gateway.ended(this);
         long heldMillis = now() - exchange.receivedMillis();
         gateway.metrics().requestEnded(service().name(), outcome, heldMillis);
         if (outcome == RequestOutcome.ANSWERED && !gateway.isSampled()) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -4,9 +4,11 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import java.io.IOException;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -24,6 +26,7 @@
 import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.publication.NamedWeights;
+import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.ComeBack;
 import org.bankturn.routing.ConnectionTrust;
@@ -64,22 +67,36 @@
     private final TargetConnections connections;
     private final RequestPolicy policy;
     private final LoadPoller loads;
+    private final CrashWatch crashes;
+    private final Set<ForwardedRequest> underWay = new LinkedHashSet<>();
     private final long startedMillis;
     private Published published = Published.NOTHING;
     private boolean stopping;
     private boolean takenOut;
     private long answered;
 
-    /** Returns a gateway that does not serve yet, not null. */
+    /**
+     * Returns a gateway that does not serve yet, not null.
+     *
+     * @param settings what it must be told, not null
+     * @param dialect how callers and targets speak, not null
+     * @param reactor its reactor, not null
+     * @param clients asks other processes, not null
+     * @param controlGroup takes what all gateways must know, not null
+     * @param clock the time, not null
+     * @param log the decision log, not null
+     * @param metrics the metrics, not null
+     */
     public static Gateway of(
             GatewaySettings settings,
             RequestDialect dialect,
             Eventloop reactor,
             NodeClients clients,
+            Consumer<PublicationCommand> controlGroup,
             Clock clock,
             DecisionLog log,
             ServingMetrics metrics) {
-        return new Gateway(settings, dialect, reactor, clients, clock, log, metrics);
+        return new Gateway(settings, dialect, reactor, clients, controlGroup, clock, log, metrics);
     }
 
     private Gateway(
@@ -87,6 +104,7 @@
             RequestDialect dialect,
             Eventloop reactor,
             NodeClients clients,
+            Consumer<PublicationCommand> controlGroup,
             Clock clock,
             DecisionLog log,
             ServingMetrics metrics) {
@@ -103,6 +121,7 @@
         this.targets = TargetTable.of(clock, settings.dataHall(), PlacementSettings.DEFAULT, random);
         this.policy = RequestPolicy.of(clock, targets, settings.retries(), random);
         this.loads = LoadPoller.of(reactor, clock, clients, targets, settings, metrics);
+        this.crashes = CrashWatch.of(reactor, clock, log, metrics, connections, controlGroup, this::stopCondemned);
         this.callers = HttpListener.create(
                 reactor, clock, settings.callerAddress().toSocketAddress(), this::callerLimits, this::handle);
         this.readiness = HttpListener.create(
@@ -140,6 +159,12 @@
         policy.update(newer.configuration(), gatewaysThere());
         connections.forget(targets.update(newer.targets().values()));
         loads.update(newer, gatewaysHere());
+        crashes.update(newer.suspects(), newer.targets().values());
+    }
+
+    /** Copies of a condemned request that are under way would end their targets as well. */
+    private void stopCondemned() {
+        List.copyOf(underWay).stream().filter(crashes::isCondemned).forEach(ForwardedRequest::stopCondemned);
     }
 
     /** Returns how many gateways are published, or more than there are while this one is not among them. */
@@ -298,6 +323,20 @@
         return connections;
     }
 
+    CrashWatch crashes() {
+        return crashes;
+    }
+
+    /** A request is on its way. */
+    void began(ForwardedRequest request) {
+        underWay.add(request);
+    }
+
+    /** A request has its final answer, or its caller left. */
+    void ended(ForwardedRequest request) {
+        underWay.remove(request);
+    }
+
     /** Asks engines for their load; the promise completes when a request that waits for it should be placed. */
     Promise<Void> askForLoad(List<String> targetIds) {
         return loads.ask(targetIds);
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -327,6 +327,9 @@
         if (request instanceof NodeRequest.SubmitPublication submitted) {
             return ask(member.submit(submitted.command())).map(NodeReply.PublicationOutcome::new);
         }
+        if (request instanceof NodeRequest.ProposePublication proposed) {
+            return change(proposed.command()).map(GroupNode::replyTo);
+        }
         if (request instanceof NodeRequest.ReadDocument read) {
             return reads.confirmHere(read.haveVersion()).map(document -> document);
         }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -22,6 +22,8 @@
     CONFIRMED,
     /** What was lost or regained. */
     DEPENDENCY,
+    /** How many targets ended under the request. */
+    ENDS,
     /** What went wrong, in words. */
     ERROR,
     /** What happened, in a word or two. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -38,6 +38,8 @@
     HEALTH,
     /** This control box leads, follows, joined or recovered. */
     GROUP,
+    /** A target ended under a request, or a request is stopped for that. */
+    SUSPECT,
     /** Weights were fetched, checked, staged or started. */
     WEIGHTS;
 
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -26,6 +26,18 @@
     /** The label of connections to targets. */
     public static final String PEER_TARGET = "target";
 
+    /** The label of requests that were under way at a target as it ended. */
+    public static final String SUSPECT_BLAMED = "blamed";
+
+    /** The label of such requests that ran to their end later. */
+    public static final String SUSPECT_CLEARED = "cleared";
+
+    /** The label of requests that were refused because too many targets ended under them. */
+    public static final String SUSPECT_REFUSED = "refused";
+
+    /** The label of requests that were under way when that became known, and were stopped. */
+    public static final String SUSPECT_STOPPED = "stopped";
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests;
     private final Counter retries;
@@ -33,6 +45,8 @@
     private final Counter silentConnections;
     private final Counter loadQuestions;
     private final Counter errors;
+    private final Counter suspects;
+    private final Gauge condemned;
     private final Counter pieceBytes;
     private final Counter piecesRejected;
     private final Histogram heldSeconds;
@@ -57,6 +71,9 @@
                 counter("silent_connections", "Connections given up because nothing came on them, by peer.", "peer");
         loadQuestions = counter("load_questions", "Questions for engines' load, by outcome.", "outcome");
         errors = counter("errors", "Errors thrown that nothing handles.");
+        suspects = counter("suspects", "Requests under which targets ended, by what became of them.", "event");
+        condemned =
+                gauge("condemned_requests", "Requests that are sent to no target because targets ended under them.");
         pieceBytes = counter("piece_bytes", "Bytes of good pieces of weights, by source.", "source");
         piecesRejected = counter("pieces_rejected", "Pieces missing or spoilt, by source.", "source");
         heldSeconds = histogram("held_seconds", "Time a request was held, by outcome.", "outcome");
@@ -146,6 +163,16 @@
         loadQuestions.labelValues(answered ? "answered" : "unanswered").inc();
     }
 
+    /** Counts a request under which a target ended; {@code event} is one of the labels above. */
+    public void suspected(String event) {
+        suspects.labelValues(event).inc();
+    }
+
+    /** Takes in how many requests are sent to no target because targets ended under them. */
+    public void condemned(int requests) {
+        condemned.set(requests);
+    }
+
     /** Takes in a good piece of weights. */
     public void pieceTaken(String source, long bytes) {
         pieceBytes.labelValues(source).inc(bytes);
--- a/daemon/src/main/java/org/bankturn/daemon/publication/Published.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/Published.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.bankturn.crash.Suspect;
+import org.bankturn.crash.SuspectTable;
 import org.bankturn.publication.NamedWeights;
 import org.bankturn.publication.PublicationUpdate;
 import org.bankturn.registry.TargetSighting;
@@ -18,6 +20,7 @@
  * @param configuration the operators' document, null if none is known
  * @param weights the named weights, not null
  * @param targets the targets by incarnation, not null
+ * @param suspects the requests under which targets ended, not null
  * @param confirmed true once a control process in touch with a majority has published to this process; before that, what
  *     is shown may be what one of them held when it started, and newer changes may be in force
  */
@@ -26,14 +29,16 @@
         ServingConfiguration configuration,
         List<NamedWeights> weights,
         Map<String, TargetSighting> targets,
+        List<Suspect> suspects,
         boolean confirmed) {
     /** Nothing is known. */
-    public static final Published NOTHING = new Published(0, null, List.of(), Map.of(), false);
+    public static final Published NOTHING = new Published(0, null, List.of(), Map.of(), List.of(), false);
 
     /** Copies the collections. */
     public Published {
         weights = List.copyOf(weights);
         targets = Map.copyOf(targets);
+        suspects = List.copyOf(suspects);
     }
 
     /** Returns the named weights of a model, empty if none are named. */
@@ -43,7 +48,7 @@
 
     /** Returns the same, confirmed by a control process in touch with a majority. */
     Published confirm() {
-        return new Published(index, configuration, weights, targets, true);
+        return new Published(index, configuration, weights, targets, suspects, true);
     }
 
     /**
@@ -56,6 +61,18 @@
         Map<String, TargetSighting> next = update.whole() ? new HashMap<>() : new HashMap<>(targets);
         update.gone().forEach(next::remove);
         update.changed().forEach(each -> next.put(each.id(), each));
-        return new Published(update.index(), newest, update.weights(), next, confirmed);
+        return new Published(update.index(), newest, update.weights(), next, suspectsAfter(update), confirmed);
+    }
+
+    private List<Suspect> suspectsAfter(PublicationUpdate update) {
+        if (update.whole()) {
+            return update.suspects();
+        }
+        if (update.suspects().isEmpty()) {
+            return suspects;
+        }
+        SuspectTable table = SuspectTable.restore(suspects);
+        update.suspects().forEach(table::put);
+        return table.content();
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -17,6 +17,7 @@
 import org.bankturn.daemon.observe.SilentConnections;
 import org.bankturn.daemon.observe.ThrownErrors;
 import org.bankturn.daemon.publication.Announcer;
+import org.bankturn.daemon.publication.ChangeSubmitter;
 import org.bankturn.daemon.publication.PublicationFollower;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.weights.WeightsAgent;
@@ -117,24 +118,30 @@
 
     private void startGateway() throws IOException {
         NodeClients clients = nodeClients();
+        WeightsRelay relay = startRelay(clients);
+        PublicationFollower follower =
+                PublicationFollower.of(followerWiring(clients), (published, changedSinceMillis) -> {
+                    gateway.update(published, changedSinceMillis);
+                    relay.update(published);
+                });
+        ChangeSubmitter submitter = ChangeSubmitter.of(reactor, clients, follower::controlProcess, log);
         gateway = Gateway.of(
-                new GatewaySettings(
-                        settings.process(),
-                        settings.dataHall(),
-                        settings.callAddress(),
-                        settings.readyAddress(),
-                        settings.nodeAddress(),
-                        settings.bounds().retries(),
-                        (long) (settings.bounds().weightsMillis() * WEIGHTS_DEADLINE_SHARE),
-                        settings.bounds().stopMillis()),
-                dialects.requests(),
-                reactor,
-                clients,
-                clock,
-                log,
-                metrics);
+                gatewaySettings(), dialects.requests(), reactor, clients, submitter::submit, clock, log, metrics);
         gateway.start();
-        startRelay(clients, gateway);
+        follower.start();
+        announceRelay(clients, follower);
+    }
+
+    private GatewaySettings gatewaySettings() {
+        return new GatewaySettings(
+                settings.process(),
+                settings.dataHall(),
+                settings.callAddress(),
+                settings.readyAddress(),
+                settings.nodeAddress(),
+                settings.bounds().retries(),
+                (long) (settings.bounds().weightsMillis() * WEIGHTS_DEADLINE_SHARE),
+                settings.bounds().stopMillis());
     }
 
     private NodeClients nodeClients() {
@@ -142,19 +149,17 @@
     }
 
     /** An entry box has a wide link, and so hands weights on as well. */
-    private void startRelay(NodeClients clients, Gateway served) throws IOException {
+    private WeightsRelay startRelay(NodeClients clients) throws IOException {
         WeightsRelay relay = WeightsRelay.of(
                 new WeightsRelay.RelaySettings(
                         settings.dataHall(), settings.nodeAddress(), settings.linkBytesPerSecond()),
                 weightsWiring(clients));
         NodeServer.create(reactor, settings.nodeAddress(), request -> answer(relay, request))
                 .listen();
-        PublicationFollower follower =
-                PublicationFollower.of(followerWiring(clients), (published, changedSinceMillis) -> {
-                    served.update(published, changedSinceMillis);
-                    relay.update(published);
-                });
-        follower.start();
+        return relay;
+    }
+
+    private void announceRelay(NodeClients clients, PublicationFollower follower) {
         String incarnation = "relay-" + Long.toHexString(randomNumber());
         Announcer.of(
                         reactor,
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
@@ -23,6 +23,7 @@
     @JsonSubTypes.Type(value = NodeRequest.GetHolds.class, name = "getHolds"),
     @JsonSubTypes.Type(value = NodeRequest.GetChunk.class, name = "getChunk"),
     @JsonSubTypes.Type(value = NodeRequest.SubmitPublication.class, name = "publish"),
+    @JsonSubTypes.Type(value = NodeRequest.ProposePublication.class, name = "propose"),
     @JsonSubTypes.Type(value = NodeRequest.ReadDocument.class, name = "document"),
     @JsonSubTypes.Type(value = NodeRequest.WatchPublication.class, name = "watch"),
     @JsonSubTypes.Type(value = NodeRequest.NoteHeartbeats.class, name = "beats"),
@@ -65,6 +66,9 @@
     /** Submits a change of what is published to the leader. */
     record SubmitPublication(PublicationCommand command) implements NodeRequest {}
 
+    /** Has any control process see to a change of what is published; received once it is committed. */
+    record ProposePublication(PublicationCommand command) implements NodeRequest {}
+
     /** Asks the leader for the newest document, confirmed; it is left out if the asker's version is the newest. */
     record ReadDocument(long haveVersion) implements NodeRequest {}
 
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -26,6 +26,7 @@
 import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.daemon.wire.ConnectionObserver;
 import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.RetryLimits;
 import org.bankturn.service.Account;
@@ -55,6 +56,10 @@
     final Clock clock = Clock.system();
     final List<ScriptedTarget> targets = new ArrayList<>();
     Gateway gateway;
+
+    /** What the gateway had the control group agree on. */
+    final List<PublicationCommand> toldControlGroup = new CopyOnWriteArrayList<>();
+
     ServingMetrics metrics;
 
     /** Whether what is published is confirmed by a control process in touch with a majority. */
@@ -79,6 +84,7 @@
                 new PlainDialect(),
                 reactor,
                 NodeClients.on(reactor, clock, ConnectionObserver.NONE),
+                toldControlGroup::add,
                 clock,
                 log,
                 metrics);
@@ -135,7 +141,7 @@
             String id = "t-" + target.address();
             sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
         }
-        update(new Published(1, configuration, List.of(), sightings, confirmed), clock.millis());
+        update(new Published(1, configuration, List.of(), sightings, List.of(), confirmed), clock.millis());
     }
 
     static ServingConfiguration configuration(RequestKind kind, int attempts, long timeoutMillis, Service service) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayStateTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayStateTest.java
@@ -53,8 +53,8 @@
                 Map.of("t", new TargetSighting("t", "chat", target.address(), "north", 4, false, 1, 1));
         ServingConfiguration configuration = configuration(RequestKind.IDEMPOTENT, 1, 2_000, engines);
         List<NamedWeights> named = List.of(new NamedWeights("m", 2, 2));
-        update(new Published(1, configuration, List.of(), sightings, false), LONG_AGO);
-        update(new Published(2, configuration, named, sightings, true), LONG_AGO);
+        update(new Published(1, configuration, List.of(), sightings, List.of(), false), LONG_AGO);
+        update(new Published(2, configuration, named, sightings, List.of(), true), LONG_AGO);
         assertThat(call("GET", "a1", "")).startsWith("HTTP/1.1 200");
     }
 
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/SilencedFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/SilencedFixture.java
@@ -76,7 +76,13 @@
                     id, new TargetSighting(id, "chat", relay.address().toString(), "north", 16, false, heldVersion, 1));
         }
         update(
-                new Published(1, configuration(kind, ATTEMPTS, TIMEOUT_MILLIS, service), List.of(), sightings, true),
+                new Published(
+                        1,
+                        configuration(kind, ATTEMPTS, TIMEOUT_MILLIS, service),
+                        List.of(),
+                        sightings,
+                        List.of(),
+                        true),
                 clock.millis());
     }
 
--- a/daemon/src/test/java/org/bankturn/daemon/weights/AgentFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/AgentFixture.java
@@ -75,7 +75,7 @@
         ServingConfiguration configuration =
                 ServingConfiguration.of(1, List.of(), List.of(service), ClientLimits.DEFAULT, List.of());
         reactor.submit(() -> {
-                    agent.update(new Published(1, configuration, List.of(), Map.of(), true));
+                    agent.update(new Published(1, configuration, List.of(), Map.of(), List.of(), true));
                     return Promise.complete();
                 })
                 .join();
--- a/daemon/src/test/java/org/bankturn/daemon/weights/WeightsRelayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/WeightsRelayTest.java
@@ -120,7 +120,7 @@
         ServingConfiguration configuration =
                 ServingConfiguration.of(1, List.of(), List.of(engines), ClientLimits.DEFAULT, List.of());
         NamedWeights named = new NamedWeights(PlainWeightsDialect.MODEL, version, version);
-        return new Published(version, configuration, List.of(named), Map.of(), true);
+        return new Published(version, configuration, List.of(named), Map.of(), List.of(), true);
     }
 
     private <T> T run(Step<T> step) {
