--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -28,6 +28,8 @@
                 "Agreement.drop",
                 "Formation",
                 "Registry",
+                "Suspects",
+                "Suspects.bystander",
                 "Lease",
                 "Lease.unchecking",
                 "Ledger"
@@ -45,6 +47,8 @@
                 "Formation.fault",
                 "Registry.fault-sequence",
                 "Registry.fault-departure",
+                "Suspects.fault-count",
+                "Suspects.fault-trials",
                 "Lease.fault-no-port-guard",
                 "Lease.fault-no-start-wait",
                 "Lease.fault-no-settle",
--- a/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
@@ -1,5 +1,6 @@
 package org.bankturn.daemon.group;
 
+import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.registry.TargetSighting;
 
 /** What operators and targets ask of a control process. */
@@ -19,6 +20,12 @@
     /** A target says that it leaves. */
     record Leave(String id) implements ControlCall {}
 
+    /** Lists the requests under which targets ended. */
+    record ListSuspects() implements ControlCall {}
+
+    /** Has a request run again although targets ended under it. */
+    record ClearSuspect(RequestFingerprint request) implements ControlCall {}
+
     /** Something else. */
     record Unknown() implements ControlCall {}
 
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -214,7 +214,8 @@
     // ---- calls of operators and targets
 
     private void handle(ServerExchange exchange) {
-        ControlCall call = dialect.read(exchange.head(), exchange.body());
+        ControlCall call =
+                SuspectCalls.read(exchange.head()).orElseGet(() -> dialect.read(exchange.head(), exchange.body()));
         decide(call).whenComplete((answer, failure) -> {
             ControlAnswer given =
                     failure == null ? answer : new ControlAnswer.Unavailable(String.valueOf(failure.getMessage()));
@@ -252,6 +253,13 @@
         if (call instanceof ControlCall.Leave leave) {
             return change(new PublicationCommand.RemoveTarget(leave.id(), true));
         }
+        if (call instanceof ControlCall.ListSuspects) {
+            return ask(member.query(PublicationState::suspects))
+                    .map(all -> new ControlAnswer.Document(SuspectCalls.list(all)));
+        }
+        if (call instanceof ControlCall.ClearSuspect clear) {
+            return change(new PublicationCommand.NoteRuns(List.of(), List.of(clear.request())));
+        }
         if (call instanceof ControlCall.Malformed malformed) {
             return Promise.of(new ControlAnswer.Refused(malformed.reason()));
         }
--- a/daemon/src/test/java/org/bankturn/daemon/serving/DeadlyRequestAtASiteTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/DeadlyRequestAtASiteTest.java
@@ -92,6 +92,28 @@
         assertThat(call(gateway, POPULAR)).isEqualTo(200);
     }
 
+    @Test
+    void operators_see_a_condemned_request_and_have_it_run_again() throws Exception {
+        for (int target = 0; target < TARGETS; target++) {
+            announce(FragileTarget.endingWith(DEADLY, ended));
+        }
+        configure();
+        Address gateway = startGateway();
+        while (call(gateway, DEADLY) != 429) {
+            Thread.onSpinWait();
+        }
+        String listed = operator("GET", "/suspects");
+        while (!listed.contains("\"sentToNoTarget\":true")) {
+            listed = operator("GET", "/suspects");
+        }
+        String fingerprint = listed.replaceAll("(?s).*\"fingerprint\":\"(\\w+)\".*", "$1");
+        assertThat(operator("DELETE", "/suspects/" + fingerprint)).startsWith("HTTP/1.1 200");
+        while (call(gateway, DEADLY) != 502) {
+            Thread.onSpinWait();
+        }
+        assertThat(operator("DELETE", "/suspects/12")).startsWith("HTTP/1.1 400");
+    }
+
     /** Returns a target that answers a popular request never and any other at once. */
     private static ScriptedTarget holder() throws IOException {
         ScriptedTarget[] self = new ScriptedTarget[1];
--- a/daemon/src/test/java/org/bankturn/daemon/serving/SiteFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/SiteFixture.java
@@ -148,16 +148,26 @@
         return post(gateway, "/x/1", body);
     }
 
+    /** Returns the whole answer to a call of an operator, not null. */
+    String operator(String method, String target) throws IOException {
+        return exchange(control, method, target, "");
+    }
+
     private static int post(Address to, String target, String body) throws IOException {
+        String answer = exchange(to, "POST", target, body);
+        return Integer.parseInt(answer.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+    }
+
+    private static String exchange(Address to, String method, String target, String body) throws IOException {
         try (Socket socket = new Socket(to.host(), to.port())) {
             String id = "r" + socket.getLocalPort();
             ScriptedTarget.write(
                     socket,
-                    "POST " + target + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nDeadline: 5000\r\nKey: k\r\n"
-                            + "Connection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                    method + " " + target + " HTTP/1.1\r\nHost: h\r\nId: " + id
+                            + "\r\nDeadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: " + body.length()
+                            + "\r\n\r\n" + body);
             InputStream answer = new BufferedInputStream(socket.getInputStream());
-            String head = new String(answer.readAllBytes(), StandardCharsets.ISO_8859_1);
-            return Integer.parseInt(head.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+            return new String(answer.readAllBytes(), StandardCharsets.ISO_8859_1);
         }
     }
 }
--- a/standins/src/main/java/org/bankturn/bench/PartCosts.java
+++ b/standins/src/main/java/org/bankturn/bench/PartCosts.java
@@ -11,6 +11,7 @@
 import org.bankturn.configuration.Configuration;
 import org.bankturn.configuration.ConfigurationUpdate;
 import org.bankturn.configuration.FileRecord;
+import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.distribution.ChunkPlanner;
 import org.bankturn.ledger.RecordedAnswer;
 import org.bankturn.membership.ProcessReport;
@@ -26,6 +27,8 @@
 final class PartCosts {
     private static final int[] BOXES = {100, 400, 1_600, 7_900};
     private static final int[] CLAIMS = {1_000, 10_000, 50_000};
+    private static final int[] BODY_BYTES = {0, 500, 2_000, 20_000};
+    private static final int REQUESTS = 10_000;
     private static final int[] CHUNKS = {60, 240, 960};
     private static final String MANIFEST = "a".repeat(64);
     private static final double NANOS_PER_MICRO = 1_000.0;
@@ -67,6 +70,19 @@
         }
     }
 
+    /** The fingerprint of a request, by the size of its body; made only while targets end. */
+    void fingerprints(ArrayNode out) {
+        for (int bytes : BODY_BYTES) {
+            byte[] body = new byte[bytes];
+            double micros = micros(() -> {
+                for (int request = 0; request < REQUESTS; request++) {
+                    RequestFingerprint.of("/x/" + request, "account", body);
+                }
+            });
+            out.addObject().put("bodyBytes", bytes).put("micros", micros / REQUESTS);
+        }
+    }
+
     void ledger(ArrayNode out) {
         for (int claims : CLAIMS) {
             ReplicatedState state = ReplicatedState.empty();
--- a/standins/src/main/java/org/bankturn/bench/SlopeBench.java
+++ b/standins/src/main/java/org/bankturn/bench/SlopeBench.java
@@ -25,6 +25,7 @@
         costs.ledger(result.putArray("ledger"));
         costs.reports(result.putArray("reports"));
         costs.selection(result.putArray("selection"));
+        costs.fingerprints(result.putArray("fingerprints"));
         costs.planner(result.putArray("planner"));
         return result.toString();
     }
