--- a/core/src/main/java/org/bankturn/crash/BrokenRuns.java
+++ b/core/src/main/java/org/bankturn/crash/BrokenRuns.java
@@ -57,7 +57,7 @@
     }
 
     /**
-     * Returns the targets at which something broke off and whose address another incarnation has, not null.
+     * Returns the targets at which something broke off and that another incarnation has succeeded, not null.
      *
      * @param present the targets that are there, not null
      */
@@ -71,7 +71,9 @@
     }
 
     private static boolean succeeds(TargetSighting present, TargetSighting former) {
-        return present.address().equals(former.address()) && !present.id().equals(former.id());
+        boolean sameAddress =
+                present.address().equals(former.address()) && !present.id().equals(former.id());
+        return sameAddress || present.isLaterStartOf(former);
     }
 
     /** Returns true if the target is known to have ended. */
--- a/core/src/main/java/org/bankturn/registry/TargetRegistry.java
+++ b/core/src/main/java/org/bankturn/registry/TargetRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,6 +74,13 @@
         return Optional.ofNullable(targets.get(id));
     }
 
+    /** Returns the newest start of the target that calls itself so, empty if none is there. */
+    public Optional<TargetRecord> findNamed(String name) {
+        return targets.values().stream()
+                .filter(each -> each.sighting().name().equals(name))
+                .max(Comparator.comparingLong(each -> each.sighting().bornMillis()));
+    }
+
     /** Returns all targets, not null. */
     public Collection<TargetRecord> all() {
         return List.copyOf(targets.values());
--- a/core/src/test/java/org/bankturn/registry/TargetRegistryTest.java
+++ b/core/src/test/java/org/bankturn/registry/TargetRegistryTest.java
@@ -74,6 +74,68 @@
         assertThat(registry.find("b")).isPresent();
     }
 
+    /** A target that crashed was back under its name at another address; its heartbeats were numbered anew, and ignored. */
+    @Test
+    void a_later_start_under_the_same_name_takes_the_place_of_the_former_whatever_its_number() {
+        registry.record(1, born("a", 100, "10.0.0.1:80", 7));
+        registry.record(2, born("a", 200, "10.0.0.2:80", 1));
+        assertThat(registry.all()).singleElement().satisfies(record -> {
+            assertThat(record.sighting().address()).isEqualTo("10.0.0.2:80");
+            assertThat(record.sighting().bornMillis()).isEqualTo(200);
+        });
+    }
+
+    @Test
+    void a_late_word_of_a_former_start_changes_nothing_and_displaces_nobody() {
+        registry.record(1, born("a", 200, "10.0.0.2:80", 1));
+        registry.record(2, sighting("b", "10.0.0.1:80", false, 1));
+        registry.record(3, born("a", 100, "10.0.0.1:80", 9));
+        assertThat(registry.find("b")).isPresent();
+        assertThat(registry.findNamed("a"))
+                .map(each -> each.sighting().bornMillis())
+                .contains(200L);
+    }
+
+    @Test
+    void a_late_word_of_a_former_start_changes_nothing_after_the_later_one_fell_silent() {
+        registry.record(1, born("a", 200, "10.0.0.2:80", 1));
+        registry.depart(2, TargetSighting.incarnation("a", 200), false);
+        registry.record(3, born("a", 100, "10.0.0.1:80", 9));
+        assertThat(registry.all()).isEmpty();
+    }
+
+    @Test
+    void leaving_holds_for_a_start_and_not_for_the_name() {
+        registry.record(1, born("a", 100, "10.0.0.1:80", 7));
+        registry.depart(2, TargetSighting.incarnation("a", 100), true);
+        registry.record(3, born("a", 100, "10.0.0.1:80", 8));
+        assertThat(registry.all()).isEmpty();
+        registry.record(4, born("a", 200, "10.0.0.1:80", 1));
+        assertThat(registry.findNamed("a")).isPresent();
+    }
+
+    @Test
+    void a_restored_registry_knows_former_starts() {
+        registry.record(1, born("a", 100, "10.0.0.1:80", 7));
+        registry.record(2, born("a", 200, "10.0.0.2:80", 1));
+        TargetRegistry restored = TargetRegistry.restore(registry.content());
+        assertThat(restored.wouldChange(born("a", 100, "10.0.0.1:80", 9))).isFalse();
+    }
+
+    private static TargetSighting born(String name, long bornMillis, String address, long sequence) {
+        return new TargetSighting(
+                TargetSighting.incarnation(name, bornMillis),
+                name,
+                bornMillis,
+                "chat",
+                address,
+                "north",
+                4,
+                false,
+                1,
+                sequence);
+    }
+
     @Test
     void a_restored_registry_holds_the_same() {
         registry.record(1, sighting("a", "10.0.0.1:80", false, 7));
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -95,7 +95,7 @@
                         exchange.head(),
                         new Forwarding(
                                 request.remainingMillis(),
-                                target.sighting().id(),
+                                target.sighting().name(),
                                 request.accountName(),
                                 request.lastEvent(),
                                 version,
--- a/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
@@ -17,8 +17,8 @@
     /** A target says that it is there. */
     record Heartbeat(TargetSighting sighting) implements ControlCall {}
 
-    /** A target says that it leaves. */
-    record Leave(String id) implements ControlCall {}
+    /** A target says that it leaves; {@code bornMillis} tells which start of it, 0 for the one that is there. */
+    record Leave(String name, long bornMillis) implements ControlCall {}
 
     /** Lists the requests under which targets ended. */
     record ListSuspects() implements ControlCall {}
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -251,7 +251,7 @@
             return heartbeat(heartbeat.sighting());
         }
         if (call instanceof ControlCall.Leave leave) {
-            return change(new PublicationCommand.RemoveTarget(leave.id(), true));
+            return leave(leave);
         }
         if (call instanceof ControlCall.ListSuspects) {
             return ask(member.query(PublicationState::suspects))
@@ -325,6 +325,19 @@
                 });
     }
 
+    /** Takes off the start of the target that is meant; one that is not known here yet must not be listed later. */
+    private Promise<ControlAnswer> leave(ControlCall.Leave leave) {
+        if (leave.bornMillis() != 0) {
+            return leave(TargetSighting.incarnation(leave.name(), leave.bornMillis()));
+        }
+        return ask(member.query(state -> state.registry().findNamed(leave.name())))
+                .then(known -> leave(known.map(target -> target.sighting().id()).orElse(leave.name())));
+    }
+
+    private Promise<ControlAnswer> leave(String incarnation) {
+        return change(new PublicationCommand.RemoveTarget(incarnation, true));
+    }
+
     // ---- messages of other processes
 
     private Promise<NodeReply> answer(NodeRequest request) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
@@ -26,7 +26,7 @@
         HttpHead plain = head.withoutConnectionFields().without(Set.of("deadline", "key", "content-length"));
         List<HttpField> fields = new ArrayList<>(plain.fields());
         fields.add(new HttpField("Deadline", Long.toString(forwarding.remainingMillis())));
-        fields.add(new HttpField("Target", forwarding.targetId()));
+        fields.add(new HttpField("Target", forwarding.targetName()));
         if (forwarding.lastEvent() != null) {
             fields.add(new HttpField("Last-Event", forwarding.lastEvent()));
         }
--- a/daemon/src/test/java/org/bankturn/daemon/group/PlainControlDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/PlainControlDialect.java
@@ -23,7 +23,7 @@
                         parts[3].equals("leaving"),
                         1,
                         Long.parseLong(parts[4])));
-            case "leave" -> new ControlCall.Leave(parts[2]);
+            case "leave" -> new ControlCall.Leave(parts[2], 0);
             default -> new ControlCall.Unknown();
         };
     }
