Registry: a later start under a target's name takes its place; platform: heartbeats and reports are read strictly

Cause: heartbeats were ordered by their number alone, which begins anew at each start; a missing field was read as zero or an empty text, so that foreign entries became targets without service, address or places, and a report of {} an engine at rest. Change: each start is an incarnation of its own (name and start), so that what was believed of the former one (load, weights, connections, avoidance, draining, what broke off) ends with it everywhere; the later start wins over any number, a late word of the former changes nothing and displaces nobody, draining and leaving hold for a start. Fields are read only if there and of their type; what is wrong is named in a 400, or counted where an engine's report cannot be read.

--- a/core/src/main/java/org/bankturn/registry/TargetRegistry.java
+++ b/core/src/main/java/org/bankturn/registry/TargetRegistry.java
@@ -12,7 +12,8 @@
  * The targets that are there, and those that lately left.
  *
  * <p>A target that said it is leaving never becomes ready again under the same incarnation, and one that left is never
- * listed again. When an address is announced by another incarnation, the former one is gone. All calls carry the index
+ * listed again. A target may start again under its name: what the later start says counts, whatever the sequence, and what
+ * the former said counts no more. When an address is announced by another incarnation, the former one is gone. All calls carry the index
  * of the log entry that causes them, so that members that apply the same entries hold the same registry.
  *
  * <p>TargetRegistry is mutable and not thread-safe.
@@ -28,11 +29,17 @@
      * A target that is gone.
      *
      * @param id its incarnation, not null
+     * @param name what it called itself; null if an earlier version stored it, whose incarnations are names
+     * @param bornMillis when it started, 0 if not known
      * @param lastSequence its newest heartbeat
      * @param index the log entry that removed it
      * @param byItself true if the target said so itself and may not come back
      */
-    public record Departure(String id, long lastSequence, long index, boolean byItself) {}
+    public record Departure(String id, String name, long bornMillis, long lastSequence, long index, boolean byItself) {
+        private boolean isOfLaterStartThan(TargetSighting sighting) {
+            return sighting.name().equals(name) && bornMillis > sighting.bornMillis();
+        }
+    }
 
     /**
      * What a registry holds, for a snapshot.
@@ -99,6 +106,9 @@
             return sighting.sequence() > known.sighting().sequence()
                     && !known.sighting().saysTheSameAs(stickyDraining(known, sighting));
         }
+        if (isOfFormerStart(sighting)) {
+            return false;
+        }
         Departure departure = departures.get(sighting.id());
         if (departure == null) {
             return true;
@@ -107,6 +117,13 @@
         return mayReturn && sighting.sequence() > departure.lastSequence();
     }
 
+    /** Returns true if the target has started again since it said that. */
+    private boolean isOfFormerStart(TargetSighting sighting) {
+        boolean present =
+                targets.values().stream().anyMatch(each -> each.sighting().isLaterStartOf(sighting));
+        return present || departures.values().stream().anyMatch(each -> each.isOfLaterStartThan(sighting));
+    }
+
     /** Returns true if another incarnation lives at the address; a heartbeat that a cut delayed must not displace it. */
     private boolean isSucceeded(TargetSighting departed) {
         return targets.values().stream()
@@ -126,7 +143,8 @@
         List<String> replaced = new ArrayList<>();
         for (TargetRecord each : targets.values()) {
             boolean sameAddress = each.sighting().address().equals(sighting.address());
-            if (sameAddress && !each.sighting().id().equals(sighting.id())) {
+            boolean another = !each.sighting().id().equals(sighting.id());
+            if ((sameAddress && another) || sighting.isLaterStartOf(each.sighting())) {
                 replaced.add(each.sighting().id());
             }
         }
@@ -147,7 +165,9 @@
         TargetRecord known = targets.remove(id);
         long last = known == null ? 0 : known.sighting().sequence();
         departures.remove(id);
-        departures.put(id, new Departure(id, last, index, byItself));
+        String name = known == null ? id : known.sighting().name();
+        long bornMillis = known == null ? 0 : known.sighting().bornMillis();
+        departures.put(id, new Departure(id, name, bornMillis, last, index, byItself));
         if (departures.size() > REMEMBERED_DEPARTURES) {
             Departure oldest = departures.values().iterator().next();
             departures.remove(oldest.id());
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -46,6 +46,7 @@
     private final Counter loadQuestions;
     private final Counter errors;
     private final Counter suspects;
+    private final Counter unreadableReports;
     private final Gauge condemned;
     private final Counter pieceBytes;
     private final Counter piecesRejected;
@@ -71,6 +72,7 @@
                 counter("silent_connections", "Connections given up because nothing came on them, by peer.", "peer");
         loadQuestions = counter("load_questions", "Questions for engines' load, by outcome.", "outcome");
         errors = counter("errors", "Errors thrown that nothing handles.");
+        unreadableReports = counter("unreadable_reports", "Reports of the engine that could not be read.");
         suspects = counter("suspects", "Requests under which targets ended, by what became of them.", "event");
         condemned =
                 gauge("condemned_requests", "Requests that are sent to no target because targets ended under them.");
@@ -163,6 +165,11 @@
         loadQuestions.labelValues(answered ? "answered" : "unanswered").inc();
     }
 
+    /** Counts a report of an engine that could not be read. */
+    public void unreadableReport() {
+        unreadableReports.inc();
+    }
+
     /** Counts a request under which a target ended; {@code event} is one of the labels above. */
     public void suspected(String event) {
         suspects.labelValues(event).inc();
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -129,12 +129,22 @@
         return around.askEngine(around.dialect().report())
                 .then(
                         answer -> {
-                            around.dialect().report(answer.body()).ifPresent(this::take);
+                            around.dialect().report(answer.body()).ifPresentOrElse(this::take, this::noteUnreadable);
                             return Promise.complete();
                         },
                         failure -> Promise.complete());
     }
 
+    /** What cannot be read says nothing: an engine of unknown load is not one at rest. */
+    private void noteUnreadable() {
+        around.metrics().unreadableReport();
+        around.log()
+                .line(DecisionKind.LOST)
+                .with(DecisionField.DEPENDENCY, "engine")
+                .with(DecisionField.REASON, "its report cannot be read")
+                .write();
+    }
+
     private void take(EngineReport report) {
         lastReport = report;
         reportedMillis = around.clock().millis();
