Gateways: a request whose target fell silent goes on at once; a look at a target that fails at once is taken in

Cause, from reading the change again: a retry after a silence waited up to 100 ms for a connection to a target that says nothing; a connection that fails before the call returns would have left its promise in the table of looks, or failed there; what broke off long ago was forgotten only with the next, so that fingerprints went on being made.

--- a/core/src/main/java/org/bankturn/crash/BrokenRuns.java
+++ b/core/src/main/java/org/bankturn/crash/BrokenRuns.java
@@ -53,6 +53,7 @@
 
     /** Returns true if nothing broke off of late. */
     public boolean isEmpty() {
+        forgetOld();
         return targets.isEmpty();
     }
 
--- a/core/src/test/java/org/bankturn/crash/BrokenRunsTest.java
+++ b/core/src/test/java/org/bankturn/crash/BrokenRunsTest.java
@@ -60,6 +60,7 @@
     void what_broke_off_long_ago_is_forgotten() {
         runs.brokeOff(TARGET, ONE);
         clock.advance(30_001);
+        assertThat(runs.isEmpty()).isTrue();
         runs.brokeOff(target("t2", "b:1"), OTHER);
         assertThat(runs.ended("t1")).isEmpty();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -115,7 +115,7 @@
             targetFailed("silent");
         }
         request.outcomeUnknown();
-        request.brokeOff(target.sighting(), "silent for " + silentMillis + " ms");
+        request.fellSilent(target.sighting(), "silent for " + silentMillis + " ms");
     }
 
     @Override
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashWatch.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashWatch.java
@@ -173,7 +173,19 @@
             ended(target.id());
             return Promise.complete();
         }
-        return looking.computeIfAbsent(target.id(), key -> look(target)).then(() -> untilCertainEnough(request));
+        return lookOnce(target).then(() -> untilCertainEnough(request));
+    }
+
+    private Promise<Void> lookOnce(TargetSighting target) {
+        Promise<Void> begun = looking.get(target.id());
+        if (begun != null) {
+            return begun;
+        }
+        Promise<Void> look = look(target);
+        if (!look.isComplete()) {
+            looking.put(target.id(), look);
+        }
+        return look;
     }
 
     /** A request that one more end condemns goes on only once it is certain that there was none. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.bankturn.daemon.gateway;
 
+import io.activej.promise.Promise;
 import java.util.Optional;
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.daemon.http.ServerExchange;
@@ -113,15 +114,23 @@
 
     /** The request broke off at a target that may have ended; it goes on once that is known. */
     void brokeOff(TargetSighting target, String reason) {
-        gateway.crashes().brokeOff(target, this).whenResult(() -> {
-            if (trial || gateway.crashes().isCondemned(this)) {
-                stopCondemned();
-            } else if (route.kind().mayRepeat()) {
-                retry(reason);
-            } else {
-                giveUp(reason + " from " + target.id());
-            }
-        });
+        gateway.crashes().brokeOff(target, this).whenResult(() -> goOn(target, reason));
+    }
+
+    /** The target said nothing for long, so a word of whether it ended is not waited for. */
+    void fellSilent(TargetSighting target, String reason) {
+        Promise<Void> unused = gateway.crashes().brokeOff(target, this);
+        goOn(target, reason);
+    }
+
+    private void goOn(TargetSighting target, String reason) {
+        if (trial || gateway.crashes().isCondemned(this)) {
+            stopCondemned();
+        } else if (route.kind().mayRepeat()) {
+            retry(reason);
+        } else {
+            giveUp(reason + " from " + target.id());
+        }
     }
 
     /** Sends the request to another target, if one may still have it. */
