Registry: a start that leaves takes the former starts of its target off the list

Cause, found by TLC once the specification Registry knew starts: a later start said that it leaves before it was ever listed; the former one stayed listed, and its word that it drains was acknowledged without effect. Ruled out: that a later start's heartbeat always comes first; calls are late and out of order.

--- a/core/src/main/java/org/bankturn/publication/PublicationCommand.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationCommand.java
@@ -28,8 +28,25 @@
     /** Records what a target said. */
     record RecordTarget(TargetSighting sighting) implements PublicationCommand {}
 
-    /** Takes a target off the list; {@code byItself} if the target said so itself. */
-    record RemoveTarget(String id, boolean byItself) implements PublicationCommand {}
+    /**
+     * Takes a start of a target off the list, and its former starts with it.
+     *
+     * @param id its incarnation, not null
+     * @param name what it calls itself; null for an incarnation that is its name
+     * @param bornMillis when it started, 0 if that is not known
+     * @param byItself true if the target said so itself
+     */
+    record RemoveTarget(String id, String name, long bornMillis, boolean byItself) implements PublicationCommand {
+        /** Takes what names no target for an incarnation that is its name. */
+        public RemoveTarget {
+            name = name == null ? id : name;
+        }
+
+        /** Returns the removal of an incarnation that is listed, or that is its name. */
+        public RemoveTarget(String id, boolean byItself) {
+            this(id, id, 0, byItself);
+        }
+    }
 
     /** Records targets that ended with what ran there, and requests that ran to their end since. */
     record NoteRuns(List<EndedTarget> ended, List<RequestFingerprint> ranWhole) implements PublicationCommand {
--- a/core/src/main/java/org/bankturn/registry/TargetRegistry.java
+++ b/core/src/main/java/org/bankturn/registry/TargetRegistry.java
@@ -162,11 +162,35 @@
      * @param byItself true if the target said so itself
      */
     public void depart(long index, String id, boolean byItself) {
+        depart(index, id, id, 0, byItself);
+    }
+
+    /**
+     * Takes a start of a target off the list, listed or not, and the former starts of it that still are.
+     *
+     * @param index the log entry
+     * @param id the target's incarnation, not null
+     * @param name what it calls itself, not null
+     * @param bornMillis when it started, 0 if that is not known
+     * @param byItself true if the target said so itself
+     */
+    public void depart(long index, String id, String name, long bornMillis, boolean byItself) {
+        // a former start would stay listed, and its later words that it drains would count for nothing
+        List<String> former = targets.values().stream()
+                .map(TargetRecord::sighting)
+                .filter(each -> each.name().equals(name) && each.bornMillis() < bornMillis)
+                .map(TargetSighting::id)
+                .toList();
+        former.forEach(each -> departOne(index, each, each, 0, false));
+        departOne(index, id, name, bornMillis, byItself);
+    }
+
+    private void departOne(long index, String id, String assumedName, long assumedBornMillis, boolean byItself) {
         TargetRecord known = targets.remove(id);
         long last = known == null ? 0 : known.sighting().sequence();
         departures.remove(id);
-        String name = known == null ? id : known.sighting().name();
-        long bornMillis = known == null ? 0 : known.sighting().bornMillis();
+        String name = known == null ? assumedName : known.sighting().name();
+        long bornMillis = known == null ? assumedBornMillis : known.sighting().bornMillis();
         departures.put(id, new Departure(id, name, bornMillis, last, index, byItself));
         if (departures.size() > REMEMBERED_DEPARTURES) {
             Departure oldest = departures.values().iterator().next();
--- a/core/src/test/java/org/bankturn/registry/TargetRegistryTest.java
+++ b/core/src/test/java/org/bankturn/registry/TargetRegistryTest.java
@@ -114,6 +114,15 @@
         assertThat(registry.findNamed("a")).isPresent();
     }
 
+    /** The specification showed it: a later start left before it was listed, and the former one drained, which nobody noted. */
+    @Test
+    void a_later_start_that_leaves_before_it_was_listed_takes_the_former_with_it() {
+        registry.record(1, born("a", 100, "10.0.0.1:80", 1));
+        registry.depart(2, TargetSighting.incarnation("a", 200), "a", 200, true);
+        assertThat(registry.all()).isEmpty();
+        assertThat(registry.wouldChange(born("a", 100, "10.0.0.1:80", 2))).isFalse();
+    }
+
     @Test
     void a_restored_registry_knows_former_starts() {
         registry.record(1, born("a", 100, "10.0.0.1:80", 7));
--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -47,6 +47,8 @@
                 "Formation.fault",
                 "Registry.fault-sequence",
                 "Registry.fault-departure",
+                "Registry.fault-start",
+                "Registry.fault-former",
                 "Suspects.fault-count",
                 "Suspects.fault-trials",
                 "Lease.fault-no-port-guard",
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -34,7 +34,6 @@
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.publication.PublicationState;
 import org.bankturn.publication.PublicationUpdate;
-import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.DocumentFormat;
 import org.bankturn.service.ServingConfiguration;
 import org.bankturn.service.UnreadableDocumentException;
@@ -75,6 +74,7 @@
     private final Watchers watchers;
     private final DocumentReads reads;
     private final TargetWatch targetWatch;
+    private final TargetCalls targetCalls;
 
     /**
      * Creates a control process that does not run yet.
@@ -134,6 +134,7 @@
                 clock);
         this.reads = DocumentReads.of(reactor, clients, member);
         this.targetWatch = TargetWatch.of(reactor, clients, member, log, clock, settings.heartbeatMillis());
+        this.targetCalls = TargetCalls.of(reactor, member, targetWatch, this::isFresh, this::change);
     }
 
     /** Starts to serve; call on the reactor's thread. */
@@ -248,10 +249,10 @@
             return change(new PublicationCommand.NameWeights(named.model(), named.version()));
         }
         if (call instanceof ControlCall.Heartbeat heartbeat) {
-            return heartbeat(heartbeat.sighting());
+            return targetCalls.heartbeat(heartbeat.sighting());
         }
         if (call instanceof ControlCall.Leave leave) {
-            return leave(leave);
+            return targetCalls.leave(leave);
         }
         if (call instanceof ControlCall.ListSuspects) {
             return ask(member.query(PublicationState::suspects))
@@ -311,33 +312,6 @@
         });
     }
 
-    private Promise<ControlAnswer> heartbeat(TargetSighting sighting) {
-        if (!member.view().isFresh(clock.millis(), FRESH_MILLIS)) {
-            return Promise.of(new ControlAnswer.Unavailable("not in touch with a majority"));
-        }
-        targetWatch.heard(sighting.id());
-        return ask(member.query(state -> state.registry().hasLeft(sighting.id())))
-                .then(left -> {
-                    if (left) {
-                        return Promise.of(new ControlAnswer.Accepted());
-                    }
-                    return change(new PublicationCommand.RecordTarget(sighting));
-                });
-    }
-
-    /** Takes off the start of the target that is meant; one that is not known here yet must not be listed later. */
-    private Promise<ControlAnswer> leave(ControlCall.Leave leave) {
-        if (leave.bornMillis() != 0) {
-            return leave(TargetSighting.incarnation(leave.name(), leave.bornMillis()));
-        }
-        return ask(member.query(state -> state.registry().findNamed(leave.name())))
-                .then(known -> leave(known.map(target -> target.sighting().id()).orElse(leave.name())));
-    }
-
-    private Promise<ControlAnswer> leave(String incarnation) {
-        return change(new PublicationCommand.RemoveTarget(incarnation, true));
-    }
-
     // ---- messages of other processes
 
     private Promise<NodeReply> answer(NodeRequest request) {
@@ -358,7 +332,7 @@
             return watch(watch);
         }
         if (request instanceof NodeRequest.Announce announced) {
-            return heartbeat(announced.sighting()).map(GroupNode::replyTo);
+            return targetCalls.heartbeat(announced.sighting()).map(GroupNode::replyTo);
         }
         if (request instanceof NodeRequest.NoteHeartbeats noted) {
             targetWatch.heardElsewhere(noted.targets());
--- a/standins/src/main/java/org/bankturn/replay/ReplayedEngine.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayedEngine.java
@@ -19,7 +19,7 @@
     /** How long what depends on an engine that went dark stands still before it is cut. */
     private static final double STALL_MILLIS = 1_500;
 
-    /** A replica that ended was back after 4 s, in the record of such a day. */
+    /** A target that ended was back after 4 s, as it was seen on a site. */
     private static final double RESTART_MILLIS = 4_000;
 
     private final VirtualTime time;
@@ -98,10 +98,7 @@
             return;
         }
         down = true;
-        List<EngineTask> lost = new ArrayList<>(running);
-        lost.addAll(waiting);
-        running.clear();
-        waiting.clear();
+        List<EngineTask> lost = loseAll();
         lost.forEach(EngineTask::cut);
         time.after(forMillis, () -> {
             down = false;
@@ -112,10 +109,7 @@
     /** Falls silent; what was there is cut after a while. */
     void goDark() {
         dark = true;
-        List<EngineTask> lost = new ArrayList<>(running);
-        lost.addAll(waiting);
-        running.clear();
-        waiting.clear();
+        List<EngineTask> lost = loseAll();
         time.after(STALL_MILLIS, () -> lost.forEach(EngineTask::cut));
     }
 
@@ -139,10 +133,7 @@
     /** Takes up newer weights at once: what was there is cut, and nothing is begun for a while. */
     void change(double forMillis) {
         changing = true;
-        List<EngineTask> lost = new ArrayList<>(running);
-        lost.addAll(waiting);
-        running.clear();
-        waiting.clear();
+        List<EngineTask> lost = loseAll();
         lost.forEach(EngineTask::cut);
         time.after(forMillis, () -> {
             changing = false;
@@ -152,6 +143,14 @@
         });
     }
 
+    private List<EngineTask> loseAll() {
+        List<EngineTask> lost = new ArrayList<>(running);
+        lost.addAll(waiting);
+        running.clear();
+        waiting.clear();
+        return lost;
+    }
+
     void runAt(double newPace) {
         pace = newPace;
     }
