Gateways: what is held against requests is taken in only when it changed

Cause, from a measurement: with a full table each publication, most of which are of targets, cost a gateway 0.7 ms of processor time (1,024 suspects, fastest of 200, C1 compiler). The table's stored size is measured now (121 KB; a comment said 64). Tests as before.

--- a/core/src/main/java/org/bankturn/crash/SuspectTable.java
+++ b/core/src/main/java/org/bankturn/crash/SuspectTable.java
@@ -18,7 +18,7 @@
  * many targets anew before it is condemned. SuspectTable is mutable and not thread-safe.
  */
 public final class SuspectTable {
-    /** Four engines of 16 places that end at the same moment at each of 16 sites; 64 KB as it is stored. */
+    /** As many as are under way at 64 engines of 16 places that end at the same moment; 121 KB as it is stored. */
     public static final int MOST_SUSPECTS = 1_024;
 
     private static final Comparator<Suspect> LEAST_NEEDED = Comparator.<Suspect>comparingInt(
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashWatch.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashWatch.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.bankturn.crash.BrokenRuns;
@@ -60,6 +61,7 @@
     private final Map<String, Promise<Void>> looking = new HashMap<>();
     private final Map<String, Set<RequestFingerprint>> untoldEnds = new LinkedHashMap<>();
     private final Set<RequestFingerprint> untoldWhole = new LinkedHashSet<>();
+    private List<Suspect> lastPublished = List.of();
     private boolean telling;
 
     /**
@@ -133,9 +135,13 @@
 
     /** Takes in what is published. */
     void update(List<Suspect> published, Collection<TargetSighting> targets) {
-        suspects.published(published);
         brokenRuns.succeededBy(targets).forEach(this::ended);
-        lookForCondemned();
+        // 1,024 suspects cost 0.7 ms each time (fastest of 200, C1 compiler), and most publications are of targets
+        if (!Objects.equals(published, lastPublished)) {
+            lastPublished = published;
+            suspects.published(published);
+            lookForCondemned();
+        }
     }
 
     private void lookForCondemned() {
