Retries: a start has earned nothing, and the allowance is divided by the most gateways that were seen

Cause: a gateway that was killed forgot what it had spent of the window and spent it again, and the allowance was divided by the gateways that are seen, so those left, or cut off, spent the parts of the others. Each process kept its own sliding window; that many such windows keep the limit of all holds only while none starts anew.

Change: RetryBudget earns retries by request and, for the allowance, with time; what is not spent is kept up to half of the allowance and a quarter of what a window's requests earn. Over any window all starts of a process together spend at most what was kept before it and what was earned in it, so nothing need be remembered. The number of gateways is the most seen.

The bound of the sliding window stays as it was.

--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.bankturn.routing.TargetTable.Choice;
 import org.bankturn.routing.TargetTable.Wanted;
@@ -25,8 +26,11 @@
     /** A request that could not be connected to that many targets is given up: something nearer is broken. */
     private static final int MOST_FAILED_CONNECTIONS = 4;
 
-    /** What is left of the share is for requests that the windows of several gateways cut differently. */
-    private static final double RETRY_SHARE_USED = 0.8;
+    /** What a request earns of the share that is allowed; the rest is for what budgets keep. */
+    private static final double RETRY_SHARE_EARNED = 1 / (1 + RetryBudget.KEPT_SHARE);
+
+    /** Until a gateway sees itself among the others it has no part of what they share. */
+    private static final int UNKNOWN_GATEWAYS = Integer.MAX_VALUE;
 
     private final Clock clock;
     private final TargetTable targets;
@@ -38,8 +42,8 @@
     private final Map<String, VersionsDue> versionsDue = new HashMap<>();
     private ServingConfiguration configuration;
 
-    /** Until a gateway sees itself among the others it has no part of what they share. */
-    private int gateways = Integer.MAX_VALUE;
+    /** The most gateways that were there at a time: those that seem gone may have spent their part, or be cut off and spend it. */
+    private int gateways = UNKNOWN_GATEWAYS;
 
     /**
      * Returns a policy that knows no configuration yet, not null.
@@ -67,13 +71,21 @@
      * Takes in what is in force.
      *
      * @param newest the configuration, not null
-     * @param gatewaysThere how many gateways there are, this one included; more than there are if it is not known
+     * @param gatewaysThere how many gateways there are, this one included; empty if that is not known
+     * @throws IllegalArgumentException if there are fewer than one
      */
-    public void update(ServingConfiguration newest, int gatewaysThere) {
+    public void update(ServingConfiguration newest, OptionalInt gatewaysThere) {
         configuration = newest;
         mostUrgent.clear();
-        if (gatewaysThere != gateways) {
-            gateways = gatewaysThere;
+        gatewaysThere.ifPresent(this::gatewaysSeen);
+    }
+
+    private void gatewaysSeen(int there) {
+        if (there < 1) {
+            throw new IllegalArgumentException("gateways must be 1 or more, not " + there);
+        }
+        if (gateways == UNKNOWN_GATEWAYS || there > gateways) {
+            gateways = there;
             retryBudgets.values().forEach(budget -> budget.allow(allowance()));
         }
     }
@@ -249,10 +261,11 @@
     private RetryBudget retryBudget(Service service) {
         return retryBudgets.computeIfAbsent(
                 service.name(),
-                key -> RetryBudget.of(retries.share() * RETRY_SHARE_USED, allowance(), retries.windowMillis(), clock));
+                key -> RetryBudget.of(
+                        retries.share() * RETRY_SHARE_EARNED, allowance(), retries.windowMillis(), clock));
     }
 
-    /** What all gateways may do beyond their share is divided among those that are there. */
+    /** What all gateways may do beyond their share is divided among the most that were there. */
     private int allowance() {
         return retries.allowance() / gateways;
     }
--- a/core/src/main/java/org/bankturn/routing/RetryBudget.java
+++ b/core/src/main/java/org/bankturn/routing/RetryBudget.java
@@ -5,29 +5,39 @@
 import org.bankturn.time.Clock;
 
 /**
- * Keeps retries to a share of the requests of a sliding window, so that a failure does not multiply the load that caused
- * it.
+ * Keeps retries to a share of the requests, so that a failure does not multiply the load that caused it.
  *
- * <p>A failure hits many requests at one moment, so all of a window's share may be spent at once; what is spent then is
- * missing until it leaves the window. The budgets of several processes need not know of each other: if each keeps its
- * share of its own requests, all together keep it as well.
+ * <p>Load pattern: many processes share one limit on the retries of any window, a failure hits many requests at one moment,
+ * and processes are killed and start again meanwhile. Requests earn retries as they come, and an allowance earns some with
+ * time; what is not spent is kept only up to a bound, and a start has earned nothing. So a process that starts again after
+ * it spent its part, and forgot that, cannot spend it twice: over any window, all starts of a process together spend at
+ * most what could be kept before it and what was earned within it. Budgets of several processes need not know of each
+ * other for that.
  *
  * <p>RetryBudget is thread-safe.
  */
 public final class RetryBudget {
+    /** What may be kept besides the allowance, as a share of what the requests of a window earn. */
+    public static final double KEPT_SHARE = 0.25;
+
+    /** The part of the allowance that may be kept; the rest is earned with time. */
+    private static final double ALLOWANCE_KEPT = 0.5;
+
     private static final int SLICES = 10;
 
     private final double share;
     private int allowance;
+    private final long windowMillis;
     private final long sliceMillis;
     private final Clock clock;
     private final Deque<Slice> slices = new ArrayDeque<>();
+    private double earned;
+    private long countedMillis;
 
-    /** What happened in a part of the window. */
+    /** The requests of a part of the window. */
     private static final class Slice {
         private final long number;
         private int requests;
-        private int retries;
 
         Slice(long number) {
             this.number = number;
@@ -35,9 +45,9 @@
     }
 
     /**
-     * Creates a budget.
+     * Creates a budget that has earned nothing yet.
      *
-     * @param share retries per request, above 0, at most 1
+     * @param share retries that a request earns, above 0, at most 1
      * @param allowance retries on top of that in any window, 0 or more
      * @param windowMillis the length of the window, 10 ms or more
      * @param clock the time, not null
@@ -58,21 +68,25 @@
         }
         this.share = share;
         this.allowance = allowance;
+        this.windowMillis = windowMillis;
         this.sliceMillis = windowMillis / SLICES;
         this.clock = clock;
+        this.countedMillis = clock.millis();
     }
 
-    /** Changes what is allowed on top of the share, when processes come or go that have a part of it. */
+    /** Changes what is allowed on top of the share, when processes come that have a part of it. */
     public synchronized void allow(int newAllowance) {
         if (newAllowance < 0) {
             throw new IllegalArgumentException("allowance must be 0 or more: " + newAllowance);
         }
+        earn(0);
         allowance = newAllowance;
     }
 
     /** Counts a request, which earns a part of a retry. */
     public synchronized void requestSeen() {
         current().requests++;
+        earn(share);
     }
 
     /**
@@ -81,21 +95,39 @@
      * @return false if there is none left, and the request must be given up on
      */
     public synchronized boolean tryRetry() {
-        Slice now = current();
-        int requests = 0;
-        int retries = 0;
-        for (Slice slice : slices) {
-            // The oldest slice lies in the window in part only: its retries count, its requests do not.
-            requests += slice.number > now.number - SLICES ? slice.requests : 0;
-            retries += slice.retries;
-        }
-        if (retries + 1 > allowance + share * requests) {
+        earn(0);
+        if (earned < 1) {
             return false;
         }
-        now.retries++;
+        earned--;
         return true;
     }
 
+    /** Returns the retries that may be spent now, 0 or more. */
+    public synchronized int left() {
+        earn(0);
+        return (int) earned;
+    }
+
+    /** Adds what came since the last count, up to what may be kept. */
+    private void earn(double more) {
+        long now = clock.millis();
+        double withTime = (1 - ALLOWANCE_KEPT) * allowance * Math.max(0, now - countedMillis) / windowMillis;
+        countedMillis = now;
+        // a part of a retry may always be kept, or the smallest budgets would never have a whole one
+        double kept = Math.max(1, ALLOWANCE_KEPT * allowance + KEPT_SHARE * share * requestsOfWindow());
+        earned = Math.min(kept, earned + withTime + more);
+    }
+
+    /** Returns the requests of the window; the oldest slice lies in it in part only and does not count. */
+    private int requestsOfWindow() {
+        long oldest = current().number - SLICES;
+        return slices.stream()
+                .filter(slice -> slice.number > oldest)
+                .mapToInt(slice -> slice.requests)
+                .sum();
+    }
+
     private Slice current() {
         long number = Math.floorDiv(clock.millis(), sliceMillis);
         while (!slices.isEmpty() && slices.peekFirst().number < number - SLICES) {
--- /dev/null
+++ b/core/src/test/java/org/bankturn/routing/RetriesAcrossStartsTest.java
@@ -0,0 +1,192 @@
+package org.bankturn.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.registry.TargetSighting;
+import org.bankturn.service.ClientLimits;
+import org.bankturn.service.EngineModel;
+import org.bankturn.service.RequestKind;
+import org.bankturn.service.Route;
+import org.bankturn.service.Service;
+import org.bankturn.service.ServingConfiguration;
+import org.bankturn.service.WeightedService;
+import org.bankturn.time.ManualClock;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Engines rejected about half of what they got when most gateways were killed and started again. Each start had forgotten
+ * what it had spent on retries within the window and spent it once more, and the gateways that were left divided the
+ * allowance among fewer, though those that were gone had spent their parts: 380 retries in 10 s where 351 were allowed.
+ */
+class RetriesAcrossStartsTest {
+    private static final EngineModel ENGINE = new EngineModel(8, 317_000, 13.9, 0.03, 0.05, 13.8, 2_048, 5, 70);
+    private static final Service SERVICE = new Service("chat", "/", 100, ENGINE, null, null, null);
+    private static final Route ROUTE = new Route(
+            "r",
+            "h",
+            "/",
+            RequestKind.RESUMABLE_STREAM,
+            6_000,
+            600,
+            0,
+            List.of(new WeightedService("chat", 1)),
+            2,
+            true);
+    private static final ServingConfiguration CONFIGURATION =
+            ServingConfiguration.of(1, List.of(ROUTE), List.of(SERVICE), ClientLimits.DEFAULT, List.of());
+    private static final List<TargetSighting> ENGINES = IntStream.range(0, 8)
+            .mapToObj(each ->
+                    new TargetSighting("engine-" + each, "chat", "10.0.0." + each + ":80", "here", 16, false, -1, 1))
+            .toList();
+    private static final int GATEWAYS = 7;
+    private static final double SHARE = 0.2;
+    private static final int ALLOWANCE = 102;
+    private static final long WINDOW_MILLIS = 10_000;
+    private static final long GAP_MILLIS = 8;
+    private static final long FAILURE_MILLIS = 504;
+
+    private final ManualClock clock = ManualClock.startingAt(1_000_000);
+    private final List<Long> requests = new ArrayList<>();
+    private final List<Long> retries = new ArrayList<>();
+
+    /** One start of a gateway, which hears of a change of the group only when a test says so. */
+    private final class Start {
+        private final RequestPolicy policy;
+
+        Start(int gatewaysSeen) {
+            UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(7);
+            TargetTable targets = TargetTable.of(clock, "here", PlacementSettings.DEFAULT, random);
+            targets.update(ENGINES);
+            targets.watch(ENGINES.stream().map(TargetSighting::id).collect(Collectors.toSet()));
+            policy = RequestPolicy.of(clock, targets, new RetryLimits(SHARE, ALLOWANCE, WINDOW_MILLIS), random);
+            sees(gatewaysSeen);
+        }
+
+        void sees(int gateways) {
+            policy.update(CONFIGURATION, OptionalInt.of(gateways));
+        }
+
+        void serve(boolean rejected) {
+            RequestProgress request = RequestProgress.of(ROUTE, SERVICE, 100, clock.millis() + 6_000);
+            policy.arrived(request);
+            requests.add(clock.millis());
+            if (isSent(request) && rejected) {
+                request.sent();
+                request.notRun();
+                if (isSent(request)) {
+                    retries.add(clock.millis());
+                }
+            }
+        }
+
+        private boolean isSent(RequestProgress request) {
+            NextStep step = policy.next(request);
+            while (step instanceof NextStep.Ask) {
+                step = policy.next(request);
+            }
+            return step instanceof NextStep.Send;
+        }
+    }
+
+    @Test
+    void gateways_that_start_again_do_not_spend_again_what_they_spent_before() {
+        List<Start> gateways = starts(GATEWAYS);
+        serve(gateways, 10_000, 0);
+        serve(gateways, 4_000, 0.45);
+        IntStream.range(1, GATEWAYS).forEach(each -> gateways.set(each, new Start(GATEWAYS)));
+        serve(gateways, 10_000, 0.45);
+        assertAllowedInEveryWindow();
+    }
+
+    @Test
+    void gateways_that_start_again_and_again_do_not_spend_more() {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(3);
+        List<Start> gateways = starts(GATEWAYS);
+        serve(gateways, 10_000, 0.1);
+        for (int round = 0; round < 60; round++) {
+            serve(gateways, 300 + random.nextInt(1_500), random.nextDouble());
+            gateways.replaceAll(each -> random.nextInt(3) == 0 ? new Start(1 + random.nextInt(GATEWAYS)) : each);
+        }
+        assertAllowedInEveryWindow();
+    }
+
+    @Test
+    void gateways_that_are_left_do_not_spend_what_those_that_went_have_spent() {
+        List<Start> gateways = starts(GATEWAYS);
+        serve(gateways, 10_000, 0);
+        serve(gateways, 3_000, 0.9);
+        List<Start> left = gateways.subList(0, 1);
+        left.forEach(each -> each.sees(1));
+        serve(left, 10_000, 0.9);
+        assertAllowedInEveryWindow();
+    }
+
+    @Test
+    void halls_that_are_cut_off_from_each_other_spend_no_more_together() {
+        List<Start> gateways = starts(GATEWAYS);
+        serve(gateways, 10_000, 0);
+        gateways.subList(0, 3).forEach(each -> each.sees(3));
+        gateways.subList(3, GATEWAYS).forEach(each -> each.sees(4));
+        serve(gateways, 15_000, 0.6);
+        assertAllowedInEveryWindow();
+    }
+
+    @Test
+    void a_gateway_that_sees_only_itself_at_first_does_not_spend_the_part_of_all() {
+        List<Start> gateways = IntStream.range(0, GATEWAYS)
+                .mapToObj(each -> new Start(1))
+                .collect(Collectors.toCollection(ArrayList::new));
+        serve(gateways, 400, 0.9);
+        gateways.forEach(each -> each.sees(GATEWAYS));
+        serve(gateways, 15_000, 0.6);
+        assertAllowedInEveryWindow();
+    }
+
+    @Test
+    void a_failure_of_half_of_the_engines_at_one_moment_is_met_with_retries() {
+        List<Start> gateways = starts(GATEWAYS);
+        serve(gateways, 10_000, 0);
+        serve(gateways, FAILURE_MILLIS, 0.5);
+        long rejected = FAILURE_MILLIS / GAP_MILLIS / 2;
+        assertThat((long) retries.size()).isGreaterThanOrEqualTo(rejected * 8 / 10);
+    }
+
+    private List<Start> starts(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(each -> new Start(GATEWAYS))
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    private void serve(List<Start> gateways, long millis, double rejectedShare) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(millis);
+        for (long passed = 0; passed < millis; passed += GAP_MILLIS) {
+            clock.advance(GAP_MILLIS);
+            gateways.get(random.nextInt(gateways.size())).serve(random.nextDouble() < rejectedShare);
+        }
+    }
+
+    /** The requests of a window are those within it, half a window before it or the whole, whichever are most. */
+    private void assertAllowedInEveryWindow() {
+        assertThat(retries).isNotEmpty();
+        for (long end : Set.copyOf(retries)) {
+            int most = Math.max(
+                    within(requests, end),
+                    Math.max(within(requests, end - WINDOW_MILLIS / 2), within(requests, end - WINDOW_MILLIS)));
+            assertThat((double) within(retries, end)).isLessThanOrEqualTo(SHARE * most + ALLOWANCE);
+        }
+    }
+
+    private static int within(List<Long> moments, long end) {
+        return (int) moments.stream()
+                .filter(moment -> moment > end - WINDOW_MILLIS && moment <= end)
+                .count();
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -168,10 +169,12 @@
         List.copyOf(underWay).stream().filter(crashes::isCondemned).forEach(ForwardedRequest::stopCondemned);
     }
 
-    /** Returns how many gateways are published, or more than there are while this one is not among them. */
-    private int gatewaysThere() {
+    /** Returns how many gateways are published, empty while this one is not among them. */
+    private OptionalInt gatewaysThere() {
         Set<String> gateways = addresses(gateways());
-        return gateways.contains(settings.nodeAddress().toString()) ? gateways.size() : Integer.MAX_VALUE;
+        return gateways.contains(settings.nodeAddress().toString())
+                ? OptionalInt.of(gateways.size())
+                : OptionalInt.empty();
     }
 
     /** Returns the node addresses of the gateways in the same data hall. */
--- a/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.bankturn.crash.KnownSuspects;
@@ -73,7 +74,7 @@
     void published(List<TargetSighting> newer) {
         sightings = newer;
         targets.update(newer);
-        policy.update(world.configuration(), world.gatewayCount());
+        policy.update(world.configuration(), OptionalInt.of(world.gatewayCount()));
         watch();
     }
 
