Registry: a delayed word of a former start displaces nobody; who is at an address is asked by name

Cause: where two starts of different names announce one address, the order of arrival decided. A heartbeat that a cut had delayed took the place of the live target, whose own heartbeats were then ignored until the dead one was silent for seven heartbeats; once the live one was dropped, it listed the dead one again.

Ruled out: birth alone (not told everywhere, and clocks step); letting the last speaker win (the words that arrive in the two cases are the same; a true restart would lose its place to a delayed word as well).

Change: a word that disputes an address is not recorded as it comes. The control process that got it asks the address, naming the start; where nobody answers, a start counts that speaks again a heartbeat later. Commands carry what is known (Evidence); a word that nothing disputed when it came does not count if another start is there when it is recorded, so all members hold the same. Entries that earlier versions stored are applied as they were. Departures keep their address.

--- a/core/src/main/java/org/bankturn/publication/PublicationCommand.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationCommand.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.bankturn.crash.EndedTarget;
 import org.bankturn.crash.RequestFingerprint;
+import org.bankturn.registry.Evidence;
 import org.bankturn.registry.TargetSighting;
 
 /** A change of what is published, as it stands in the agreement log. */
@@ -25,8 +26,18 @@
     /** Names a version of a model's weights; the highest wins. */
     record NameWeights(String model, int version) implements PublicationCommand {}
 
-    /** Records what a target said. */
-    record RecordTarget(TargetSighting sighting) implements PublicationCommand {}
+    /**
+     * Records what a target said.
+     *
+     * @param sighting what it said, not null
+     * @param evidence what is known of its start beside that; earlier versions stored none
+     */
+    record RecordTarget(TargetSighting sighting, Evidence evidence) implements PublicationCommand {
+        /** Takes what an earlier version stored as it came. */
+        public RecordTarget {
+            evidence = evidence == null ? Evidence.ARRIVAL : evidence;
+        }
+    }
 
     /**
      * Takes a start of a target off the list, and its former starts with it.
--- a/core/src/main/java/org/bankturn/publication/PublicationState.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationState.java
@@ -117,7 +117,7 @@
             return held == null || named.version() > held.version();
         }
         if (command instanceof PublicationCommand.RecordTarget record) {
-            return registry.wouldChange(record.sighting());
+            return registry.wouldChange(record.sighting(), record.evidence());
         }
         if (command instanceof PublicationCommand.RemoveTarget remove) {
             return registry.find(remove.id()).isPresent() || (remove.byItself() && !registry.hasLeft(remove.id()));
@@ -165,7 +165,7 @@
         } else if (command instanceof PublicationCommand.NameWeights named) {
             weights.put(named.model(), new NamedWeights(named.model(), named.version(), entryIndex));
         } else if (command instanceof PublicationCommand.RecordTarget record) {
-            registry.record(entryIndex, record.sighting());
+            registry.record(entryIndex, record.sighting(), record.evidence());
         } else if (command instanceof PublicationCommand.RemoveTarget remove) {
             registry.depart(entryIndex, remove.id(), remove.name(), remove.bornMillis(), remove.byItself());
         } else if (command instanceof PublicationCommand.NoteRuns runs) {
--- a/core/src/main/java/org/bankturn/registry/TargetRegistry.java
+++ b/core/src/main/java/org/bankturn/registry/TargetRegistry.java
@@ -13,8 +13,14 @@
  *
  * <p>A target that said it is leaving never becomes ready again under the same incarnation, and one that left is never
  * listed again. A target may start again under its name: what the later start says counts, whatever the sequence, and what
- * the former said counts no more. When an address is announced by another incarnation, the former one is gone. All calls carry the index
- * of the log entry that causes them, so that members that apply the same entries hold the same registry.
+ * the former said counts no more.
+ *
+ * <p>One target lives at an address. Where incarnations of different names announce the same one, nothing that they say
+ * tells which is the later, and a word of the former may have been delayed by a cut; {@link Evidence} says what was found out
+ * before such a word is recorded.
+ *
+ * <p>All calls carry the index of the log entry that causes them, so that members that apply the same entries hold the same
+ * registry.
  *
  * <p>TargetRegistry is mutable and not thread-safe.
  */
@@ -34,11 +40,17 @@
      * @param lastSequence its newest heartbeat
      * @param index the log entry that removed it
      * @param byItself true if the target said so itself and may not come back
+     * @param address where it was reached; null if it was never listed, or an earlier version stored it
      */
-    public record Departure(String id, String name, long bornMillis, long lastSequence, long index, boolean byItself) {
+    public record Departure(
+            String id, String name, long bornMillis, long lastSequence, long index, boolean byItself, String address) {
         private boolean isOfLaterStartThan(TargetSighting sighting) {
             return sighting.name().equals(name) && bornMillis > sighting.bornMillis();
         }
+
+        private boolean isFormerStartOf(TargetSighting sighting) {
+            return sighting.name().equals(name) && bornMillis < sighting.bornMillis();
+        }
     }
 
     /**
@@ -99,24 +111,49 @@
         return departure != null && departure.byItself();
     }
 
-    /** Returns true if recording the sighting would change what is known. */
+    /** Returns true if recording the sighting, as it came, would change what is known. */
     public boolean wouldChange(TargetSighting sighting) {
+        return wouldChange(sighting, Evidence.ARRIVAL);
+    }
+
+    /** Returns true if recording the sighting would change what is known. */
+    public boolean wouldChange(TargetSighting sighting, Evidence evidence) {
         TargetRecord known = targets.get(sighting.id());
         if (known != null) {
             return sighting.sequence() > known.sighting().sequence()
                     && !known.sighting().saysTheSameAs(stickyDraining(known, sighting));
         }
-        if (isOfFormerStart(sighting)) {
+        if (isOfFormerStart(sighting) || !evidence.suffices(isDoubtful(sighting))) {
             return false;
         }
         Departure departure = departures.get(sighting.id());
         if (departure == null) {
             return true;
         }
-        boolean mayReturn = !departure.byItself() && !isSucceeded(sighting);
+        boolean mayReturn = !departure.byItself() && (evidence == Evidence.SETTLED || !isSucceeded(sighting));
         return mayReturn && sighting.sequence() > departure.lastSequence();
     }
 
+    /**
+     * Returns true if another start is, or was later, at the address of one that is not listed, so that the sighting alone
+     * does not show which of them is there now.
+     */
+    public boolean isDoubtful(TargetSighting sighting) {
+        if (targets.containsKey(sighting.id()) || hasLeft(sighting.id()) || isOfFormerStart(sighting)) {
+            return false;
+        }
+        boolean another = targets.values().stream()
+                .map(TargetRecord::sighting)
+                .anyMatch(each -> each.address().equals(sighting.address()) && !sighting.isLaterStartOf(each));
+        Departure own = departures.get(sighting.id());
+        long since = own == null ? 0 : own.index();
+        return another
+                || departures.values().stream()
+                        .filter(each -> !each.id().equals(sighting.id()) && each.index() > since)
+                        .filter(each -> !each.isFormerStartOf(sighting))
+                        .anyMatch(each -> sighting.address().equals(each.address()));
+    }
+
     /** Returns true if the target has started again since it said that. */
     private boolean isOfFormerStart(TargetSighting sighting) {
         boolean present =
@@ -131,13 +168,24 @@
     }
 
     /**
-     * Takes in a sighting.
+     * Takes in a sighting as it came.
      *
      * @param index the log entry
      * @param sighting the sighting, not null
      */
     public void record(long index, TargetSighting sighting) {
-        if (!wouldChange(sighting)) {
+        record(index, sighting, Evidence.ARRIVAL);
+    }
+
+    /**
+     * Takes in a sighting.
+     *
+     * @param index the log entry
+     * @param sighting the sighting, not null
+     * @param evidence what is known of the start beside its word, not null
+     */
+    public void record(long index, TargetSighting sighting, Evidence evidence) {
+        if (!wouldChange(sighting, evidence)) {
             return;
         }
         List<String> replaced = new ArrayList<>();
@@ -191,7 +239,8 @@
         departures.remove(id);
         String name = known == null ? assumedName : known.sighting().name();
         long bornMillis = known == null ? assumedBornMillis : known.sighting().bornMillis();
-        departures.put(id, new Departure(id, name, bornMillis, last, index, byItself));
+        String address = known == null ? null : known.sighting().address();
+        departures.put(id, new Departure(id, name, bornMillis, last, index, byItself, address));
         if (departures.size() > REMEMBERED_DEPARTURES) {
             Departure oldest = departures.values().iterator().next();
             departures.remove(oldest.id());
--- a/core/src/test/java/org/bankturn/publication/PublicationStateTest.java
+++ b/core/src/test/java/org/bankturn/publication/PublicationStateTest.java
@@ -7,6 +7,7 @@
 import org.bankturn.crash.EndedTarget;
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.crash.Suspect;
+import org.bankturn.registry.Evidence;
 import org.bankturn.registry.TargetRegistry;
 import org.bankturn.registry.TargetSighting;
 import org.junit.jupiter.api.Test;
@@ -33,8 +34,8 @@
     @Test
     void an_update_carries_only_what_changed_since() {
         state.apply(1, new PublicationCommand.PutDocument(1, new byte[] {1}));
-        state.apply(2, new PublicationCommand.RecordTarget(sighting("a", 1)));
-        state.apply(3, new PublicationCommand.RecordTarget(sighting("b", 1)));
+        state.apply(2, new PublicationCommand.RecordTarget(sighting("a", 1), Evidence.UNDISPUTED));
+        state.apply(3, new PublicationCommand.RecordTarget(sighting("b", 1), Evidence.UNDISPUTED));
         state.apply(4, new PublicationCommand.RemoveTarget("a", true));
         PublicationUpdate update = state.updateSince(2);
         assertThat(update.document()).isNull();
@@ -56,7 +57,7 @@
     @Test
     void a_restored_state_gives_the_same_updates() {
         state.apply(1, new PublicationCommand.PutDocument(1, new byte[] {1}));
-        state.apply(2, new PublicationCommand.RecordTarget(sighting("a", 1)));
+        state.apply(2, new PublicationCommand.RecordTarget(sighting("a", 1), Evidence.UNDISPUTED));
         state.apply(3, new PublicationCommand.RemoveTarget("a", false));
         PublicationState restored = PublicationState.restore(state.snapshot());
         assertThat(restored.updateSince(1).gone()).containsExactly("a");
@@ -68,7 +69,7 @@
     void ends_and_whole_runs_are_published_and_survive_a_snapshot() {
         RequestFingerprint one = new RequestFingerprint(1, 1);
         RequestFingerprint other = new RequestFingerprint(2, 2);
-        state.apply(1, new PublicationCommand.RecordTarget(sighting("a", 1)));
+        state.apply(1, new PublicationCommand.RecordTarget(sighting("a", 1), Evidence.UNDISPUTED));
         state.apply(2, noted(List.of(new EndedTarget("t1", List.of(one, other))), List.of()));
         state.apply(3, noted(List.of(new EndedTarget("t2", List.of(one))), List.of(other)));
         PublicationState restored = PublicationState.restore(state.snapshot());
--- a/daemon/src/main/java/org/bankturn/daemon/group/ControlDialect.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/ControlDialect.java
@@ -1,5 +1,6 @@
 package org.bankturn.daemon.group;
 
+import java.util.Optional;
 import org.bankturn.daemon.http.HttpHead;
 
 /** How operators and targets speak to control processes: names and formats only. */
@@ -12,4 +13,15 @@
 
     /** Returns the body of an answer, not null. */
     byte[] body(ControlAnswer answer);
+
+    /**
+     * Returns a question to whoever is at the address of a target.
+     *
+     * @param healthPath where targets of its service tell their health, not null
+     * @param name the target that is meant, not null
+     */
+    HttpHead look(String healthPath, String name);
+
+    /** Returns whether the target that was meant gave an answer, empty if that cannot be told. */
+    Optional<Boolean> isFrom(String name, HttpHead answer);
 }
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -134,7 +134,8 @@
                 clock);
         this.reads = DocumentReads.of(reactor, clients, member);
         this.targetWatch = TargetWatch.of(reactor, clients, member, log, clock, settings.heartbeatMillis());
-        this.targetCalls = TargetCalls.of(reactor, member, targetWatch, this::isFresh, this::change);
+        DisputedAddresses addresses = DisputedAddresses.of(reactor, clock, dialect, log, settings.heartbeatMillis());
+        this.targetCalls = TargetCalls.of(reactor, member, targetWatch, addresses, format, this::isFresh, this::change);
     }
 
     /** Starts to serve; call on the reactor's thread. */
--- a/daemon/src/main/java/org/bankturn/daemon/group/TargetCalls.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/TargetCalls.java
@@ -2,10 +2,19 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import org.bankturn.codec.Deflated;
+import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.publication.PublicationCommand;
+import org.bankturn.publication.PublicationState;
+import org.bankturn.registry.Evidence;
+import org.bankturn.registry.TargetRegistry;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.service.DocumentFormat;
+import org.bankturn.service.Service;
+import org.bankturn.service.UnreadableDocumentException;
 
 /**
  * What targets say to a control process: that they are there, and that they leave.
@@ -16,6 +25,8 @@
     private final Eventloop reactor;
     private final GroupMember member;
     private final TargetWatch watch;
+    private final DisputedAddresses addresses;
+    private final DocumentFormat format;
     private final BooleanSupplier isFresh;
     private final Function<PublicationCommand, Promise<ControlAnswer>> change;
 
@@ -25,6 +36,8 @@
      * @param reactor its reactor, not null
      * @param member the member of the group, not null
      * @param watch notices targets that fall silent, not null
+     * @param addresses finds out who is at an address, not null
+     * @param format reads operators' documents, not null
      * @param isFresh tells whether the member was in touch with a majority of late, not null
      * @param change has the group commit a command, not null
      */
@@ -32,20 +45,26 @@
             Eventloop reactor,
             GroupMember member,
             TargetWatch watch,
+            DisputedAddresses addresses,
+            DocumentFormat format,
             BooleanSupplier isFresh,
             Function<PublicationCommand, Promise<ControlAnswer>> change) {
-        return new TargetCalls(reactor, member, watch, isFresh, change);
+        return new TargetCalls(reactor, member, watch, addresses, format, isFresh, change);
     }
 
     private TargetCalls(
             Eventloop reactor,
             GroupMember member,
             TargetWatch watch,
+            DisputedAddresses addresses,
+            DocumentFormat format,
             BooleanSupplier isFresh,
             Function<PublicationCommand, Promise<ControlAnswer>> change) {
         this.reactor = reactor;
         this.member = member;
         this.watch = watch;
+        this.addresses = addresses;
+        this.format = format;
         this.isFresh = isFresh;
         this.change = change;
     }
@@ -56,11 +75,49 @@
             return Promise.of(new ControlAnswer.Unavailable("not in touch with a majority"));
         }
         watch.heard(sighting.id());
-        return ReactorPromises.of(
-                        reactor, member.query(state -> state.registry().hasLeft(sighting.id())))
-                .then(left -> left
-                        ? Promise.of(new ControlAnswer.Accepted())
-                        : change.apply(new PublicationCommand.RecordTarget(sighting)));
+        return ReactorPromises.of(reactor, member.query(state -> standing(state.registry(), sighting)))
+                .then(standing -> switch (standing) {
+                    case LEFT -> Promise.of(new ControlAnswer.Accepted());
+                    case UNDISPUTED -> change.apply(new PublicationCommand.RecordTarget(sighting, Evidence.UNDISPUTED));
+                    case DISPUTED -> settle(sighting);
+                });
+    }
+
+    /** What the registry says of a start before its word is recorded. */
+    private enum Standing {
+        LEFT,
+        DISPUTED,
+        UNDISPUTED
+    }
+
+    private static Standing standing(TargetRegistry registry, TargetSighting sighting) {
+        if (registry.hasLeft(sighting.id())) {
+            return Standing.LEFT;
+        }
+        // relays choose a name anew at each start, and whichever is listed is reached at the same address
+        boolean isTarget = !sighting.service().equals(WeightsRelay.SERVICE);
+        return isTarget && registry.isDoubtful(sighting) ? Standing.DISPUTED : Standing.UNDISPUTED;
+    }
+
+    private Promise<ControlAnswer> settle(TargetSighting sighting) {
+        return ReactorPromises.of(reactor, member.query(state -> healthPath(state, sighting.service())))
+                .then(path -> addresses.isThere(sighting, path))
+                .then(there -> there
+                        ? change.apply(new PublicationCommand.RecordTarget(sighting, Evidence.SETTLED))
+                        : Promise.of(new ControlAnswer.Accepted()));
+    }
+
+    private Optional<String> healthPath(PublicationState state, String service) {
+        if (state.document() == null) {
+            return Optional.empty();
+        }
+        try {
+            return format.read(Deflated.inflate(state.document()))
+                    .service(service)
+                    .map(Service::healthPath);
+        } catch (UnreadableDocumentException e) {
+            throw new IllegalStateException("an accepted document cannot be read: " + e.getMessage(), e);
+        }
     }
 
     /** Takes off the start of the target that is meant; one that is not known here yet must not be listed later. */
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -113,6 +113,21 @@
         }
     }
 
+    /** A cut held a heartbeat back until its sender had crashed and another target had started at the address. */
+    @Test
+    void a_delayed_heartbeat_of_a_start_that_ended_displaces_nobody_at_any_box() throws Exception {
+        assertThat(untilAccepted(0, "/beat/t2/ready/1/10.0.0.1:80", "")).isEqualTo(200);
+        for (int box = 0; box < BOXES; box++) {
+            assertThat(untilAccepted(box, "/beat/t1/ready/9/10.0.0.1:80", "")).isEqualTo(200);
+        }
+        assertThat(untilAccepted(1, "/beat/t3/ready/1/10.0.0.3:80", "")).isEqualTo(200);
+        AtomicReference<Published> seen = follow(2);
+        while (!seen.get().targets().containsKey("t3")) {
+            Thread.onSpinWait();
+        }
+        assertThat(seen.get().targets()).containsKey("t2").doesNotContainKey("t1");
+    }
+
     @Test
     void without_a_majority_nothing_is_acknowledged_and_nothing_read() throws Exception {
         assertThat(untilAccepted(0, "/put", "7")).isEqualTo(200);
