Specification of the registry: starts that share only an address

Words of two starts that nothing orders are recorded only if the address, asked by name, is that start's. A start that left before it was listed cannot be related to the former one by address; the invariant about later starts speaks of recorded ones there.

--- a/specs/Registry.tla
+++ b/specs/Registry.tla
@@ -9,6 +9,11 @@
 (* see it ready again, and whoever was told of a later start must never    *)
 (* see the former one.                                                     *)
 (*                                                                         *)
+(* A target may be told as well by its address alone, where each start has *)
+(* another name and nothing in two words tells which is newer.  Then a     *)
+(* word that another start disputes is recorded only if the address, asked *)
+(* by name, is that start's.                                               *)
+(*                                                                         *)
 (* The group that agrees on the list is one register here; the module      *)
 (* Agreement shows that it is.                                             *)
 (***************************************************************************)
@@ -18,6 +23,8 @@
           MaxStarts,        \* starts of each target explored
           MaxBeats,         \* heartbeats of each start explored
           StartGuard,       \* TRUE: a later start wins over any number (the design); FALSE: seeded fault
+          KnowsOrder,       \* TRUE: starts tell when they were born; FALSE: they only share an address
+          LookGuard,        \* TRUE: a disputed address is asked who is there (the design); FALSE: seeded fault
           FormerGuard,      \* TRUE: a start that leaves takes the former ones off (the design); FALSE: seeded fault
           SequenceGuard,    \* TRUE: older heartbeats change nothing (the design); FALSE: seeded fault
           DepartureGuard    \* TRUE: who has left is remembered (the design); FALSE: seeded fault
@@ -38,7 +45,7 @@
 vars == <<start, sent, draining, leaving, messages, listed, departed, toldStart, toldDraining, toldGone>>
 
 Unlisted == [start |-> 0, number |-> 0, drains |-> FALSE, on |-> FALSE]
-Present == [number |-> 0, byItself |-> FALSE, off |-> FALSE]
+Present == [number |-> 0, byItself |-> FALSE, off |-> FALSE, since |-> 0]
 
 Init ==
     /\ start = [t \in Targets |-> 1]
@@ -86,13 +93,31 @@
 IsOld(t, s, number) ==
     listed[t].on /\ (~StartGuard \/ listed[t].start = s) /\ number <= listed[t].number
 
+\* Another start is there, or was taken off later than this one was.
+IsDisputed(t, s) ==
+    \/ listed[t].on /\ listed[t].start # s
+    \/ ~listed[t].on /\ \E other \in Starts :
+           other # s /\ departed[<<t, other>>].off /\ departed[<<t, other>>].since > departed[<<t, s>>].since
+
+\* The address answers by the name of the present start.
+IsSettled(t, s) == ~LookGuard \/ s = start[t]
+
+MayStand(t, s) ==
+    IF KnowsOrder THEN ~(StartGuard /\ IsOfFormerStart(t, s))
+    ELSE ~IsDisputed(t, s) \/ IsSettled(t, s)
+
 \* A heartbeat is taken in unless it is old, or the start has left; a start that drains drains for good.
 Taken(t, s, number) ==
-    /\ ~(StartGuard /\ IsOfFormerStart(t, s))
+    /\ MayStand(t, s)
     /\ ~(DepartureGuard /\ departed[<<t, s>>].off
             /\ (departed[<<t, s>>].byItself \/ number <= departed[<<t, s>>].number))
     /\ ~(SequenceGuard /\ IsOld(t, s, number))
 
+\* Departures of a target are counted, so that it shows which was the last.
+NextDeparture(t) ==
+    LET counts == {departed[<<t, s>>].since : s \in Starts}
+    IN 1 + (CHOOSE most \in counts : \A other \in counts : other <= most)
+
 OnHeartbeat(m) ==
     LET t == m[1]
         s == m[2]
@@ -104,20 +129,23 @@
                /\ departed' = [d \in DOMAIN departed |->
                                 IF d = <<t, s>> THEN Present
                                 ELSE IF replaced /\ d = <<t, listed[t].start>>
-                                     THEN [number |-> listed[t].number, byItself |-> FALSE, off |-> TRUE]
+                                     THEN [number |-> listed[t].number, byItself |-> FALSE, off |-> TRUE,
+                                           since |-> NextDeparture(t)]
                                      ELSE departed[d]]
           ELSE UNCHANGED <<listed, departed>>
-       /\ toldStart' = [toldStart EXCEPT ![t] = IF s > @ THEN s ELSE @]
+       \* by addresses alone, a start that left before it was listed cannot be related to the former one
+       /\ toldStart' = [toldStart EXCEPT ![t] = IF s > @ /\ (KnowsOrder \/ Taken(t, s, m[3])) THEN s ELSE @]
        /\ toldDraining' = toldDraining \cup (IF m[4] THEN {<<t, s>>} ELSE {})
        /\ UNCHANGED <<start, sent, draining, leaving, messages, toldGone>>
 
 \* A start that leaves shows that the former ones have ended.
 TakeOff(t, s, byItself) ==
     LET isListed == listed[t].on /\ listed[t].start = s
-        isFormer == FormerGuard /\ listed[t].on /\ listed[t].start < s
+        isFormer == FormerGuard /\ KnowsOrder /\ listed[t].on /\ listed[t].start < s
         number == IF isListed THEN listed[t].number ELSE 0
     IN /\ listed' = IF isListed \/ isFormer THEN [listed EXCEPT ![t] = Unlisted] ELSE listed
-       /\ departed' = [departed EXCEPT ![<<t, s>>] = [number |-> number, byItself |-> byItself, off |-> TRUE]]
+       /\ departed' = [departed EXCEPT ![<<t, s>>] = [number |-> number, byItself |-> byItself, off |-> TRUE,
+                                                     since |-> NextDeparture(t)]]
 
 OnLeave(t, s) ==
     /\ <<t, s>> \in leaving /\ <<t, s>> \notin toldGone
