Weights: an older version that is well under way is finished first, any other is left for the newer one

Change: VersionOrder decides, by what is here of the older one; FetchTurns holds the other back at the origin and on the link, unless the first of them makes no progress for a second. Relays count what they were to fetch, not the whole copy.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
@@ -51,16 +51,24 @@
     private static final int TRANSFERS_BESIDE_ORIGIN = 5;
     private static final String FROM_NEIGHBOUR = "neighbour";
 
+    /** A version of which no piece came for that long keeps no other back: it may not be there any longer. */
+    private static final long PROGRESS_MILLIS = 1_000;
+
     private final WeightsSurroundings around;
     private final String model;
     private final int version;
     private final PieceTaker taker;
+    private final FetchTurns turns;
     private final Neighbours neighbours;
     private final PieceTally tally = new PieceTally();
     private final Map<Integer, Set<PieceSource>> failed = new HashMap<>();
     private final Deque<Turn> ready = new ArrayDeque<>();
     private final Deque<Integer> fromOrigin = new ArrayDeque<>();
     private int originCalls;
+    private int originRetries;
+    private int fetched;
+    private int taken;
+    private long tookMillis;
     private PieceRouting published;
     private PieceRouting corrected;
     private int emptyThen;
@@ -69,19 +77,57 @@
     /** A piece that may be transferred from a neighbour. */
     private record Turn(int piece, Neighbour from) {}
 
-    PieceFetcher(WeightsSurroundings around, String model, int version, PieceTaker taker) {
+    PieceFetcher(WeightsSurroundings around, String model, int version, PieceTaker taker, FetchTurns turns) {
         this.around = around;
         this.model = model;
         this.version = version;
         this.taker = taker;
+        this.turns = turns;
         this.neighbours = new Neighbours(around.clock());
+        this.tookMillis = around.clock().millis();
+        turns.began(this);
     }
 
     /** Fetches a piece until it is here. */
     void fetch(int piece) {
+        fetched++;
         fetch(piece, 0);
     }
 
+    // ---- beside other versions
+
+    int version() {
+        return version;
+    }
+
+    /** Returns the share that is here of what was to be fetched. */
+    double shareHere() {
+        return (double) taken / Math.max(1, fetched);
+    }
+
+    /** Returns true if a piece came lately, and others are still missing. */
+    boolean makesProgress() {
+        return !stopped && taken < fetched && around.clock().millis() - tookMillis < PROGRESS_MILLIS;
+    }
+
+    /** Returns true if pieces are to be fetched from the origin. */
+    boolean asksOrigin() {
+        return waitingForOrigin() + originRetries > 0;
+    }
+
+    /** Returns true if pieces are on their way from neighbours, or could be. */
+    boolean hasTransfers() {
+        return waitingForTransfer() > 0;
+    }
+
+    /** Makes use of what another version has left. */
+    void goOn() {
+        fetchFromOrigin();
+        transferMore();
+    }
+
+    // ---- fetching
+
     /** Returns true if this box is the one that fetches a piece from the origin. */
     boolean isOriginFetcher(int piece) {
         return routing().sourceOf(piece, Set.of()) instanceof PieceSource.Origin;
@@ -89,6 +135,7 @@
 
     void stop() {
         stopped = true;
+        turns.ended(this);
     }
 
     /** Returns the pieces that wait for the origin. */
@@ -203,7 +250,7 @@
 
     /** Takes the turns that may begin now out of the queue, and those whose neighbour is avoided by now. */
     private List<Turn> nextTransfers() {
-        int atOnce = transfersAtOnce();
+        int atOnce = turns.mayTransfer(this) ? transfersAtOnce() : 0;
         List<Turn> next = new ArrayList<>();
         Set<PieceSource> avoided = neighbours.unfit();
         Iterator<Turn> turns = ready.iterator();
@@ -249,6 +296,7 @@
         NodeRequest.GetPiece question = new NodeRequest.GetPiece(model, version, turn.piece());
         around.askNeighbour(box, question).whenComplete((bytes, failure) -> {
             neighbours.transferEnded(box);
+            turns.goOn(this);
             if (failure != null) {
                 logFailure(turn.piece(), box, "no transfer: " + failure.getMessage());
                 neighbours.avoid(box);
@@ -285,7 +333,10 @@
 
     private boolean takes(int piece, byte[] bytes, String source) {
         boolean good = bytes != null && taker.take(piece, bytes, source);
-        if (!good) {
+        if (good) {
+            taken++;
+            tookMillis = around.clock().millis();
+        } else {
             logFailure(piece, source, bytes == null ? "no piece" : "spoilt");
             around.metrics().pieceRejected(source);
         }
@@ -295,7 +346,10 @@
     // ---- the origin
 
     private void fetchFromOrigin() {
-        while (!stopped && !fromOrigin.isEmpty() && originCalls < around.originCallsAtOnce()) {
+        while (!stopped
+                && !fromOrigin.isEmpty()
+                && originCalls < around.originCallsAtOnce()
+                && turns.mayAskOrigin(this)) {
             int piece = fromOrigin.poll();
             if (isNeeded(piece)) {
                 callOrigin(piece);
@@ -307,7 +361,11 @@
         if (takes(piece, bytes, FROM_ORIGIN)) {
             tally.tookFrom(FROM_ORIGIN);
         } else {
-            around.reactor().delayBackground(RETRY_MILLIS, () -> fetch(piece, 0));
+            originRetries++;
+            around.reactor().delayBackground(RETRY_MILLIS, () -> {
+                originRetries--;
+                fetch(piece, 0);
+            });
         }
     }
 
@@ -323,8 +381,8 @@
                     if (isNeeded(piece)) {
                         takeFromOrigin(piece, failure == null ? bytes : null);
                     }
-                    fetchFromOrigin();
-                    transferMore();
+                    goOn();
+                    turns.goOn(this);
                 });
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -43,6 +43,7 @@
     private final WeightsSettings settings;
     private final ProcessSurroundings around;
     private final PieceSender sender;
+    private final FetchTurns turns = new FetchTurns();
     private Published published = Published.NOTHING;
     private WeightsCopy copy;
 
@@ -190,7 +191,7 @@
                 .with(DecisionField.EVENT, "copy begun")
                 .with(DecisionField.VERSION, version)
                 .write();
-        WeightsCopy begun = new WeightsCopy(around, layout().orElseThrow(), version);
+        WeightsCopy begun = new WeightsCopy(around, layout().orElseThrow(), version, turns);
         begun.begin();
         return begun;
     }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -20,6 +20,7 @@
 import org.bankturn.service.WeightsLayout;
 import org.bankturn.weights.ChangeMethod;
 import org.bankturn.weights.PieceRouting;
+import org.bankturn.weights.VersionOrder;
 
 /**
  * One version of a model's weights on its way to this box.
@@ -34,9 +35,6 @@
 
     private static final long RETRY_MILLIS = 150;
 
-    /** Relays have a whole copy by the time that a box on a link of half the origin's rate has about half of it. */
-    private static final double WELL_UNDER_WAY_SHARE = 0.35;
-
     private static final long PROGRESS_MILLIS = 1_000;
 
     private final WeightsSurroundings around;
@@ -58,11 +56,15 @@
     private record Waiter(int piece, SettablePromise<Boolean> here) {}
 
     WeightsCopy(WeightsSurroundings around, WeightsLayout layout, int version) {
+        this(around, layout, version, new FetchTurns());
+    }
+
+    WeightsCopy(WeightsSurroundings around, WeightsLayout layout, int version, FetchTurns turns) {
         this.around = around;
         this.layout = layout;
         this.version = version;
         this.beganMillis = around.clock().millis();
-        this.fetcher = new PieceFetcher(around, layout.model(), version, this);
+        this.fetcher = new PieceFetcher(around, layout.model(), version, this, turns);
     }
 
     int version() {
@@ -76,7 +78,7 @@
 
     /** Returns true if so much is here that the rest is likely to come, even if the origin fails now. */
     boolean isWellUnderWay() {
-        return manifest != null && here() > pieces.length * WELL_UNDER_WAY_SHARE;
+        return manifest != null && VersionOrder.finishesOlder((double) here() / pieces.length);
     }
 
     private int here() {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsRelay.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsRelay.java
@@ -50,6 +50,7 @@
     private final WeightsWiring wiring;
     private final PieceSender sender;
     private final Map<String, TreeMap<Integer, WeightsCopy>> copies = new HashMap<>();
+    private final Map<String, FetchTurns> turns = new HashMap<>();
     private Published published = Published.NOTHING;
 
     /**
@@ -141,7 +142,11 @@
                 .with(DecisionField.VERSION, version)
                 .write();
         ProcessSurroundings around = new ProcessSurroundings(wiring, new RelayPlace(service.name()));
-        WeightsCopy begun = new WeightsCopy(around, service.weights(), version);
+        WeightsCopy begun = new WeightsCopy(
+                around,
+                service.weights(),
+                version,
+                turns.computeIfAbsent(service.weights().model(), key -> new FetchTurns()));
         begun.begin();
         return begun;
     }
