--- a/daemon/src/main/java/org/bankturn/daemon/group/TargetCalls.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/TargetCalls.java
@@ -78,7 +78,8 @@
         return ReactorPromises.of(reactor, member.query(state -> standing(state.registry(), sighting)))
                 .then(standing -> switch (standing) {
                     case LEFT -> Promise.of(new ControlAnswer.Accepted());
-                    case UNDISPUTED -> change.apply(new PublicationCommand.RecordTarget(sighting, Evidence.UNDISPUTED));
+                    case RELAY -> record(sighting, Evidence.ARRIVAL);
+                    case UNDISPUTED -> record(sighting, Evidence.UNDISPUTED);
                     case DISPUTED -> settle(sighting);
                 });
     }
