--- a/core/src/main/java/org/bankturn/routing/FirstTries.java
+++ b/core/src/main/java/org/bankturn/routing/FirstTries.java
@@ -1,12 +1,15 @@
 package org.bankturn.routing;
 
+import org.bankturn.time.Clock;
+
 /**
- * Keeps places for requests that are tried for the first time while there are too few for all.
+ * Keeps places for requests that are tried for the first time while there are too few for all, for long.
  *
- * <p>Load pattern: more requests than engines bear, for long. Callers that were refused come back, and their answers are late
- * whatever happens; each place that one of them gets is missing for a first try that could still be answered in time, which
- * is then refused and comes back late as well. While first tries are refused, returning callers are therefore refused
- * sooner; where hardly any first try is, as after a shortage that has passed, they are taken on like all others.
+ * <p>Load pattern: more requests than engines bear. Callers that were refused come back, and their answers are late whatever
+ * happens; each place that one of them gets is missing for a first try that could still be answered in time, which is then
+ * refused and comes back late as well. Once first tries have been refused for longer than callers stay away, returning
+ * callers are therefore refused sooner. A shortage that passes, as while engines come back, ends before that; then those
+ * who had to wait are taken on like all others, since there will be places for them.
  *
  * <p>FirstTries is mutable and not thread-safe.
  */
@@ -17,21 +20,42 @@
     /** Where that share of the first tries is refused, returning callers get no place that another might want. */
     private static final double SHORTAGE = 0.1;
 
+    /** Most callers that were refused have come back by then. */
+    private static final long LASTING_MILLIS = 3_000;
+
+    private static final long NEVER = Long.MAX_VALUE;
+
+    private final Clock clock;
     private double refusedShare;
+    private long shortSinceMillis = NEVER;
 
-    static FirstTries none() {
-        return new FirstTries();
+    static FirstTries none(Clock clock) {
+        return new FirstTries(clock);
     }
 
-    private FirstTries() {}
+    private FirstTries(Clock clock) {
+        this.clock = clock;
+    }
 
     /** Takes in what was decided about a first try. */
     void decided(boolean refused) {
         refusedShare += LEARNING * ((refused ? 1 : 0) - refusedShare);
+        if (refusedShare < SHORTAGE / 2) {
+            shortSinceMillis = NEVER;
+        } else if (refusedShare >= SHORTAGE && shortSinceMillis == NEVER) {
+            shortSinceMillis = clock.millis();
+        }
+    }
+
+    /** Takes in that no engine could take a first try: what was short before tells nothing of what follows. */
+    void noEngine() {
+        refusedShare = 0;
+        shortSinceMillis = NEVER;
     }
 
     /** Returns how much of the usual limit holds for a caller that has come back, 0 to 1. */
     double limitShareOfReturning() {
-        return Math.max(0, 1 - refusedShare / SHORTAGE);
+        boolean lasts = shortSinceMillis != NEVER && clock.millis() - shortSinceMillis >= LASTING_MILLIS;
+        return lasts ? Math.max(0, 1 - refusedShare / SHORTAGE) : 1;
     }
 }
--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -81,6 +81,8 @@
         configuration = newest;
         mostUrgent.clear();
         gatewaysThere.ifPresent(this::gatewaysSeen);
+        // budgets earn with time from the moment on that a service is known
+        newest.services().values().forEach(this::retryBudget);
     }
 
     private void gatewaysSeen(int there) {
@@ -172,6 +174,7 @@
     private NextStep place(RequestProgress request) {
         Optional<Choice> choice = choose(request);
         if (choice.isEmpty()) {
+            firstTries(request.service()).noEngine();
             long comeBack =
                     request.tried().isEmpty() ? ComeBack.WITHOUT_TARGET_MILLIS : ComeBack.AFTER_ALL_TARGETS_MILLIS;
             return new NextStep.GiveUp("no target left", comeBack);
@@ -252,7 +255,7 @@
     }
 
     private FirstTries firstTries(Service service) {
-        return firstTries.computeIfAbsent(service.name(), key -> FirstTries.none());
+        return firstTries.computeIfAbsent(service.name(), key -> FirstTries.none(clock));
     }
 
     private VersionsDue versionsDue(Service service) {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/PieceFetcher.java
@@ -51,8 +51,8 @@
     private static final int TRANSFERS_BESIDE_ORIGIN = 5;
     private static final String FROM_NEIGHBOUR = "neighbour";
 
-    /** A version of which no piece came for that long keeps no other back: it may not be there any longer. */
-    private static final long PROGRESS_MILLIS = 1_000;
+    /** A version that the origin answers for so often without a good piece keeps no other back: it may be gone there. */
+    private static final int MOST_ANSWERS_IN_VAIN = 5;
 
     private final WeightsSurroundings around;
     private final String model;
@@ -68,7 +68,7 @@
     private int originRetries;
     private int fetched;
     private int taken;
-    private long tookMillis;
+    private int answersInVain;
     private PieceRouting published;
     private PieceRouting corrected;
     private int emptyThen;
@@ -84,7 +84,6 @@
         this.taker = taker;
         this.turns = turns;
         this.neighbours = new Neighbours(around.clock());
-        this.tookMillis = around.clock().millis();
         turns.began(this);
     }
 
@@ -105,9 +104,9 @@
         return (double) taken / Math.max(1, fetched);
     }
 
-    /** Returns true if a piece came lately, and others are still missing. */
+    /** Returns true if pieces are missing and likely to come, once the origin answers at all. */
     boolean makesProgress() {
-        return !stopped && taken < fetched && around.clock().millis() - tookMillis < PROGRESS_MILLIS;
+        return !stopped && taken < fetched && answersInVain < MOST_ANSWERS_IN_VAIN;
     }
 
     /** Returns true if pieces are to be fetched from the origin. */
@@ -335,7 +334,7 @@
         boolean good = bytes != null && taker.take(piece, bytes, source);
         if (good) {
             taken++;
-            tookMillis = around.clock().millis();
+            answersInVain = 0;
         } else {
             logFailure(piece, source, bytes == null ? "no piece" : "spoilt");
             around.metrics().pieceRejected(source);
@@ -378,6 +377,7 @@
                 .map(HttpCalls.Answer::body)
                 .whenComplete((bytes, failure) -> {
                     originCalls--;
+                    answersInVain += failure == null || failure instanceof AnsweredException ? 1 : 0;
                     if (isNeeded(piece)) {
                         takeFromOrigin(piece, failure == null ? bytes : null);
                     }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/ProcessSurroundings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/ProcessSurroundings.java
@@ -149,8 +149,7 @@
     private static Promise<HttpCalls.Answer> succeeding(Promise<HttpCalls.Answer> call) {
         return call.then(answer -> answer.isSuccess()
                 ? Promise.of(answer)
-                : Promise.ofException(
-                        new IOException("answered " + answer.head().status())));
+                : Promise.ofException(new AnsweredException(answer.head().status())));
     }
 
     @Override
