--- a/core/src/main/java/org/bankturn/routing/ConnectionTrust.java
+++ b/core/src/main/java/org/bankturn/routing/ConnectionTrust.java
@@ -16,7 +16,7 @@
  * <p>ConnectionTrust is mutable and not thread-safe.
  */
 public final class ConnectionTrust {
-    /** Peers that answer several requests at once leave no such pause between parts of answers; not measured by itself. */
+    /** Peers that answer several requests at once leave no such pause between parts of answers. */
     private static final long ALL_SILENT_MILLIS = 300;
 
     /** One or two requests may wait that long at busy peers; that three do at two peers, with no word from any, is rare. */
--- a/core/src/main/java/org/bankturn/routing/PredictionCorrection.java
+++ b/core/src/main/java/org/bankturn/routing/PredictionCorrection.java
@@ -13,13 +13,13 @@
     /** Share of a new observation in the correction: about the last seven count. */
     private static final double LEARNING = 0.15;
 
-    /** What a refusal leaves of the correction: half is gone after 23; not measured by itself. */
+    /** What a refusal leaves of the correction: half is gone after 23. */
     private static final double FADING = 0.97;
 
     /** A correction that is smaller than that is nothing. */
     private static final double LEAST_MILLIS = 1;
 
-    /** More than that counts as that: one event that comes very late says little of the next; not measured. */
+    /** More than that counts as that: one event that comes very late says little of the next. */
     private static final double MOST_MILLIS = 1_000;
 
     private double extraMillis;
--- a/core/src/main/java/org/bankturn/routing/RetryBudget.java
+++ b/core/src/main/java/org/bankturn/routing/RetryBudget.java
@@ -103,12 +103,6 @@
         return true;
     }
 
-    /** Returns the retries that may be spent now, 0 or more. */
-    public synchronized int left() {
-        earn(0);
-        return (int) earned;
-    }
-
     /** Adds what came since the last count, up to what may be kept. */
     private void earn(double more) {
         long now = clock.millis();
--- a/core/src/main/java/org/bankturn/routing/SilenceBound.java
+++ b/core/src/main/java/org/bankturn/routing/SilenceBound.java
@@ -16,7 +16,7 @@
     /** An answer that has not begun after that many objectives is late already. */
     private static final double OBJECTIVES = 1.8;
 
-    /** Predictions are off by less than this factor for most requests; not measured by itself. */
+    /** Predictions are off by less than this factor for most requests. */
     private static final double PREDICTIONS = 2;
 
     /** What a stream may pause: engines that read long prompts pause for some passes. */
--- a/core/src/main/java/org/bankturn/routing/TargetState.java
+++ b/core/src/main/java/org/bankturn/routing/TargetState.java
@@ -14,7 +14,7 @@
     /** A target that failed once is avoided for about as long as a crashed one needs to be noticed by its silence. */
     private static final long FIRST_AVOIDANCE_MILLIS = 500;
 
-    /** A target that comes and goes is tried again at least that often; not measured by itself. */
+    /** A target that comes and goes is tried again at least that often. */
     private static final long MOST_AVOIDANCE_MILLIS = 4_000;
 
     /** A target that was full has read a prompt or two by then: one pass of a busy engine. */
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -29,7 +29,7 @@
     /** How long a plain service takes for a request until something better is known. */
     private static final double PLAIN_MILLIS = 20;
 
-    /** A path of which nothing was heard for long may have become that slow: seen on squeezed links, 1 to 1.4 s. */
+    /** A path of which nothing was heard for long may have become that slow, as a squeezed link does. */
     private static final long MOST_PATH_MILLIS = 1_500;
 
     /** A path on which nothing was heard is taken to be that slow at least. */
@@ -241,7 +241,7 @@
         if (!mayTake(state, wanted)) {
             return;
         }
-        // counted one by one, questions that no engine answered had 22 of 41 requests refused (SilentTargetsTest)
+        // counted one by one, questions that no engine answers would have most requests refused
         long way = Math.max(
                 state.pathMillis(), openQuestions.wayMillis(state.sighting().id()));
         double predicted = predictedMillis(state, wanted, now) + way;
--- a/core/src/main/java/org/bankturn/weights/ChangeTurns.java
+++ b/core/src/main/java/org/bankturn/weights/ChangeTurns.java
@@ -10,10 +10,8 @@
  *
  * <p>An engine that changes takes nothing new meanwhile, and ends what it runs or breaks it off, so the others must carry its
  * load. Turns are spread evenly from when copies are whole until what the method leaves of the time, and go round the data
- * halls, so that in any part of the span about the same share of each hall's engines is changing. Spread over 2.9 s in place
- * of 1.9 s, the two worst windows of 2 s in a change of 15 engines earned 0.77 in place of 0.70 of their credit (one play
- * each). Every box computes its own turn from what is published, so no word from a leader is needed, and a box that is late
- * or gone holds nobody up.
+ * halls, so that in any part of the span about the same share of each hall's engines is changing. Every box computes its
+ * own turn from what is published, so no word from a leader is needed, and a box that is late or gone holds nobody up.
  *
  * <p>ChangeTurns is immutable and thread-safe.
  */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/SilenceWatch.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/SilenceWatch.java
@@ -16,7 +16,7 @@
  * SilenceWatch is confined to its reactor's thread.
  */
 final class SilenceWatch {
-    /** How often it is looked again whether another target can take the request; not measured. */
+    /** How often it is looked again whether another target can take the request. */
     private static final long LOOK_AGAIN_MILLIS = 200;
 
     private final Gateway gateway;
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetConnections.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetConnections.java
@@ -29,7 +29,7 @@
         Deque<TargetConnection> kept = resting.getOrDefault(target, new ArrayDeque<>());
         while (!kept.isEmpty()) {
             TargetConnection connection = kept.pollLast();
-            // without trust 38 silent connections were used again, with it 17 (SilentTargetsTest, one run each)
+            // without trust, requests are sent on connections that went silent with others
             if (!connection.isUsable() || !trust.mayCarry(connection.heardMillis())) {
                 connection.close();
                 continue;
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -31,10 +31,10 @@
  * holds, as a restarted process would. Public methods are thread-safe.
  */
 public final class GroupMember {
-    /** What is not committed by then is not known to be, and callers ask again; six election timeouts, not measured. */
+    /** What is not committed by then is not known to be, and callers ask again; six election timeouts. */
     private static final long SUBMISSION_MILLIS = 3_000;
 
-    /** Steps of a quarter of a heartbeat, a snapshot every 512 entries; not measured. */
+    /** Steps of a quarter of a heartbeat, a snapshot every 512 entries. */
     private static final MemberTiming TIMING = new MemberTiming(25, SUBMISSION_MILLIS, 400, true, 512);
 
     private final Wiring wiring;
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -53,10 +53,10 @@
 
     private static final long FIRST_INCARNATION = 1;
 
-    /** Nine of the leader's heartbeats; not measured. Another may lead sooner, so reads are confirmed besides. */
+    /** Nine of the leader's heartbeats; another may lead sooner, so reads are confirmed besides. */
     private static final long FRESH_MILLIS = 900;
 
-    /** How long the leader may take to commit what it was handed; not measured. */
+    /** How long the leader may take to commit what it was handed. */
     static final long FORWARD_TIMEOUT_MILLIS = 2_000;
 
     private final GroupSettings settings;
--- a/daemon/src/main/java/org/bankturn/daemon/group/TargetWatch.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/TargetWatch.java
@@ -22,10 +22,10 @@
  * heard for long. TargetWatch is confined to its reactor's thread.
  */
 final class TargetWatch {
-    /** How often the targets that were heard here are told to the leader, all together; not measured. */
+    /** How often the targets that were heard here are told to the leader, all together. */
     private static final long FORWARD_MILLIS = 400;
 
-    /** Heartbeats that a target may miss before it is dropped, by everyone; not measured. */
+    /** Heartbeats that a target may miss before it is dropped, by everyone. */
     private static final int HEARTBEATS_MISSED = 7;
 
     private final Eventloop reactor;
--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpCalls.java
@@ -115,8 +115,7 @@
         TargetConnection rested = takeRested(address);
         call.begin(rested, timeoutMillis);
         if (rested != null) {
-            // without it an engine's load was not known for 1,500 ms after its connection went silent
-            // (SilentEngineTest)
+            // without it an engine's load is not known until the call's time is over
             reactor.delayBackground(KEPT_SILENT_MILLIS, () -> call.beginAgainIfSilent(timeoutMillis));
         }
         return call.result;
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
@@ -31,7 +31,7 @@
  * What it shows never goes back. PublicationFollower is confined to its reactor's thread.
  */
 public final class PublicationFollower {
-    /** How long a question waits at a control process for news; each answer confirms what is shown. Not measured. */
+    /** How long a question waits at a control process for news; each answer confirms what is shown. */
     private static final long WAIT_MILLIS = 500;
 
     /** How much later than that the answer may be; another control process is asked then. */
@@ -40,7 +40,7 @@
     /** The pause after all control processes were asked in vain. */
     private static final long PAUSE_MILLIS = 100;
 
-    /** How long one in another hall is kept before the own hall's is tried again; not measured. */
+    /** How long one in another hall is kept before the own hall's is tried again. */
     private static final long PREFER_OWN_HALL_MILLIS = 5_000;
 
     private final NioReactor reactor;
--- a/daemon/src/main/java/org/bankturn/daemon/weights/Neighbours.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/Neighbours.java
@@ -14,10 +14,10 @@
  * <p>Neighbours is mutable and confined to one thread.
  */
 final class Neighbours {
-    /** How long a box that did not answer is passed over; not measured. */
+    /** How long a box that did not answer is passed over. */
     private static final long AVOIDED_MILLIS = 2_000;
 
-    /** Pieces that one box is asked for at a time, so that a frozen one does not take every slot; two is not measured. */
+    /** Pieces that one box is asked for at a time, so that a frozen one does not take every slot. */
     private static final int TRANSFERS_FROM_ONE = 2;
 
     private final Clock clock;
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
@@ -99,7 +99,7 @@
         boolean kept = used.reads() > 0;
         observer.wentSilent(address, silentMillis, kept);
         if (kept) {
-            // found out one by one, three kept connections to control processes took 3.0 s (SilentConnectionsTest)
+            // found out one by one, silent connections to control processes would cost their time-outs in turn
             trust.wentSilent(clock.millis() - timeoutMillis / 2);
         }
         used.close(new IOException("silent for " + silentMillis + " ms"));
