--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -73,7 +73,7 @@
     /**
      * Takes in what is in force.
      *
-     * @param newest the configuration, not null
+     * @param newest the configuration, null until there is one
      * @param gatewaysThere how many gateways there are, this one included; empty if that is not known
      * @throws IllegalArgumentException if there are fewer than one
      */
@@ -81,8 +81,10 @@
         configuration = newest;
         mostUrgent.clear();
         gatewaysThere.ifPresent(this::gatewaysSeen);
-        // budgets earn with time from the moment on that a service is known
-        newest.services().values().forEach(this::retryBudget);
+        if (newest != null) {
+            // budgets earn with time from the moment on that a service is known
+            newest.services().values().forEach(this::retryBudget);
+        }
     }
 
     private void gatewaysSeen(int there) {
--- a/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
+++ b/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
@@ -143,6 +143,19 @@
         assertThat(retriesAfterFailure(unknowing)).isTrue();
     }
 
+    /** Targets are published before the first configuration is; a gateway that failed at that served nothing from then on. */
+    @Test
+    void a_gateway_may_hear_of_others_before_there_is_a_configuration() {
+        RequestPolicy early = RequestPolicy.of(
+                clock, targets, new RetryLimits(0.2, 100, 10_000), RandomSource.XO_RO_SHI_RO_128_PP.create(8));
+        early.update(null, OptionalInt.of(OWN_PART));
+        early.update(
+                ServingConfiguration.of(1, List.of(ROUTE), List.of(SERVICE), ClientLimits.DEFAULT, List.of()),
+                OptionalInt.of(OWN_PART));
+        clock.advance(10_000);
+        assertThat(retriesAfterFailure(early)).isTrue();
+    }
+
     private boolean retriesAfterFailure(RequestPolicy asked) {
         RequestProgress request = request();
         while (asked.next(request) instanceof NextStep.Ask) {
