--- a/daemon/src/main/java/org/bankturn/daemon/group/TargetCalls.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/TargetCalls.java
@@ -2,13 +2,13 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.bankturn.codec.Deflated;
 import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.publication.PublicationCommand;
-import org.bankturn.publication.PublicationState;
 import org.bankturn.registry.Evidence;
 import org.bankturn.registry.TargetRegistry;
 import org.bankturn.registry.TargetSighting;
@@ -29,6 +29,8 @@
     private final DocumentFormat format;
     private final BooleanSupplier isFresh;
     private final Function<PublicationCommand, Promise<ControlAnswer>> change;
+    private Map<String, Service> services = Map.of();
+    private long readVersion;
 
     /**
      * Returns one, not null.
@@ -108,24 +110,34 @@
     }
 
     private Promise<ControlAnswer> settle(TargetSighting sighting) {
-        return ReactorPromises.of(reactor, member.query(state -> healthPath(state, sighting.service())))
+        return healthPath(sighting.service())
                 .then(path -> addresses.isThere(sighting, path))
                 .then(there -> there ? record(sighting, Evidence.SETTLED) : Promise.of(new ControlAnswer.Accepted()));
     }
 
-    private Optional<String> healthPath(PublicationState state, String service) {
-        if (state.document() == null) {
-            return Optional.empty();
-        }
-        try {
-            return format.read(Deflated.inflate(state.document()))
-                    .service(service)
-                    .map(Service::healthPath);
-        } catch (UnreadableDocumentException e) {
-            throw new IllegalStateException("an accepted document cannot be read: " + e.getMessage(), e);
+    private Promise<Optional<String>> healthPath(String service) {
+        return ReactorPromises.of(
+                        reactor, member.query(state -> new Accepted(state.documentVersion(), state.document())))
+                .map(accepted ->
+                        Optional.ofNullable(servicesIn(accepted).get(service)).map(Service::healthPath));
+    }
+
+    /** Reads a document once: many targets start at the same moment, and a document may be large. */
+    private Map<String, Service> servicesIn(Accepted accepted) {
+        if (accepted.deflated() != null && accepted.version() != readVersion) {
+            try {
+                services = format.read(Deflated.inflate(accepted.deflated())).services();
+                readVersion = accepted.version();
+            } catch (UnreadableDocumentException e) {
+                throw new IllegalStateException("an accepted document cannot be read: " + e.getMessage(), e);
+            }
         }
+        return services;
     }
 
+    /** The document in force, deflated; null if there is none. */
+    private record Accepted(long version, byte[] deflated) {}
+
     /** Takes off the start of the target that is meant; one that is not known here yet must not be listed later. */
     Promise<ControlAnswer> leave(ControlCall.Leave leave) {
         if (leave.bornMillis() != 0) {
