Weights: all relays fetch from the origin again

Six fetchers were kept without a measurement of their own. Suspected: while the origin is dark everyone behind the few fetchers gives up on them after 4 s and asks the origin itself.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsRelay.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsRelay.java
@@ -37,9 +37,6 @@
     /** A version larger than that is left to the boxes themselves: entry boxes are small. */
     private static final long MOST_BYTES = 32L << 20;
 
-    /** More would each have a thin share of the origin's link, and half of a piece each when the origin fails. */
-    private static final int MOST_ORIGIN_FETCHERS = 6;
-
     /** The version in force, and the one that follows it. */
     private static final int VERSIONS_KEPT = 2;
 
@@ -187,8 +184,7 @@
             PieceHolder self = new PieceHolder(settings.nodeAddress().toString(), settings.dataHall(), NO_ENGINE);
             Set<PieceHolder> relays = new LinkedHashSet<>(peers.relays());
             relays.add(self);
-            int fetchers = Math.min(MOST_ORIGIN_FETCHERS, peers.originConnections());
-            return PieceRouting.of(self, List.copyOf(relays), version, fetchers)
+            return PieceRouting.of(self, List.copyOf(relays), version, peers.originConnections())
                     .withHoldersAmong(peers.boxesOf(service));
         }
 
