Tests, failing: gateways keep together the rate that a target takes

Callers at one and at seven gateways ask without a pause; a target names 1.5 and 1 requests a second in each answer.

--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/SeveralGateways.java
@@ -0,0 +1,145 @@
+package org.bankturn.daemon.gateway;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.LogFile;
+import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.daemon.publication.Published;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
+import org.bankturn.daemon.weights.WeightsRelay;
+import org.bankturn.daemon.wire.ConnectionObserver;
+import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.RetryLimits;
+import org.bankturn.service.RequestKind;
+import org.bankturn.service.Service;
+import org.bankturn.time.Clock;
+
+/** Some gateways on loopback that know the same targets and each other. */
+final class SeveralGateways implements AutoCloseable {
+    private static final RetryLimits UNLIMITED_RETRIES = new RetryLimits(0.5, 96_000_000, 10_000);
+    private static final long TIMEOUT_MILLIS = 2_000;
+
+    final Clock clock = Clock.system();
+
+    /** What was thrown on the reactor's thread and would be lost. */
+    final List<Throwable> thrown = new CopyOnWriteArrayList<>();
+
+    private final Eventloop reactor = Eventloop.builder()
+            .withThreadName("several-gateways")
+            .withFatalErrorHandler((error, context) -> thrown.add(error))
+            .build();
+    private final String name;
+    private final List<Started> started = new ArrayList<>();
+
+    /** A gateway, where callers reach it and where other processes do. */
+    private record Started(Gateway gateway, Address callers, Address node) {}
+
+    private SeveralGateways(String name) {
+        this.name = name;
+    }
+
+    static SeveralGateways start(String name, int count) throws Exception {
+        SeveralGateways gateways = new SeveralGateways(name);
+        gateways.reactor.keepAlive(true);
+        new Thread(gateways.reactor, "several-gateways").start();
+        for (int number = 0; number < count; number++) {
+            gateways.startOne("gateway-" + number);
+        }
+        return gateways;
+    }
+
+    private void startOne(String process) throws Exception {
+        Address callers = FreeAddresses.next();
+        Address node = FreeAddresses.next();
+        DecisionLog log = DecisionLog.startTo(LogFile.of(name + "-" + process), process, clock);
+        Gateway gateway = Gateway.of(
+                new GatewaySettings(
+                        process, "north", callers, FreeAddresses.next(), node, UNLIMITED_RETRIES, 1_000, 20_000),
+                new PlainDialect(),
+                reactor,
+                NodeClients.on(reactor, clock, ConnectionObserver.NONE),
+                told -> {},
+                clock,
+                log,
+                ServingMetrics.of(log));
+        reactor.submit(() -> {
+                    gateway.start();
+                    return Promise.complete();
+                })
+                .join();
+        started.add(new Started(gateway, callers, node));
+    }
+
+    /** Has all gateways know these targets, and each other. */
+    void publish(ScriptedTarget... targets) {
+        Service service = new Service("chat", "/health", 100, null, null, null, null);
+        Map<String, TargetSighting> sightings = new HashMap<>();
+        for (Started each : started) {
+            String id = "relay-" + each.node();
+            sightings.put(
+                    id, new TargetSighting(id, WeightsRelay.SERVICE, each.node().toString(), "north", 0, false, -1, 1));
+        }
+        for (ScriptedTarget target : targets) {
+            String id = "t-" + target.address();
+            sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
+        }
+        Published published = new Published(
+                1,
+                GatewayFixture.configuration(RequestKind.IDEMPOTENT, 2, TIMEOUT_MILLIS, service),
+                List.of(),
+                sightings,
+                List.of(),
+                true);
+        reactor.submit(() -> {
+                    started.forEach(each -> each.gateway().update(published, clock.millis()));
+                    return Promise.complete();
+                })
+                .join();
+    }
+
+    /** Has callers ask at all gateways at once, each again as soon as it has its answer, until time is up. */
+    void callFor(long millis) throws InterruptedException {
+        long end = clock.millis() + millis;
+        List<Thread> callers = new ArrayList<>();
+        for (Started each : started) {
+            Thread caller = new Thread(() -> callUntil(end, each.callers()), "caller");
+            caller.start();
+            callers.add(caller);
+        }
+        for (Thread caller : callers) {
+            caller.join();
+        }
+    }
+
+    private void callUntil(long end, Address gateway) {
+        for (int number = 0; clock.millis() < end; number++) {
+            try (Socket socket = new Socket(gateway.host(), gateway.port())) {
+                ScriptedTarget.write(
+                        socket,
+                        "POST /x/1 HTTP/1.1\r\nHost: h\r\nId: " + gateway.port() + "-" + number
+                                + "\r\nDeadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+                String unused = GatewayFixture.readAll(socket.getInputStream());
+            } catch (IOException e) {
+                thrown.add(e);
+                return;
+            }
+            GatewayFixture.pause();
+        }
+    }
+
+    @Override
+    public void close() {
+        reactor.keepAlive(false);
+        reactor.breakEventloop();
+    }
+}
