Sight: gateways read what targets ask of callers, and say so

The adapter now reads the limit, the back-off of 503 and the word that a target leaves, strictly: plain decimals, the one that asks for most of several, everything else told and left out. A gateway writes a line of kind notice when any of it is new, changes or ends, and counts it (bankturn_target_notices_total). With the head of the answer, not its end; not from 421, which another process may have given.

Nothing is decided by it yet.

--- a/core/src/main/java/org/bankturn/routing/TargetState.java
+++ b/core/src/main/java/org/bankturn/routing/TargetState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Set;
 import org.bankturn.registry.TargetSighting;
 
 /**
@@ -53,6 +54,7 @@
     private long heardOfLoadMillis = Long.MIN_VALUE / 2;
     private final Deque<Long> sentMillis = new ArrayDeque<>();
     private final Deque<Long> endedMillis = new ArrayDeque<>();
+    private final TargetTerms terms = new TargetTerms();
 
     TargetState(TargetSighting sighting) {
         this.sighting = sighting;
@@ -142,8 +144,26 @@
         return words.anyOnConnectionsOpenAt(openAtMillis, nowMillis);
     }
 
+    /** Returns what is known of the requests a second that it takes from all gateways together, not null. */
+    public RateLimit rateLimit() {
+        return terms.limit();
+    }
+
     // ---- what is learned
 
+    /**
+     * Takes in what an answer asks of callers.
+     *
+     * @param notice what it asks for, not null
+     * @param whole true if the target ran the request
+     * @param sentMillis when the request was sent
+     * @param nowMillis the time
+     * @return what is new in it, not null
+     */
+    public Set<NoticeChange> noticed(TargetNotice notice, boolean whole, long sentMillis, long nowMillis) {
+        return terms.noticed(notice, whole, sentMillis, nowMillis);
+    }
+
     void update(TargetSighting newer) {
         sighting = newer;
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -10,7 +10,10 @@
 import org.bankturn.daemon.http.TargetConnection;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.DecisionLine;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.routing.NoticeChange;
 import org.bankturn.routing.TargetState;
 import org.bankturn.routing.TargetTable.Choice;
 import org.bankturn.service.Route;
@@ -45,6 +48,7 @@
     private TargetAnswer answer;
     private boolean promptPending = true;
     private boolean over;
+    private long sentMillis;
     private long firstEventMillis;
 
     Attempt(ForwardedRequest request, Gateway gateway, Choice choice, int version) {
@@ -86,6 +90,7 @@
             return;
         }
         connection = opened;
+        sentMillis = now();
         request.sent();
         if (request.service().engine() != null) {
             gateway.sentToEngine();
@@ -129,9 +134,35 @@
         if (read.weightsVersion() > 0) {
             target.sawVersion(read.weightsVersion());
         }
+        if (!read.isMisdirected()) {
+            noticed(read);
+        }
         return true;
     }
 
+    private void noticed(TargetAnswer read) {
+        for (String field : read.unreadable()) {
+            gateway.metrics().targetNoticed(ServingMetrics.NOTICE_UNREADABLE);
+            noticeLine("unreadable").with(DecisionField.ERROR, field).write();
+        }
+        for (NoticeChange change : target.noticed(read.notice(), read.isSuccess(), sentMillis, now())) {
+            gateway.metrics().targetNoticed(change.label());
+            noticeLine(change.label())
+                    .with(DecisionField.PER_SECOND, target.rateLimit().perSecond())
+                    .with(DecisionField.BACK_OFF_MS, read.notice().backOffMillis())
+                    .write();
+        }
+    }
+
+    private DecisionLine noticeLine(String event) {
+        return gateway.log()
+                .line(DecisionKind.NOTICE)
+                .with(DecisionField.EVENT, event)
+                .with(DecisionField.TARGET, targetId())
+                .with(DecisionField.REQUEST, terms.id())
+                .with(DecisionField.STATUS, answer.status());
+    }
+
     @Override
     public void onPart(byte[] bytes) {
         watch.heard();
@@ -145,7 +176,7 @@
     }
 
     private boolean streams() {
-        return route.kind().isStream() && answer.status() / 100 == 2;
+        return route.kind().isStream() && answer.isSuccess();
     }
 
     private void pass(Event event) {
--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpHead.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpHead.java
@@ -73,6 +73,14 @@
         return Optional.empty();
     }
 
+    /** Returns every value of a field, in order, not null. */
+    public List<String> values(String name) {
+        return fields.stream()
+                .filter(field -> field.is(name))
+                .map(HttpField::value)
+                .toList();
+    }
+
     /** Returns true if a field holds the word among its values, in any case. */
     public boolean fieldHolds(String name, String word) {
         for (HttpField field : fields) {
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -16,6 +16,8 @@
     AT_ORIGIN,
     /** For how long a target is avoided, in milliseconds. */
     AVOIDED_MS,
+    /** For how long a target asks to be left alone, in milliseconds, 0 if it does not. */
+    BACK_OFF_MS,
     /** The kind of call that was made. */
     CALL,
     /** True if what is published was confirmed by a control process in touch with a majority. */
@@ -64,6 +66,8 @@
     NEIGHBOUR,
     /** What came of it. */
     OUTCOME,
+    /** The requests a second that a target takes from all gateways together, 0 for any number. */
+    PER_SECOND,
     /** The number of a piece of weights. */
     PIECE,
     /** How many pieces of weights are here. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -36,6 +36,8 @@
     TARGET,
     /** A target is avoided, or tried again. */
     HEALTH,
+    /** A target asked its callers to send less, to wait or to stay away, or no longer does. */
+    NOTICE,
     /** This control box leads, follows, joined or recovered. */
     GROUP,
     /** A target ended under a request, or a request is stopped for that. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -38,6 +38,9 @@
     /** The label of requests that were under way when that became known, and were stopped. */
     public static final String SUSPECT_STOPPED = "stopped";
 
+    /** The label of what targets ask for in a form that cannot be read. */
+    public static final String NOTICE_UNREADABLE = "unreadable";
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests;
     private final Counter retries;
@@ -47,6 +50,7 @@
     private final Counter errors;
     private final Counter suspects;
     private final Counter unreadableReports;
+    private final Counter targetNotices;
     private final Gauge condemned;
     private final Counter pieceBytes;
     private final Counter piecesRejected;
@@ -73,6 +77,7 @@
         loadQuestions = counter("load_questions", "Questions for engines' load, by outcome.", "outcome");
         errors = counter("errors", "Errors thrown that nothing handles.");
         unreadableReports = counter("unreadable_reports", "Reports of the engine that could not be read.");
+        targetNotices = counter("target_notices", "Changes of what targets ask of callers, by kind.", "event");
         suspects = counter("suspects", "Requests under which targets ended, by what became of them.", "event");
         condemned =
                 gauge("condemned_requests", "Requests that are sent to no target because targets ended under them.");
@@ -170,6 +175,11 @@
         unreadableReports.inc();
     }
 
+    /** Counts a change of what a target asks of its callers; {@code event} is its label. */
+    public void targetNoticed(String event) {
+        targetNotices.labelValues(event).inc();
+    }
+
     /** Counts a request under which a target ended; {@code event} is one of the labels above. */
     public void suspected(String event) {
         suspects.labelValues(event).inc();
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.bankturn.daemon.http.HttpField;
 import org.bankturn.daemon.http.HttpHead;
+import org.bankturn.routing.TargetNotice;
 
 /** A dialect with short names, for tests. */
 public final class PlainDialect implements RequestDialect {
@@ -39,7 +41,16 @@
                 head.status(),
                 head.field("Id").orElse(null),
                 head.field("Not-Run").isPresent(),
-                0);
+                0,
+                notice(head),
+                List.of());
+    }
+
+    private static TargetNotice notice(HttpHead head) {
+        OptionalDouble limit =
+                head.field("Limit").stream().mapToDouble(Double::parseDouble).findFirst();
+        long backOffMillis = head.field("Back-Off").map(Long::parseLong).orElse(0L);
+        return new TargetNotice(limit, backOffMillis, head.field("Leaving").isPresent());
     }
 
     @Override
