Gateways keep together the rate that a target takes: permits from one of them

Callers saw answers come late from targets in need: a target that named 1 request a second got 30 in 4 s (11 tolerated). Cause: nothing read the limit, and what one gateway knows does not bound what all send. Class: told and not heeded; a promise of all.

A gateway that was told a limit sends the target nothing without a permit, checked at the moment of sending on the one path that all sends take (first tries, retries, resumed streams, trials, requests that waited for a connection). The gateway that the target's incarnation hashes to reserves evenly spaced times, at most 0.5 s ahead, each valid for 0.3 s; a start begins with a free interval, so that what it forgot stays within what is tolerated. A target with a permit goes first where it is comfortable, or its end would go unnoticed. What is held back is no place: it is left out of candidates, others are watched in its stead, and a refusal for want of others says when a place comes. The end of a limit is known from a success that names none, to a request sent after it was last named, and passed on with permits.

Ruled out: parts by count.

--- a/core/src/main/java/org/bankturn/routing/ComeBack.java
+++ b/core/src/main/java/org/bankturn/routing/ComeBack.java
@@ -31,8 +31,17 @@
     /** ... and that much more, at random; with the share above, one answer's time later on average. */
     private static final double SPREAD_SHARE = 0.75;
 
+    /** Callers come back up to that share later than targets that are held back take requests again. */
+    private static final double HELD_BACK_SPREAD_SHARE = 0.5;
+
     private ComeBack() {}
 
+    /** Returns when a target that is held back now takes requests again, spread so that callers come back apart. */
+    public static long afterHeldBack(long untilFreeMillis, UniformRandomProvider random) {
+        double share = 1 + HELD_BACK_SPREAD_SHARE * random.nextDouble();
+        return Math.max(TO_ANOTHER_GATEWAY_MILLIS, Math.round(untilFreeMillis * share));
+    }
+
     /** Returns when the answers under way at full engines will have ended, spread so that callers come back apart. */
     public static long afterAnswers(EngineModel engine, UniformRandomProvider random) {
         double share = EARLIEST_SHARE + SPREAD_SHARE * random.nextDouble();
--- /dev/null
+++ b/core/src/main/java/org/bankturn/routing/HeldBackTargets.java
@@ -0,0 +1,40 @@
+package org.bankturn.routing;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/**
+ * The targets that could run a request and must not get it now, by their own wish.
+ *
+ * <p>HeldBackTargets is mutable and not thread-safe.
+ */
+public final class HeldBackTargets {
+    private final Map<HeldBack, Integer> counts = new EnumMap<>(HeldBack.class);
+    private long soonestMillis = Long.MAX_VALUE;
+
+    HeldBackTargets() {}
+
+    void add(HeldBack reason, long untilFreeMillis) {
+        counts.merge(reason, 1, Integer::sum);
+        soonestMillis = Math.min(soonestMillis, untilFreeMillis);
+    }
+
+    /** Returns true if one of them takes a request again in a time that is known. */
+    public boolean anyComesBack() {
+        return soonestMillis < Long.MAX_VALUE;
+    }
+
+    /** Returns how long until the first of them takes a request again. */
+    public long soonestMillis() {
+        return soonestMillis;
+    }
+
+    /** Returns how many there are for each reason, for the log; empty if there is none. */
+    @Override
+    public String toString() {
+        return counts.entrySet().stream()
+                .map(each -> each.getValue() + " " + each.getKey().label())
+                .collect(Collectors.joining(", "));
+    }
+}
--- a/core/src/main/java/org/bankturn/routing/NoticeChange.java
+++ b/core/src/main/java/org/bankturn/routing/NoticeChange.java
@@ -15,6 +15,11 @@
     /** The target is about to end. */
     LEAVES;
 
+    /** Returns true if it concerns the target's limit, which all gateways keep together. */
+    public boolean isOfLimit() {
+        return this == LIMIT_NAMED || this == LIMIT_CHANGED || this == LIMIT_ENDED;
+    }
+
     /** Returns the name that stands in logs and metrics, not null. */
     public String label() {
         return name().toLowerCase(Locale.ROOT);
--- /dev/null
+++ b/core/src/main/java/org/bankturn/routing/PermitCoordinator.java
@@ -0,0 +1,170 @@
+package org.bankturn.routing;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.bankturn.time.Clock;
+
+/**
+ * Hands out permits for single requests to targets that limit their rate, at one gateway for all.
+ *
+ * <p>Load pattern: a target takes a request or two a second from dozens of gateways. A part of that for each would let all
+ * of them send at the same moment, and would leave the target idle while those that hold a part have nothing for it. So one
+ * gateway reserves times for requests, evenly spaced, for whichever gateway asks. Reservations reach ahead, and stay valid,
+ * for a short time only: a coordinator that starts again knows nothing of those that are out, and begins with a free
+ * interval, so that both together stay within what targets tolerate.
+ *
+ * <p>PermitCoordinator is mutable and not thread-safe.
+ */
+public final class PermitCoordinator {
+    /** How far ahead a permit is reserved. */
+    static final long AHEAD_MILLIS = 500;
+
+    /** How long a permit may be used from its time on. */
+    public static final long VALID_MILLIS = 300;
+
+    /** A gateway asks again no later than that, so that it learns of the end of a limit. */
+    private static final long LONGEST_WAIT_MILLIS = 4_000;
+
+    private static final long SHORTEST_WAIT_MILLIS = 50;
+
+    /** A gateway that has not asked for that long waits for no permit. */
+    private static final long ASKING_MILLIS = 5_000;
+
+    /** A target that nobody asked about for that long is forgotten. */
+    private static final long REMEMBERED_MILLIS = 60_000;
+
+    private static final int MOST_TARGETS = 1_024;
+
+    private final Clock clock;
+    private final UniformRandomProvider random;
+    private final Map<String, Schedule> schedules = new HashMap<>();
+
+    /**
+     * What a gateway is told.
+     *
+     * @param limit what is known of the target's limit, not null
+     * @param granted true if a permit was reserved
+     * @param inMillis when the permit may be used, or when to ask again
+     */
+    public record Answer(RateLimit limit, boolean granted, long inMillis) {}
+
+    /** When the next request to one target is due, and which gateways ask for it. */
+    private static final class Schedule {
+        private final Map<String, Long> askedMillis = new HashMap<>();
+        private RateLimit limit;
+        private double nextMillis;
+        private long usedMillis;
+
+        private Schedule(RateLimit limit) {
+            this.limit = limit;
+        }
+
+        private void learn(RateLimit told, long now) {
+            boolean begins = told.inForce() && !limit.inForce();
+            limit = limit.newerOf(told);
+            if (begins && limit.inForce()) {
+                startAt(now);
+            }
+        }
+
+        private void startAt(long now) {
+            nextMillis = now + limit.paceMillis();
+        }
+
+        private int gatewaysAsking(String gateway, long now) {
+            askedMillis.values().removeIf(asked -> asked < now - ASKING_MILLIS);
+            askedMillis.put(gateway, now);
+            return askedMillis.size();
+        }
+    }
+
+    /**
+     * Returns a coordinator that knows of no limit, not null.
+     *
+     * @param clock the time, not null
+     * @param random random numbers, not null
+     */
+    public static PermitCoordinator of(Clock clock, UniformRandomProvider random) {
+        return new PermitCoordinator(clock, random);
+    }
+
+    private PermitCoordinator(Clock clock, UniformRandomProvider random) {
+        this.clock = clock;
+        this.random = random;
+    }
+
+    /**
+     * Returns the gateway that hands out a target's permits, empty if none is known, not null.
+     *
+     * @param target the target's incarnation, not null
+     * @param gateways the gateways that are there, not null
+     */
+    public static Optional<String> responsible(String target, Collection<String> gateways) {
+        return TextHash.responsible(target, gateways);
+    }
+
+    /**
+     * Takes in what a gateway knows of a target's limit, and reserves a permit for it if one is to be had soon.
+     *
+     * @param target the target's incarnation, not null
+     * @param gateway the gateway, not null
+     * @param told what it knows of the limit, not null
+     * @param wants true if it wants a permit
+     * @return the answer, not null
+     */
+    public Answer ask(String target, String gateway, RateLimit told, boolean wants) {
+        long now = clock.millis();
+        Schedule schedule = schedules.get(target);
+        if (schedule == null) {
+            forgetUnused(now);
+            schedule = new Schedule(told);
+            schedule.startAt(now);
+            schedules.put(target, schedule);
+        }
+        schedule.usedMillis = now;
+        schedule.learn(told, now);
+        if (!wants || !schedule.limit.inForce()) {
+            return new Answer(schedule.limit, false, 0);
+        }
+        return reserve(schedule, gateway, now);
+    }
+
+    private Answer reserve(Schedule schedule, String gateway, long now) {
+        int asking = schedule.gatewaysAsking(gateway, now);
+        double pace = schedule.limit.paceMillis();
+        // a limit that was lower before may have put the next time far ahead
+        double next = Math.min(Math.max((double) now, schedule.nextMillis), now + AHEAD_MILLIS + pace);
+        if (next - now <= AHEAD_MILLIS) {
+            schedule.nextMillis = next + pace;
+            schedule.askedMillis.remove(gateway);
+            return new Answer(schedule.limit, true, (long) Math.ceil(next - now));
+        }
+        schedule.nextMillis = next;
+        double untilFree = next - now - AHEAD_MILLIS;
+        // those that ask for the same permit come again one by one
+        double wait = untilFree + random.nextDouble() * (asking - 1) * pace;
+        return new Answer(schedule.limit, false, bounded(wait));
+    }
+
+    private static long bounded(double waitMillis) {
+        return Math.round(Math.min(LONGEST_WAIT_MILLIS, Math.max(SHORTEST_WAIT_MILLIS, waitMillis)));
+    }
+
+    private void forgetUnused(long now) {
+        schedules.values().removeIf(schedule -> schedule.usedMillis < now - REMEMBERED_MILLIS);
+        if (schedules.size() >= MOST_TARGETS) {
+            schedules.entrySet().stream()
+                    .min(Map.Entry.comparingByValue((one, other) -> Long.compare(one.usedMillis, other.usedMillis)))
+                    .map(Map.Entry::getKey)
+                    .ifPresent(schedules::remove);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return "PermitCoordinator[" + schedules.size() + " targets]";
+    }
+}
--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -177,9 +177,7 @@
         Optional<Choice> choice = choose(request);
         if (choice.isEmpty()) {
             firstTries(request.service()).noEngine();
-            long comeBack =
-                    request.tried().isEmpty() ? ComeBack.WITHOUT_TARGET_MILLIS : ComeBack.AFTER_ALL_TARGETS_MILLIS;
-            return new NextStep.GiveUp("no target left", comeBack);
+            return withoutTarget(request);
         }
         boolean tooLate = request.sends() == 0 && isTooLate(request, choice.get());
         if (request.sends() == 0 && !request.hasComeBack()) {
@@ -198,6 +196,21 @@
         return send(request, choice.get());
     }
 
+    private NextStep.GiveUp withoutTarget(RequestProgress request) {
+        HeldBackTargets heldBack = heldBack(request);
+        if (heldBack.anyComesBack()) {
+            long comeBack = ComeBack.afterHeldBack(heldBack.soonestMillis(), random);
+            return new NextStep.GiveUp("no target left but " + heldBack, comeBack);
+        }
+        long comeBack = request.tried().isEmpty() ? ComeBack.WITHOUT_TARGET_MILLIS : ComeBack.AFTER_ALL_TARGETS_MILLIS;
+        return new NextStep.GiveUp("no target left", comeBack);
+    }
+
+    /** Returns the targets that could run a request and must not get it now, by their own wish, not null. */
+    public HeldBackTargets heldBack(RequestProgress request) {
+        return targets.heldBack(wanted(request));
+    }
+
     /** Returns another target for a request that a target answered with a failure, empty if the failure is passed on. */
     public Optional<NextStep.Send> afterFailure(RequestProgress request) {
         boolean repeatable = request.route().kind().mayRepeat();
--- a/core/src/main/java/org/bankturn/routing/RequestProgress.java
+++ b/core/src/main/java/org/bankturn/routing/RequestProgress.java
@@ -131,6 +131,11 @@
         askedElsewhere = false;
     }
 
+    /** The target that was chosen for it must not get it now; nothing left. */
+    public void heldBack(String target) {
+        tried.remove(target);
+    }
+
     /** It is about to leave for a target. */
     public void sent() {
         sends++;
--- a/core/src/main/java/org/bankturn/routing/TargetState.java
+++ b/core/src/main/java/org/bankturn/routing/TargetState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.Set;
 import org.bankturn.registry.TargetSighting;
 
@@ -149,6 +150,21 @@
         return terms.limit();
     }
 
+    /** Returns why the target must get no request from this gateway now, empty if it may, not null. */
+    public Optional<HeldBack> heldBack(long nowMillis) {
+        return terms.heldBack(nowMillis);
+    }
+
+    /** Returns how long until a target that is held back may get a request, as far as is known. */
+    long untilFreeMillis(long nowMillis) {
+        return terms.untilFreeMillis(nowMillis);
+    }
+
+    /** Returns true if a permit should be asked for, because a request could use one. */
+    boolean wantsPermit(long nowMillis) {
+        return terms.wantsPermit(nowMillis);
+    }
+
     // ---- what is learned
 
     /**
@@ -164,6 +180,36 @@
         return terms.noticed(notice, whole, sentMillis, nowMillis);
     }
 
+    /**
+     * A request is about to leave for the target: the last moment at which what it asks for can be kept.
+     *
+     * @return why the request must not be sent, empty if it may, and then a permit is used; not null
+     */
+    public Optional<HeldBack> takePlace(long nowMillis) {
+        return terms.takePlace(nowMillis);
+    }
+
+    /** A permit for the target is being asked for. */
+    public void permitAsked() {
+        terms.permitAsked();
+    }
+
+    /**
+     * Takes in what the coordinator of the target's permits answered.
+     *
+     * @param answer the answer, its limit as of this gateway's time, not null
+     * @param askedMillis when it was asked
+     * @param nowMillis the time
+     */
+    public void permitAnswered(PermitCoordinator.Answer answer, long askedMillis, long nowMillis) {
+        terms.permitAnswered(answer, askedMillis, nowMillis);
+    }
+
+    /** The coordinator of the target's permits did not answer. */
+    public void permitUnanswered(long nowMillis) {
+        terms.permitUnanswered(nowMillis);
+    }
+
     void update(TargetSighting newer) {
         sighting = newer;
     }
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,6 +45,7 @@
     private final OpenQuestions openQuestions;
     private Set<String> watched = Set.of();
     private List<TargetState> watchedStates = List.of();
+    private final Set<TargetState> permitsWanted = new LinkedHashSet<>();
 
     /**
      * What a target must be to take a request.
@@ -182,6 +184,8 @@
         private final List<Choice> far = new ArrayList<>();
         private final List<Choice> unwatched = new ArrayList<>();
         private final List<Choice> avoided = new ArrayList<>();
+        private final List<TargetState> heldBackNear = new ArrayList<>();
+        private final List<TargetState> heldBackFar = new ArrayList<>();
     }
 
     /**
@@ -209,11 +213,64 @@
                 .toList();
     }
 
-    /** Returns the target that is likely to begin first of those compared; one that is avoided only if there is no other. */
+    /**
+     * Returns the target that is likely to begin first of those compared; one that is avoided only if there is no other, one
+     * that is held back never.
+     */
     public Optional<Choice> choose(Wanted wanted) {
         Candidates candidates = candidates(wanted, clock.millis(), true);
-        return best(candidates, wanted)
+        Optional<Choice> choice = withPermit(candidates, wanted)
+                .or(() -> best(candidates, wanted))
                 .or(() -> leastOf(candidates.avoided, Integer.MAX_VALUE).map(Weighed::choice));
+        wantPermits(candidates.heldBackNear);
+        if (choice.isEmpty() || !staysHere(choice.get(), wanted)) {
+            wantPermits(candidates.heldBackFar);
+        }
+        return choice;
+    }
+
+    /**
+     * Returns a target of the own data hall for which there is a permit, if a request begins comfortably in time there. What it
+     * offers would be lost otherwise, and the end of its limit would go unnoticed while others look a little better.
+     */
+    private Optional<Choice> withPermit(Candidates candidates, Wanted wanted) {
+        return candidates.near.stream()
+                .filter(choice -> choice.target().rateLimit().inForce())
+                .filter(choice -> isComfortable(choice, wanted))
+                .findAny();
+    }
+
+    private void wantPermits(List<TargetState> heldBack) {
+        long now = clock.millis();
+        heldBack.stream().filter(state -> state.wantsPermit(now)).forEach(permitsWanted::add);
+    }
+
+    /** Returns the targets for which requests could have used a permit since this was last asked, not null. */
+    public List<TargetState> takePermitsWanted() {
+        if (permitsWanted.isEmpty()) {
+            return List.of();
+        }
+        List<TargetState> wanted = List.copyOf(permitsWanted);
+        permitsWanted.clear();
+        return wanted;
+    }
+
+    /** Returns the targets that could run a request and must not get it now, not null. */
+    public HeldBackTargets heldBack(Wanted wanted) {
+        long now = clock.millis();
+        HeldBackTargets heldBack = new HeldBackTargets();
+        for (TargetState state : byService.getOrDefault(wanted.service().name(), List.of())) {
+            if (mayTake(state, wanted)) {
+                state.heldBack(now).ifPresent(reason -> heldBack.add(reason, state.untilFreeMillis(now)));
+            }
+        }
+        return heldBack;
+    }
+
+    /** Returns true if a target must get no request from this gateway now, so that its places are none. */
+    public boolean isHeldBack(String id) {
+        TargetState state = targets.get(id);
+        return state != null && state.heldBack(clock.millis()).isPresent();
     }
 
     /**
@@ -241,6 +298,10 @@
         if (!mayTake(state, wanted)) {
             return;
         }
+        if (state.heldBack(now).isPresent()) {
+            (isNear(state) ? candidates.heldBackNear : candidates.heldBackFar).add(state);
+            return;
+        }
         // counted one by one, questions that no engine answers would have most requests refused
         long way = Math.max(
                 state.pathMillis(), openQuestions.wayMillis(state.sighting().id()));
--- a/core/src/main/java/org/bankturn/routing/TargetTerms.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTerms.java
@@ -1,20 +1,28 @@
 package org.bankturn.routing;
 
 import java.util.EnumSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
- * What one start of a target asks of this gateway, as told by its answers.
+ * What one start of a target asks of this gateway, as told by its answers, and the permit that the gateway holds for it.
  *
  * <p>A limit holds for as long as answers name it, so it ends with an answer that names none, to a request that was sent
- * after the limit was last heard of: answers on different connections may pass each other. A new start of the target has
- * asked for nothing. TargetTerms is mutable and not thread-safe.
+ * after the limit was last heard of: answers on different connections may pass each other. While it holds, each request
+ * needs a permit, and one is held at a time. A new start of the target has asked for nothing. TargetTerms is mutable and not
+ * thread-safe.
  */
 final class TargetTerms {
+    /** A coordinator that does not answer may be starting again. */
+    private static final long UNANSWERED_PAUSE_MILLIS = 500;
+
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private RateLimit limit = RateLimit.none(NEVER);
-    private boolean leaving;
+    private long permitFromMillis = NEVER;
+    private long permitUntilMillis = NEVER;
+    private boolean asking;
+    private long askFromMillis = NEVER;
 
     // ---- queries
 
@@ -23,6 +31,28 @@
         return limit;
     }
 
+    /** Returns why the target must get nothing now, empty if it may get a request, not null. */
+    Optional<HeldBack> heldBack(long nowMillis) {
+        return limit.inForce() && !hasPermit(nowMillis) ? Optional.of(HeldBack.RATE_LIMITED) : Optional.empty();
+    }
+
+    /** Returns how long until the target may get a request, as far as is known. */
+    long untilFreeMillis(long nowMillis) {
+        if (permitUntilMillis > nowMillis) {
+            return Math.max(0, permitFromMillis - nowMillis);
+        }
+        return Math.max(0, askFromMillis - nowMillis) + Math.round(limit.paceMillis());
+    }
+
+    /** Returns true if a permit should be asked for, because a request could use one. */
+    boolean wantsPermit(long nowMillis) {
+        return limit.inForce() && !asking && nowMillis >= askFromMillis && nowMillis >= permitUntilMillis;
+    }
+
+    private boolean hasPermit(long nowMillis) {
+        return permitFromMillis <= nowMillis && nowMillis < permitUntilMillis;
+    }
+
     // ---- what is learned
 
     /**
@@ -44,8 +74,7 @@
         if (notice.backOffMillis() > 0) {
             changes.add(NoticeChange.BACKS_OFF);
         }
-        if (notice.leaving() && !leaving) {
-            leaving = true;
+        if (notice.leaving()) {
             changes.add(NoticeChange.LEAVES);
         }
         return changes;
@@ -61,4 +90,45 @@
         }
         limit = newer;
     }
+
+    /** A request is about to leave for the target; returns why it must not, or empty and uses the permit, if there is one. */
+    Optional<HeldBack> takePlace(long nowMillis) {
+        Optional<HeldBack> reason = heldBack(nowMillis);
+        if (reason.isEmpty()) {
+            permitUntilMillis = NEVER;
+        }
+        return reason;
+    }
+
+    // ---- permits
+
+    /** A permit is being asked for. */
+    void permitAsked() {
+        asking = true;
+    }
+
+    /**
+     * Takes in what the coordinator answered.
+     *
+     * @param answer the answer, its limit as of this gateway's time, not null
+     * @param askedMillis when it was asked
+     * @param nowMillis the time
+     */
+    void permitAnswered(PermitCoordinator.Answer answer, long askedMillis, long nowMillis) {
+        asking = false;
+        limit = limit.newerOf(answer.limit());
+        if (answer.granted()) {
+            // reserved at a moment between the two: no sooner than that counted from now, no later than that from then
+            permitFromMillis = nowMillis + answer.inMillis();
+            permitUntilMillis = askedMillis + answer.inMillis() + PermitCoordinator.VALID_MILLIS;
+        } else {
+            askFromMillis = nowMillis + answer.inMillis();
+        }
+    }
+
+    /** The coordinator did not answer. */
+    void permitUnanswered(long nowMillis) {
+        asking = false;
+        askFromMillis = nowMillis + UNANSWERED_PAUSE_MILLIS;
+    }
 }
--- a/core/src/main/java/org/bankturn/routing/WatchPlan.java
+++ b/core/src/main/java/org/bankturn/routing/WatchPlan.java
@@ -1,12 +1,10 @@
 package org.bankturn.routing;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.zip.CRC32C;
 
 /**
  * Decides which engines one gateway watches.
@@ -67,7 +65,7 @@
         stretch(near, gatewaysHere, ownRequests).forEach(engine -> watched.add(engine.id()));
         int elsewhere = Math.max(settings.watchedElsewhere(), settings.watchedInAll() - watched.size());
         far.stream()
-                .sorted(Comparator.comparingLong(engine -> hash(gateway + " " + engine.id())))
+                .sorted(Comparator.comparingLong(engine -> TextHash.of(gateway + " " + engine.id())))
                 .limit(elsewhere)
                 .forEach(engine -> watched.add(engine.id()));
         return watched;
@@ -81,11 +79,11 @@
             return near;
         }
         List<Engine> ring = near.stream()
-                .sorted(Comparator.comparingLong((Engine engine) -> hash(engine.id()))
+                .sorted(Comparator.comparingLong((Engine engine) -> TextHash.of(engine.id()))
                         .thenComparing(Engine::id))
                 .toList();
         List<String> order = gateways.stream()
-                .sorted(Comparator.comparingLong(WatchPlan::hash).thenComparing(Comparator.naturalOrder()))
+                .sorted(Comparator.comparingLong(TextHash::of).thenComparing(Comparator.naturalOrder()))
                 .toList();
         int first = (int) ((long) order.indexOf(gateway) * ring.size() / order.size());
         List<Engine> stretch = new ArrayList<>();
@@ -101,10 +99,4 @@
         double forAll = settings.watchersAtLeast() * near.size() / gateways;
         return (int) Math.max(settings.watchedAtLeast(), Math.ceil(Math.max(forOwn, forAll)));
     }
-
-    private static long hash(String text) {
-        CRC32C checksum = new CRC32C();
-        checksum.update(text.getBytes(StandardCharsets.UTF_8));
-        return checksum.getValue();
-    }
 }
--- /dev/null
+++ b/core/src/test/java/org/bankturn/routing/TargetTermsTest.java
@@ -0,0 +1,91 @@
+package org.bankturn.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+
+class TargetTermsTest {
+    private static final long NOW = 1_000_000;
+    private static final TargetNotice ONE_A_SECOND = new TargetNotice(OptionalDouble.of(1), 0, false);
+
+    private final TargetTerms terms = new TargetTerms();
+
+    private void permit(boolean granted, long inMillis, long askedMillis, long nowMillis) {
+        terms.permitAsked();
+        terms.permitAnswered(new PermitCoordinator.Answer(terms.limit(), granted, inMillis), askedMillis, nowMillis);
+    }
+
+    @Test
+    void a_target_that_asked_for_nothing_gets_requests() {
+        assertThat(terms.takePlace(NOW)).isEmpty();
+        assertThat(terms.wantsPermit(NOW)).isFalse();
+    }
+
+    @Test
+    void a_limited_target_gets_one_request_for_each_permit_and_none_without() {
+        assertThat(terms.noticed(ONE_A_SECOND, true, NOW - 10, NOW)).containsExactly(NoticeChange.LIMIT_NAMED);
+        assertThat(terms.takePlace(NOW)).contains(HeldBack.RATE_LIMITED);
+        assertThat(terms.wantsPermit(NOW)).isTrue();
+        permit(true, 100, NOW, NOW + 2);
+        assertThat(terms.takePlace(NOW + 50)).contains(HeldBack.RATE_LIMITED);
+        assertThat(terms.takePlace(NOW + 102)).isEmpty();
+        assertThat(terms.takePlace(NOW + 103)).contains(HeldBack.RATE_LIMITED);
+    }
+
+    @Test
+    void a_permit_is_lost_once_its_time_is_over() {
+        terms.noticed(ONE_A_SECOND, true, NOW - 10, NOW);
+        permit(true, 100, NOW, NOW + 2);
+        long over = NOW + 100 + PermitCoordinator.VALID_MILLIS;
+        assertThat(terms.takePlace(over)).contains(HeldBack.RATE_LIMITED);
+        assertThat(terms.wantsPermit(over)).isTrue();
+    }
+
+    @Test
+    void a_permit_that_comes_late_is_valid_no_longer_for_it() {
+        terms.noticed(ONE_A_SECOND, true, NOW - 10, NOW);
+        permit(true, 0, NOW, NOW + PermitCoordinator.VALID_MILLIS);
+        assertThat(terms.takePlace(NOW + PermitCoordinator.VALID_MILLIS)).contains(HeldBack.RATE_LIMITED);
+    }
+
+    @Test
+    void a_gateway_asks_again_when_it_was_told_to_and_not_before() {
+        terms.noticed(ONE_A_SECOND, true, NOW - 10, NOW);
+        permit(false, 700, NOW, NOW + 2);
+        assertThat(terms.wantsPermit(NOW + 701)).isFalse();
+        assertThat(terms.wantsPermit(NOW + 702)).isTrue();
+    }
+
+    @Test
+    void an_answer_to_a_request_that_was_sent_before_the_limit_was_named_does_not_end_it() {
+        terms.noticed(ONE_A_SECOND, true, NOW - 10, NOW);
+        assertThat(terms.noticed(TargetNotice.NONE, true, NOW - 5, NOW + 20)).isEmpty();
+        assertThat(terms.limit().inForce()).isTrue();
+        assertThat(terms.noticed(TargetNotice.NONE, true, NOW + 1, NOW + 20)).containsExactly(NoticeChange.LIMIT_ENDED);
+        assertThat(terms.takePlace(NOW + 20)).isEmpty();
+    }
+
+    @Test
+    void a_rejection_that_names_no_limit_does_not_end_it() {
+        terms.noticed(ONE_A_SECOND, true, NOW - 10, NOW);
+        assertThat(terms.noticed(TargetNotice.NONE, false, NOW + 1, NOW + 20)).isEmpty();
+        assertThat(terms.limit().inForce()).isTrue();
+    }
+
+    @Test
+    void a_limit_that_changes_or_is_named_again_goes_on() {
+        terms.noticed(ONE_A_SECOND, true, NOW - 10, NOW);
+        assertThat(terms.noticed(ONE_A_SECOND, true, NOW + 5, NOW + 10)).isEmpty();
+        TargetNotice two = new TargetNotice(OptionalDouble.of(2), 0, false);
+        assertThat(terms.noticed(two, true, NOW + 15, NOW + 20)).containsExactly(NoticeChange.LIMIT_CHANGED);
+    }
+
+    @Test
+    void the_end_of_a_limit_that_another_gateway_saw_counts_here() {
+        terms.noticed(ONE_A_SECOND, true, NOW - 10, NOW);
+        terms.permitAsked();
+        terms.permitAnswered(new PermitCoordinator.Answer(RateLimit.none(NOW + 50), false, 0), NOW + 40, NOW + 60);
+        assertThat(terms.takePlace(NOW + 60)).isEmpty();
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import org.bankturn.daemon.gateway.EventSplitter.Event;
 import org.bankturn.daemon.http.AnswerListener;
 import org.bankturn.daemon.http.HopFailure;
@@ -13,6 +14,7 @@
 import org.bankturn.daemon.observe.DecisionLine;
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.routing.HeldBack;
 import org.bankturn.routing.NoticeChange;
 import org.bankturn.routing.TargetState;
 import org.bankturn.routing.TargetTable.Choice;
@@ -89,6 +91,9 @@
             onFailure(HopFailure.NOT_CONNECTED);
             return;
         }
+        if (isHeldBack(opened)) {
+            return;
+        }
         connection = opened;
         sentMillis = now();
         request.sent();
@@ -112,6 +117,18 @@
         connection.send(joined(framed, exchange.body()), exchange.head().first().equals("HEAD"), this);
     }
 
+    /** Gives the request back if the target wants none by now; what it asks for may have come while the connection was made. */
+    private boolean isHeldBack(TargetConnection opened) {
+        Optional<HeldBack> reason = target.takePlace(now());
+        if (reason.isEmpty()) {
+            return false;
+        }
+        finish(false);
+        gateway.connections().keep(targetId(), opened);
+        request.heldBack(target.sighting(), reason.get());
+        return true;
+    }
+
     /** Takes a request that may be repeated away from a target, or from a connection, that says nothing for long. */
     private void takeAway() {
         long silentMillis = watch.silentMillis();
@@ -151,6 +168,9 @@
                     .with(DecisionField.PER_SECOND, target.rateLimit().perSecond())
                     .with(DecisionField.BACK_OFF_MS, read.notice().backOffMillis())
                     .write();
+            if (change.isOfLimit()) {
+                gateway.limitChanged(target);
+            }
         }
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -10,6 +10,7 @@
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.ComeBack;
+import org.bankturn.routing.HeldBack;
 import org.bankturn.routing.NextStep;
 import org.bankturn.routing.RequestProgress;
 import org.bankturn.service.Account;
@@ -95,6 +96,7 @@
             return;
         }
         NextStep step = gateway.policy().next(progress);
+        gateway.askForPermits();
         if (step instanceof NextStep.Ask ask) {
             gateway.askForLoad(ask.targets()).whenComplete(this::sendToNext);
         } else if (step instanceof NextStep.Send send) {
@@ -140,6 +142,7 @@
                 .with(DecisionField.REQUEST, terms.id())
                 .with(DecisionField.REASON, reason)
                 .with(DecisionField.SENDS, progress.sends())
+                .with(DecisionField.HELD_BACK, gateway.policy().heldBack(progress))
                 .write();
         sendToNext();
     }
@@ -214,6 +217,7 @@
                 .with(DecisionField.STATUS, status)
                 .with(DecisionField.REASON, reason)
                 .with(DecisionField.SENDS, progress.sends())
+                .with(DecisionField.HELD_BACK, gateway.policy().heldBack(progress))
                 .with(DecisionField.MAY_HAVE_RUN, progress.mayHaveRun())
                 .with(DecisionField.VERSION, gateway.policy().leastVersion(service()))
                 .with(DecisionField.PREDICTED_MS, attempt == null ? 0 : attempt.predictedMillis())
@@ -324,6 +328,13 @@
         progress.outcomeUnknown();
     }
 
+    /** The target wanted no request any more once there was a connection to it, so nothing left. */
+    void heldBack(TargetSighting target, HeldBack reason) {
+        gateway.metrics().heldBack(reason.label());
+        progress.heldBack(target.id());
+        sendToNext();
+    }
+
     /** No connection to the target was made, so nothing left. */
     void notConnected() {
         progress.notConnected();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -26,6 +26,8 @@
 import org.bankturn.daemon.publication.Published;
 import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeRequest;
 import org.bankturn.publication.NamedWeights;
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
@@ -34,6 +36,7 @@
 import org.bankturn.routing.PlacementSettings;
 import org.bankturn.routing.RequestPolicy;
 import org.bankturn.routing.StopPlan;
+import org.bankturn.routing.TargetState;
 import org.bankturn.routing.TargetTable;
 import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
@@ -68,6 +71,7 @@
     private final TargetConnections connections;
     private final RequestPolicy policy;
     private final LoadPoller loads;
+    private final PermitCalls permits;
     private final CrashWatch crashes;
     private final Set<ForwardedRequest> underWay = new LinkedHashSet<>();
     private final long startedMillis;
@@ -122,6 +126,7 @@
         this.targets = TargetTable.of(clock, settings.dataHall(), PlacementSettings.DEFAULT, random);
         this.policy = RequestPolicy.of(clock, targets, settings.retries(), random);
         this.loads = LoadPoller.of(reactor, clock, clients, targets, settings, metrics);
+        this.permits = PermitCalls.of(settings.nodeAddress(), clock, clients, targets, random, log, metrics);
         this.crashes = CrashWatch.of(
                 settings.process(), reactor, clock, log, metrics, connections, controlGroup, this::stopCondemned);
         this.callers = HttpListener.create(
@@ -161,6 +166,7 @@
         policy.update(newer.configuration(), gatewaysThere());
         connections.forget(targets.update(newer.targets().values()));
         loads.update(newer, gatewaysHere());
+        permits.update(addresses(gateways()));
         crashes.update(newer.suspects(), newer.targets().values());
     }
 
@@ -237,6 +243,11 @@
         exchange.answer(HttpHead.answer(ready ? 200 : 503, List.of()), NOTHING);
     }
 
+    /** Answers another gateway that asks for a permit, not null. */
+    public NodeReply givePermit(NodeRequest.AskPermit asked) {
+        return permits.give(asked);
+    }
+
     // ---- requests
 
     private void handle(ServerExchange exchange) {
@@ -346,6 +357,16 @@
         return loads.ask(targetIds);
     }
 
+    /** Asks for the permits that requests could have used. */
+    void askForPermits() {
+        permits.askForWanted();
+    }
+
+    /** A target's limit changed or ended, by one of its answers. */
+    void limitChanged(TargetState target) {
+        permits.tell(target);
+    }
+
     /** A request left for an engine. */
     void sentToEngine() {
         loads.requestSent();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
@@ -128,7 +128,14 @@
                 .filter(target -> target.heldVersion() >= 0)
                 .map(target -> new WatchPlan.Engine(target.id(), target.dataHall(), target.slots()))
                 .toList();
-        Set<String> watched = plan.watched(engines, gatewaysHere, busiest);
+        // in place of engines that are held back others are watched, which would be run over otherwise
+        Set<String> watched = new HashSet<>(plan.watched(engines, gatewaysHere, busiest));
+        List<WatchPlan.Engine> free = engines.stream()
+                .filter(engine -> !targets.isHeldBack(engine.id()))
+                .toList();
+        if (free.size() < engines.size()) {
+            watched.addAll(plan.watched(free, gatewaysHere, busiest));
+        }
         Set<String> near = new HashSet<>();
         Set<String> far = new HashSet<>();
         for (String id : watched) {
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -44,6 +44,8 @@
     HALL,
     /** How long a request was held, in milliseconds. */
     HELD_MS,
+    /** How many targets were left out by their own wish, for each reason. */
+    HELD_BACK,
     /** The index of a publication. */
     INDEX,
     /** True if a connection had carried something before. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -41,6 +41,15 @@
     /** The label of what targets ask for in a form that cannot be read. */
     public static final String NOTICE_UNREADABLE = "unreadable";
 
+    /** The label of permits that were granted. */
+    public static final String PERMIT_GRANTED = "granted";
+
+    /** The label of permits that were not to be had yet. */
+    public static final String PERMIT_REFUSED = "refused";
+
+    /** The label of questions for a permit that were not answered. */
+    public static final String PERMIT_UNANSWERED = "unanswered";
+
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests;
     private final Counter retries;
@@ -51,6 +60,8 @@
     private final Counter suspects;
     private final Counter unreadableReports;
     private final Counter targetNotices;
+    private final Counter permits;
+    private final Counter heldBack;
     private final Gauge condemned;
     private final Counter pieceBytes;
     private final Counter piecesRejected;
@@ -78,6 +89,9 @@
         errors = counter("errors", "Errors thrown that nothing handles.");
         unreadableReports = counter("unreadable_reports", "Reports of the engine that could not be read.");
         targetNotices = counter("target_notices", "Changes of what targets ask of callers, by kind.", "event");
+        permits = counter("permits", "Permits for rate-limited targets that were asked for, by outcome.", "outcome");
+        heldBack = counter(
+                "held_back", "Requests that were not sent to the target chosen for them, by its wish.", "reason");
         suspects = counter("suspects", "Requests under which targets ended, by what became of them.", "event");
         condemned =
                 gauge("condemned_requests", "Requests that are sent to no target because targets ended under them.");
@@ -180,6 +194,16 @@
         targetNotices.labelValues(event).inc();
     }
 
+    /** Counts a question for a permit; {@code outcome} is one of the labels above. */
+    public void permitAsked(String outcome) {
+        permits.labelValues(outcome).inc();
+    }
+
+    /** Counts a request that had a target and was not sent to it, because the target wanted none by then. */
+    public void heldBack(String reason) {
+        heldBack.labelValues(reason).inc();
+    }
+
     /** Counts a request under which a target ended; {@code event} is one of the labels above. */
     public void suspected(String event) {
         suspects.labelValues(event).inc();
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -191,7 +191,10 @@
         return new WeightsWiring(reactor, clients, dialects.weights(), clock, log, metrics);
     }
 
-    private static Promise<NodeReply> answer(WeightsRelay relay, NodeRequest request) {
+    private Promise<NodeReply> answer(WeightsRelay relay, NodeRequest request) {
+        if (request instanceof NodeRequest.AskPermit asked) {
+            return Promise.of(gateway.givePermit(asked));
+        }
         if (request instanceof NodeRequest.GetPiece asked) {
             return relay.givePiece(asked);
         }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeReply.java
@@ -30,7 +30,8 @@
     @JsonSubTypes.Type(value = NodeReply.Watched.class, name = "watched"),
     @JsonSubTypes.Type(value = NodeReply.Piece.class, name = "piece"),
     @JsonSubTypes.Type(value = NodeReply.Load.class, name = "load"),
-    @JsonSubTypes.Type(value = NodeReply.PieceThere.class, name = "there")
+    @JsonSubTypes.Type(value = NodeReply.PieceThere.class, name = "there"),
+    @JsonSubTypes.Type(value = NodeReply.Permit.class, name = "permit")
 })
 public sealed interface NodeReply {
     /** The message was taken in. */
@@ -82,6 +83,18 @@
             int watchers)
             implements NodeReply {}
 
+    /**
+     * What a gateway that asked for a permit is told.
+     *
+     * @param limited true if the target names a limit, as far as is known
+     * @param perSecond the requests a second that it takes from all gateways, 0 if it names no limit
+     * @param ageMillis how long ago it said so
+     * @param granted true if a permit was reserved
+     * @param inMillis when the permit may be used, or when to ask again
+     */
+    record Permit(boolean limited, double perSecond, long ageMillis, boolean granted, long inMillis)
+            implements NodeReply {}
+
     /** A piece of weights, null if it is not held here. */
     record Piece(byte[] bytes) implements NodeReply {}
 
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeRequest.java
@@ -30,6 +30,7 @@
     @JsonSubTypes.Type(value = NodeRequest.GetPiece.class, name = "piece"),
     @JsonSubTypes.Type(value = NodeRequest.GetLoad.class, name = "load"),
     @JsonSubTypes.Type(value = NodeRequest.AwaitPiece.class, name = "await"),
+    @JsonSubTypes.Type(value = NodeRequest.AskPermit.class, name = "permit"),
     @JsonSubTypes.Type(value = NodeRequest.Announce.class, name = "announce")
 })
 public sealed interface NodeRequest {
@@ -87,6 +88,19 @@
     /** Says that a process of bankturn is there which other processes must find, as targets say of themselves. */
     record Announce(TargetSighting sighting) implements NodeRequest {}
 
+    /**
+     * Asks the gateway that is responsible for a rate-limited target for a permit, and tells what is known of the limit.
+     *
+     * @param target the target's incarnation, not null
+     * @param gateway the gateway that asks, not null
+     * @param limited true if the target names a limit
+     * @param perSecond the requests a second that it takes from all gateways, 0 if it names no limit
+     * @param ageMillis how long ago it said so
+     * @param wants true if the gateway wants a permit
+     */
+    record AskPermit(String target, String gateway, boolean limited, double perSecond, long ageMillis, boolean wants)
+            implements NodeRequest {}
+
     /** Asks a target process for its engine's load. */
     record GetLoad() implements NodeRequest {}
 }
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/SeveralGateways.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/SeveralGateways.java
@@ -18,6 +18,8 @@
 import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.daemon.wire.ConnectionObserver;
 import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.daemon.wire.NodeServer;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.RetryLimits;
 import org.bankturn.service.RequestKind;
@@ -29,6 +31,9 @@
     private static final RetryLimits UNLIMITED_RETRIES = new RetryLimits(0.5, 96_000_000, 10_000);
     private static final long TIMEOUT_MILLIS = 2_000;
 
+    /** The callers of one gateway. */
+    private static final int CALLERS = 3;
+
     final Clock clock = Clock.system();
 
     /** What was thrown on the reactor's thread and would be lost. */
@@ -74,6 +79,11 @@
                 ServingMetrics.of(log));
         reactor.submit(() -> {
                     gateway.start();
+                    NodeServer.create(
+                                    reactor,
+                                    node,
+                                    asked -> Promise.of(gateway.givePermit((NodeRequest.AskPermit) asked)))
+                            .listen();
                     return Promise.complete();
                 })
                 .join();
@@ -112,9 +122,11 @@
         long end = clock.millis() + millis;
         List<Thread> callers = new ArrayList<>();
         for (Started each : started) {
-            Thread caller = new Thread(() -> callUntil(end, each.callers()), "caller");
-            caller.start();
-            callers.add(caller);
+            for (int number = 0; number < CALLERS; number++) {
+                Thread caller = new Thread(() -> callUntil(end, each.callers()), "caller");
+                caller.start();
+                callers.add(caller);
+            }
         }
         for (Thread caller : callers) {
             caller.join();
@@ -126,7 +138,8 @@
             try (Socket socket = new Socket(gateway.host(), gateway.port())) {
                 ScriptedTarget.write(
                         socket,
-                        "POST /x/1 HTTP/1.1\r\nHost: h\r\nId: " + gateway.port() + "-" + number
+                        "POST /x/1 HTTP/1.1\r\nHost: h\r\nId: " + gateway.port() + "-"
+                                + Thread.currentThread().getId() + "-" + number
                                 + "\r\nDeadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
                 String unused = GatewayFixture.readAll(socket.getInputStream());
             } catch (IOException e) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/TargetRateLimitTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/TargetRateLimitTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
 import org.bankturn.time.Clock;
 import org.junit.jupiter.api.AfterEach;
@@ -19,6 +20,7 @@
     private static final long UNTIL_IN_FORCE_MILLIS = 3_000;
     private static final double TOLERANCE = 1.5;
     private static final int ALLOWANCE = 5;
+    private static final long ANSWER_MILLIS = 100;
 
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private SeveralGateways gateways;
@@ -38,6 +40,10 @@
             return new ScriptedTarget((number, id, socket) -> {
                 arrivals.add(clock.millis());
                 String named = limit.get();
+                if (named == null) {
+                    // as slow as gateways expect of a target, or all requests would go to whichever they tried first
+                    GatewayFixture.await(new CountDownLatch(1), ANSWER_MILLIS);
+                }
                 ScriptedTarget.write(
                         socket,
                         "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + (named == null ? "" : "Limit: " + named + "\r\n")
