--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -33,7 +33,8 @@
                 "Suspects.bystander",
                 "Lease",
                 "Lease.unchecking",
-                "Ledger"
+                "Ledger",
+                "Permits"
             })
     void the_design_keeps_its_invariants(String configuration) throws Exception {
         assertThat(check(configuration)).contains("No error has been found");
@@ -57,7 +58,9 @@
                 "Lease.fault-no-start-wait",
                 "Lease.fault-no-settle",
                 "Ledger.fault-claim",
-                "Ledger.fault-proof"
+                "Ledger.fault-proof",
+                "Permits.fault-start",
+                "Permits.fault-ahead"
             })
     void a_removed_guard_is_found(String configuration) throws Exception {
         assertThat(check(configuration)).containsPattern("Invariant \\w+ is violated");
