--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -267,6 +268,15 @@
         return heldBack;
     }
 
+    /** Returns how many targets are held back now, for each reason, not null. */
+    public Map<HeldBack, Integer> heldBackCounts() {
+        long now = clock.millis();
+        Map<HeldBack, Integer> counts = new EnumMap<>(HeldBack.class);
+        targets.values()
+                .forEach(state -> state.heldBack(now).ifPresent(reason -> counts.merge(reason, 1, Integer::sum)));
+        return counts;
+    }
+
     /** Returns true if a target must get no request from this gateway now, so that its places are none. */
     public boolean isHeldBack(String id) {
         TargetState state = targets.get(id);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -127,6 +127,7 @@
         this.policy = RequestPolicy.of(clock, targets, settings.retries(), random);
         this.loads = LoadPoller.of(reactor, clock, clients, targets, settings, metrics);
         this.permits = PermitCalls.of(settings.nodeAddress(), clock, clients, targets, random, log, metrics);
+        metrics.tellHeldBack(targets::heldBackCounts);
         this.crashes = CrashWatch.of(
                 settings.process(), reactor, clock, log, metrics, connections, controlGroup, this::stopCondemned);
         this.callers = HttpListener.create(
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -3,12 +3,16 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.bankturn.routing.HeldBack;
 
 /**
  * The counters and latency histograms of one process that meets an outside platform.
@@ -194,6 +198,21 @@
         targetNotices.labelValues(event).inc();
     }
 
+    /** Has the targets that are held back told whenever metrics are read, by reason; to be called once. */
+    public void tellHeldBack(Supplier<Map<HeldBack, Integer>> counts) {
+        GaugeWithCallback.builder()
+                .name("bankturn_targets_held_back")
+                .help("Targets that get no request from this gateway now, by reason.")
+                .labelNames("reason")
+                .callback(gauge -> {
+                    Map<HeldBack, Integer> now = counts.get();
+                    for (HeldBack reason : HeldBack.values()) {
+                        gauge.call(now.getOrDefault(reason, 0), reason.label());
+                    }
+                })
+                .register(registry);
+    }
+
     /** Counts a question for a permit; {@code outcome} is one of the labels above. */
     public void permitAsked(String outcome) {
         permits.labelValues(outcome).inc();
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/TargetBackOffTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/TargetBackOffTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.activej.promise.Promise;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -78,6 +80,8 @@
         assertThat(refused).startsWith("HTTP/1.1 503");
         assertThat(arrivals).hasSize(2);
         long comeBackMillis = Long.parseLong(ScriptedTarget.field(refused, "come-back"));
+        assertThat(new String(reactor.submit(() -> Promise.of(metrics.text())).join(), StandardCharsets.UTF_8))
+                .contains("bankturn_targets_held_back{reason=\"backing_off\"} 2.0");
         assertThat(comeBackMillis).isBetween(arrivals.get(0) + BACK_OFF_MILLIS - clock.millis(), 2 * BACK_OFF_MILLIS);
     }
 
