--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.LogFile;
 import org.bankturn.daemon.observe.ServingMetrics;
@@ -133,15 +134,23 @@
     }
 
     void publish(RequestKind kind, int attempts, long timeoutMillis, ScriptedTarget... published) {
+        publish(
+                kind,
+                attempts,
+                timeoutMillis,
+                Stream.of(published).map(ScriptedTarget::address).toList());
+    }
+
+    void publish(RequestKind kind, int attempts, long timeoutMillis, List<String> addresses) {
         Service service = new Service("chat", "/health", 100, null, null, null, null);
         ServingConfiguration configuration = configuration(kind, attempts, timeoutMillis, service);
         Map<String, TargetSighting> sightings = new HashMap<>();
         sightings.put(
                 "relay-test",
                 new TargetSighting("relay-test", WeightsRelay.SERVICE, node.toString(), "north", 0, false, -1, 1));
-        for (ScriptedTarget target : published) {
-            String id = "t-" + target.address();
-            sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, false, -1, 1));
+        for (String address : addresses) {
+            String id = "t-" + address;
+            sightings.put(id, new TargetSighting(id, "chat", address, "north", 4, false, -1, 1));
         }
         update(new Published(1, configuration, List.of(), sightings, List.of(), confirmed), clock.millis());
     }
