A target that is listed again is held back for what it asked before

A target that a cut kept from the control group was dropped from the list and listed again; gateways had forgotten meanwhile that it leaves, waits or takes little, and sent it requests. Its terms are kept with its incarnation, the newest 1,024, and taken up again. TargetTableTest: failed before (not held back), passes. Found by reading update() against the rule.

--- /dev/null
+++ b/core/src/main/java/org/bankturn/routing/RememberedTerms.java
@@ -0,0 +1,33 @@
+package org.bankturn.routing;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What starts of targets asked for that are not listed now, in case they are listed again.
+ *
+ * <p>A target that cannot reach the control group for a while is dropped from the list and comes back as it was.
+ * RememberedTerms is mutable and not thread-safe.
+ */
+final class RememberedTerms {
+    private static final int MOST_REMEMBERED = 1_024;
+
+    private final Map<String, TargetTerms> byIncarnation = new LinkedHashMap<>();
+
+    /** Remembers the terms of a start that is no longer listed, if it asked for anything; the oldest are forgotten. */
+    void keep(String incarnation, TargetTerms terms) {
+        if (!terms.askForSomething()) {
+            return;
+        }
+        byIncarnation.put(incarnation, terms);
+        if (byIncarnation.size() > MOST_REMEMBERED) {
+            byIncarnation.remove(byIncarnation.keySet().iterator().next());
+        }
+    }
+
+    /** Returns the terms of a start that is listed, new ones if none are remembered, not null. */
+    TargetTerms take(String incarnation) {
+        TargetTerms remembered = byIncarnation.remove(incarnation);
+        return remembered == null ? new TargetTerms() : remembered;
+    }
+}
--- a/core/src/main/java/org/bankturn/routing/TargetState.java
+++ b/core/src/main/java/org/bankturn/routing/TargetState.java
@@ -55,10 +55,11 @@
     private long heardOfLoadMillis = Long.MIN_VALUE / 2;
     private final Deque<Long> sentMillis = new ArrayDeque<>();
     private final Deque<Long> endedMillis = new ArrayDeque<>();
-    private final TargetTerms terms = new TargetTerms();
+    private final TargetTerms terms;
 
-    TargetState(TargetSighting sighting) {
+    TargetState(TargetSighting sighting, TargetTerms terms) {
         this.sighting = sighting;
+        this.terms = terms;
     }
 
     // ---- queries
@@ -150,6 +151,11 @@
         return terms.limit();
     }
 
+    /** Returns what the target asks of this gateway, not null. */
+    TargetTerms terms() {
+        return terms;
+    }
+
     /** Returns why the target must get no request from this gateway now, empty if it may, not null. */
     public Optional<HeldBack> heldBack(long nowMillis) {
         return terms.heldBack(nowMillis);
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -43,6 +43,7 @@
     private final UniformRandomProvider random;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, List<TargetState>> byService = new HashMap<>();
+    private final RememberedTerms remembered = new RememberedTerms();
     private final OpenQuestions openQuestions;
     private Set<String> watched = Set.of();
     private List<TargetState> watchedStates = List.of();
@@ -110,12 +111,12 @@
             gone.remove(sighting.id());
             TargetState known = targets.get(sighting.id());
             if (known == null) {
-                targets.put(sighting.id(), new TargetState(sighting));
+                targets.put(sighting.id(), new TargetState(sighting, remembered.take(sighting.id())));
             } else {
                 known.update(sighting);
             }
         }
-        targets.keySet().removeAll(gone);
+        gone.forEach(id -> remembered.keep(id, targets.remove(id).terms()));
         openQuestions.forget(gone);
         byService.clear();
         targets.values()
--- a/core/src/main/java/org/bankturn/routing/TargetTerms.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTerms.java
@@ -63,6 +63,11 @@
         return Math.max(0, askFromMillis - nowMillis) + Math.round(limit.paceMillis());
     }
 
+    /** Returns true if the target asked for something that may still hold. */
+    boolean askForSomething() {
+        return leaving || limit.inForce() || backOffUntilMillis > NEVER;
+    }
+
     /** Returns true if a permit should be asked for, because a request could use one. */
     boolean wantsPermit(long nowMillis) {
         boolean wantsRequests = !leaving && nowMillis >= backOffUntilMillis;
--- a/core/src/test/java/org/bankturn/routing/TargetTableTest.java
+++ b/core/src/test/java/org/bankturn/routing/TargetTableTest.java
@@ -272,6 +272,18 @@
         assertThat(table.takePermitsWanted()).containsExactly(far);
     }
 
+    /** Cut off from the control group for a while, a target is dropped and listed again; it is the same start of it. */
+    @Test
+    void a_target_that_is_listed_again_has_asked_for_what_it_asked_for() {
+        add("cut", "here");
+        state("cut").noticed(new TargetNotice(OptionalDouble.of(1), 0, true), true, clock.millis(), clock.millis());
+        sightings.clear();
+        add("other", "here");
+        clock.advance(5_000);
+        add("cut", "here");
+        assertThat(table.isHeldBack("cut")).isTrue();
+    }
+
     @Test
     void a_target_that_starts_again_has_asked_for_nothing() {
         add("first", "here");
