--- /dev/null
+++ b/core/src/main/java/org/bankturn/routing/Candidates.java
@@ -0,0 +1,19 @@
+package org.bankturn.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.bankturn.routing.TargetTable.Choice;
+
+/**
+ * The targets that may take one request, by what is known of them, and those that could but are held back.
+ *
+ * <p>Candidates is mutable and not thread-safe.
+ */
+final class Candidates {
+    final List<Choice> near = new ArrayList<>();
+    final List<Choice> far = new ArrayList<>();
+    final List<Choice> unwatched = new ArrayList<>();
+    final List<Choice> avoided = new ArrayList<>();
+    final List<TargetState> heldBackNear = new ArrayList<>();
+    final List<TargetState> heldBackFar = new ArrayList<>();
+}
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -40,7 +39,7 @@
     private final Clock clock;
     private final String dataHall;
     private final PlacementSettings settings;
-    private final UniformRandomProvider random;
+    private final ChoiceComparison comparison;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, List<TargetState>> byService = new HashMap<>();
     private final RememberedTerms remembered = new RememberedTerms();
@@ -76,7 +75,8 @@
      * @param breakOffMillis what counts beside it, because the target will soon break off what it runs
      */
     public record Choice(TargetState target, double predictedMillis, long wayMillis, double breakOffMillis) {
-        private double weighedMillis() {
+        /** Returns what is compared, in milliseconds. */
+        double weighedMillis() {
             return predictedMillis + breakOffMillis;
         }
     }
@@ -98,7 +98,7 @@
         this.clock = clock;
         this.dataHall = dataHall;
         this.settings = settings;
-        this.random = random;
+        this.comparison = new ChoiceComparison(clock, settings, random);
         this.openQuestions = OpenQuestions.none(clock);
     }
 
@@ -180,16 +180,6 @@
 
     // ---- choosing
 
-    /** The targets that may take a request, by what is known of them. */
-    private static final class Candidates {
-        private final List<Choice> near = new ArrayList<>();
-        private final List<Choice> far = new ArrayList<>();
-        private final List<Choice> unwatched = new ArrayList<>();
-        private final List<Choice> avoided = new ArrayList<>();
-        private final List<TargetState> heldBackNear = new ArrayList<>();
-        private final List<TargetState> heldBackFar = new ArrayList<>();
-    }
-
     /**
      * Returns the engines to ask for their load before a request is placed, none if their news is fresh.
      *
@@ -208,7 +198,7 @@
                 .count();
         List<Choice> stale = new ArrayList<>(pool);
         stale.removeIf(choice -> choice.target().newsMillis(now) <= settings.freshMillis());
-        draw(stale, settings.asked() - fresh);
+        comparison.draw(stale, settings.asked() - fresh);
         return stale.stream()
                 .limit(Math.max(0, settings.asked() - fresh))
                 .map(choice -> choice.target().sighting().id())
@@ -221,9 +211,7 @@
      */
     public Optional<Choice> choose(Wanted wanted) {
         Candidates candidates = candidates(wanted, clock.millis(), true);
-        Optional<Choice> choice = withPermit(candidates, wanted)
-                .or(() -> best(candidates, wanted))
-                .or(() -> leastOf(candidates.avoided, Integer.MAX_VALUE).map(Weighed::choice));
+        Optional<Choice> choice = comparison.best(candidates, wanted);
         wantPermits(candidates.heldBackNear);
         if (choice.isEmpty() || !staysHere(choice.get(), wanted)) {
             wantPermits(candidates.heldBackFar);
@@ -231,17 +219,6 @@
         return choice;
     }
 
-    /**
-     * Returns a target of the own data hall for which there is a permit, if a request begins comfortably in time there. What it
-     * offers would be lost otherwise, and the end of its limit would go unnoticed while others look a little better.
-     */
-    private Optional<Choice> withPermit(Candidates candidates, Wanted wanted) {
-        return candidates.near.stream()
-                .filter(choice -> choice.target().rateLimit().inForce())
-                .filter(choice -> isComfortable(choice, wanted))
-                .findAny();
-    }
-
     private void wantPermits(List<TargetState> heldBack) {
         long now = clock.millis();
         heldBack.stream().filter(state -> state.wantsPermit(now)).forEach(permitsWanted::add);
@@ -348,63 +325,9 @@
         return hasNews ? Math.min(MOST_PATH_MILLIS, state.newsMillis(now)) : 0;
     }
 
-    private Optional<Choice> best(Candidates candidates, Wanted wanted) {
-        Optional<Weighed> drawn = leastOf(freshOf(candidates.near), settings.drawn());
-        if (drawn.isPresent() && isComfortable(drawn.get().choice(), wanted)) {
-            return drawn.map(Weighed::choice);
-        }
-        Optional<Weighed> here = leastOf(candidates.near, Integer.MAX_VALUE);
-        if (here.isPresent() && isComfortable(here.get().choice(), wanted)) {
-            return here.map(Weighed::choice);
-        }
-        Optional<Weighed> elsewhere = leastOf(freshOf(candidates.far), settings.drawn());
-        boolean goes = here.isEmpty()
-                || (elsewhere.isPresent()
-                        && elsewhere.get().cost() + settings.otherHallMillis()
-                                < here.get().cost());
-        Optional<Weighed> best = goes ? elsewhere : here;
-        return best.or(() -> leastOf(candidates.unwatched, settings.drawn())).map(Weighed::choice);
-    }
-
     /** Returns true if the target is in the own data hall and a request begins comfortably in time there. */
     public boolean staysHere(Choice choice, Wanted wanted) {
-        return isNear(choice.target()) && isComfortable(choice, wanted);
-    }
-
-    /** Returns true if a request begins early enough there to stay in its data hall whatever others offer. */
-    private boolean isComfortable(Choice choice, Wanted wanted) {
-        return choice.weighedMillis() <= wanted.objectiveMillis() * settings.comfortableShare();
-    }
-
-    /** Returns those of which there is fresh news, all if there is of none. */
-    private List<Choice> freshOf(List<Choice> choices) {
-        long now = clock.millis();
-        List<Choice> fresh = new ArrayList<>(choices);
-        fresh.removeIf(choice -> choice.target().newsMillis(now) > settings.freshMillis());
-        return settings.asked() == 0 || fresh.isEmpty() ? choices : fresh;
-    }
-
-    /** A choice and its prediction as spread at random, in milliseconds. */
-    private record Weighed(Choice choice, double cost) {}
-
-    /** Returns the least of some that are drawn, each prediction spread at random. */
-    private Optional<Weighed> leastOf(List<Choice> choices, int drawn) {
-        draw(choices, drawn);
-        Weighed least = null;
-        for (Choice choice : choices.subList(0, Math.min(drawn, choices.size()))) {
-            double cost = choice.weighedMillis() * (1 + settings.spread() * random.nextDouble());
-            if (least == null || cost < least.cost()) {
-                least = new Weighed(choice, cost);
-            }
-        }
-        return Optional.ofNullable(least);
-    }
-
-    /** Moves some that are drawn at random to the front. */
-    private void draw(List<Choice> choices, int drawn) {
-        for (int index = 0; index < drawn && index < choices.size() - 1; index++) {
-            Collections.swap(choices, index, index + random.nextInt(choices.size() - index));
-        }
+        return isNear(choice.target()) && comparison.isComfortable(choice, wanted);
     }
 
     private boolean isNear(TargetState state) {
