A request without another target waits a moment for the permit that it asks for

Callers of a service whose only target names a limit were refused although the target would have taken them: the permit that a request caused to be asked for came once it was refused, and was over (0.3 s) before the next. With calls 0.9 s apart and a limit of 2 a second 1 of 10 was answered, and no answer could have told that the limit was over.

The request waits until the answer is there, and for a permit within an eighth of its objective in all; then it is refused at once with when one comes. Others that ask meanwhile wait for the same answer. Ruled out: permits that are valid for longer (they would break the bound), and asking without a request (messages at rest).

TargetRateLimitTest.a_service_whose_only_target_takes_little_is_served_at_that_rate: 1 of 10 before, passes now (5 at least). RequestPolicyTest: three cases.

--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -26,6 +26,9 @@
     /** A request that could not be connected to that many targets is given up: something nearer is broken. */
     private static final int MOST_FAILED_CONNECTIONS = 4;
 
+    /** The share of its objective that a request waits for a permit at most. */
+    private static final double PERMIT_WAIT_SHARE = 0.125;
+
     /** What a request earns of the share that is allowed; the rest is for what budgets keep. */
     private static final double RETRY_SHARE_EARNED = 1 / (1 + RetryBudget.KEPT_SHARE);
 
@@ -176,6 +179,10 @@
     private NextStep place(RequestProgress request) {
         Optional<Choice> choice = choose(request);
         if (choice.isEmpty()) {
+            Optional<NextStep> wait = awaitPermit(request);
+            if (wait.isPresent()) {
+                return wait.get();
+            }
             firstTries(request.service()).noEngine();
             return withoutTarget(request);
         }
@@ -196,6 +203,17 @@
         return send(request, choice.get());
     }
 
+    /** A request that caused a permit to be asked for, and has no other target, waits a moment for it: the next one comes too late. */
+    private Optional<NextStep> awaitPermit(RequestProgress request) {
+        long now = clock.millis();
+        request.waitForPermitUntil(now + Math.round(request.route().objectiveMillis() * PERMIT_WAIT_SHARE));
+        long most = request.permitWaitEndMillis() - now;
+        if (most <= 0) {
+            return Optional.empty();
+        }
+        return targets.permitWithin(most, wanted(request)).map(target -> new NextStep.AwaitPermit(target, most));
+    }
+
     private NextStep.GiveUp withoutTarget(RequestProgress request) {
         HeldBackTargets heldBack = heldBack(request);
         if (heldBack.anyComesBack()) {
--- a/core/src/main/java/org/bankturn/routing/RequestProgress.java
+++ b/core/src/main/java/org/bankturn/routing/RequestProgress.java
@@ -25,6 +25,7 @@
     private boolean mayHaveRun;
     private boolean earlierMayHaveRun;
     private String lastEvent;
+    private long permitWaitEndMillis = Long.MAX_VALUE;
 
     /**
      * Returns the progress of a request that went nowhere yet, not null.
@@ -82,6 +83,11 @@
         return askedElsewhere;
     }
 
+    /** Returns until when it may wait for a permit, Long.MAX_VALUE if it has not begun to. */
+    long permitWaitEndMillis() {
+        return permitWaitEndMillis;
+    }
+
     /** Returns how often it left for a target. */
     public int sends() {
         return sends;
@@ -114,6 +120,11 @@
         cameBack = true;
     }
 
+    /** It begins to wait for a permit, unless it did before. */
+    void waitForPermitUntil(long millis) {
+        permitWaitEndMillis = Math.min(permitWaitEndMillis, millis);
+    }
+
     /** Engines of the own data hall are asked for its sake. */
     void askHere() {
         askedHere = true;
--- a/core/src/main/java/org/bankturn/routing/TargetState.java
+++ b/core/src/main/java/org/bankturn/routing/TargetState.java
@@ -166,6 +166,21 @@
         return terms.untilFreeMillis(nowMillis);
     }
 
+    /** Returns true if a permit may be there within a time: one is held for later, or is being asked for. */
+    boolean mayGetPermitWithin(long millis, long nowMillis) {
+        return terms.mayGetPermitWithin(millis, nowMillis);
+    }
+
+    /** Returns how long until the permit that is held may be used, 0 if none is held. */
+    public long untilPermitMillis(long nowMillis) {
+        return terms.untilHeldPermitMillis(nowMillis);
+    }
+
+    /** Returns true if a permit is being asked for. */
+    public boolean isAskingPermit() {
+        return terms.isAsking();
+    }
+
     /** Returns true if a permit should be asked for, because a request could use one. */
     boolean wantsPermit(long nowMillis) {
         return terms.wantsPermit(nowMillis);
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -246,6 +247,15 @@
         return heldBack;
     }
 
+    /** Returns a target that a request could be sent to within a time, if a permit comes, not null. */
+    Optional<TargetState> permitWithin(long millis, Wanted wanted) {
+        long now = clock.millis();
+        return byService.getOrDefault(wanted.service().name(), List.of()).stream()
+                .filter(state -> mayTake(state, wanted) && state.mayGetPermitWithin(millis, now))
+                .min(Comparator.comparing((TargetState state) -> !isNear(state))
+                        .thenComparing(state -> state.untilFreeMillis(now)));
+    }
+
     /** Returns how many targets are held back now, for each reason, not null. */
     public Map<HeldBack, Integer> heldBackCounts() {
         long now = clock.millis();
--- a/core/src/main/java/org/bankturn/routing/TargetTerms.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTerms.java
@@ -56,9 +56,14 @@
         return limit.inForce() ? Math.max(backOff, untilPermitMillis(nowMillis)) : backOff;
     }
 
+    /** Returns how long until the permit that is held may be used, 0 if none is held. */
+    long untilHeldPermitMillis(long nowMillis) {
+        return permitUntilMillis > nowMillis ? Math.max(0, permitFromMillis - nowMillis) : 0;
+    }
+
     private long untilPermitMillis(long nowMillis) {
         if (permitUntilMillis > nowMillis) {
-            return Math.max(0, permitFromMillis - nowMillis);
+            return untilHeldPermitMillis(nowMillis);
         }
         return Math.max(0, askFromMillis - nowMillis) + Math.round(limit.paceMillis());
     }
@@ -78,6 +83,18 @@
                 && nowMillis >= permitUntilMillis;
     }
 
+    /** Returns true if a permit may be there within a time: one is held for later, or is being asked for. */
+    boolean mayGetPermitWithin(long millis, long nowMillis) {
+        boolean wantsRequests = !leaving && nowMillis >= backOffUntilMillis;
+        boolean isHeld = nowMillis < permitUntilMillis && permitFromMillis <= nowMillis + millis;
+        return wantsRequests && limit.inForce() && (isHeld || asking || wantsPermit(nowMillis));
+    }
+
+    /** Returns true if a permit is being asked for. */
+    boolean isAsking() {
+        return asking;
+    }
+
     private boolean hasPermit(long nowMillis) {
         return permitFromMillis <= nowMillis && nowMillis < permitUntilMillis;
     }
--- a/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
+++ b/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.apache.commons.rng.simple.RandomSource;
@@ -85,6 +86,52 @@
         assertThat(policy.next(request)).isInstanceOf(NextStep.Send.class);
     }
 
+    @Test
+    void a_request_without_another_target_waits_for_the_permit_that_it_asks_for() {
+        TargetState one = limitedOnlyTarget();
+        NextStep.AwaitPermit wait = (NextStep.AwaitPermit) decide(request());
+        assertThat(wait.mostMillis()).isEqualTo(ROUTE.objectiveMillis() / 8);
+        assertThat(targets.takePermitsWanted()).containsExactly(one);
+        answerPermit(one, true, 0);
+        assertThat(decide(request())).isInstanceOf(NextStep.Send.class);
+    }
+
+    @Test
+    void a_request_without_another_target_is_refused_once_there_is_no_permit_soon() {
+        TargetState one = limitedOnlyTarget();
+        RequestProgress request = request();
+        assertThat(decide(request)).isInstanceOf(NextStep.AwaitPermit.class);
+        answerPermit(one, false, 700);
+        NextStep.GiveUp refused = (NextStep.GiveUp) decide(request);
+        assertThat(refused.reason()).isEqualTo("no target left but 1 rate_limited");
+        assertThat(refused.comeBackMillis()).isBetween(700L, 3_000L);
+    }
+
+    @Test
+    void a_request_waits_for_permits_no_longer_than_its_bound_in_all() {
+        TargetState one = limitedOnlyTarget();
+        RequestProgress request = request();
+        assertThat(decide(request)).isInstanceOf(NextStep.AwaitPermit.class);
+        one.permitAsked();
+        clock.advance(ROUTE.objectiveMillis() / 8);
+        assertThat(decide(request)).isInstanceOf(NextStep.GiveUp.class);
+    }
+
+    private TargetState limitedOnlyTarget() {
+        targets.update(List.of(sighting("one", "here")));
+        targets.watch(Set.of("one"));
+        NextStep.Send send = (NextStep.Send) decide(request());
+        TargetState one = send.choice().target();
+        one.noticed(new TargetNotice(OptionalDouble.of(1), 0, false), true, clock.millis(), clock.millis());
+        return one;
+    }
+
+    private void answerPermit(TargetState target, boolean granted, long inMillis) {
+        target.permitAsked();
+        target.permitAnswered(
+                new PermitCoordinator.Answer(target.rateLimit(), granted, inMillis), clock.millis(), clock.millis());
+    }
+
     /** Callers that had been refused took the places of first tries, which then came back late as well. */
     @Test
     void while_first_tries_are_refused_for_long_a_caller_that_comes_back_gets_no_place_that_one_of_them_might_want() {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -99,6 +99,8 @@
         gateway.askForPermits();
         if (step instanceof NextStep.Ask ask) {
             gateway.askForLoad(ask.targets()).whenComplete(this::sendToNext);
+        } else if (step instanceof NextStep.AwaitPermit wait) {
+            gateway.awaitPermit(wait).whenComplete(this::sendToNext);
         } else if (step instanceof NextStep.Send send) {
             sendTo(send);
         } else if (step instanceof NextStep.GiveUp giveUp) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -33,6 +33,7 @@
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.ComeBack;
 import org.bankturn.routing.ConnectionTrust;
+import org.bankturn.routing.NextStep;
 import org.bankturn.routing.PlacementSettings;
 import org.bankturn.routing.RequestPolicy;
 import org.bankturn.routing.StopPlan;
@@ -126,7 +127,7 @@
         this.targets = TargetTable.of(clock, settings.dataHall(), PlacementSettings.DEFAULT, random);
         this.policy = RequestPolicy.of(clock, targets, settings.retries(), random);
         this.loads = LoadPoller.of(reactor, clock, clients, targets, settings, metrics);
-        this.permits = PermitCalls.of(settings.nodeAddress(), clock, clients, targets, random, log, metrics);
+        this.permits = PermitCalls.of(settings.nodeAddress(), reactor, clock, clients, targets, random, log, metrics);
         metrics.tellHeldBack(targets::heldBackCounts);
         this.crashes = CrashWatch.of(
                 settings.process(), reactor, clock, log, metrics, connections, controlGroup, this::stopCondemned);
@@ -363,6 +364,11 @@
         permits.askForWanted();
     }
 
+    /** The promise completes when a request that waits for a permit should be placed. */
+    Promise<Void> awaitPermit(NextStep.AwaitPermit wait) {
+        return permits.await(wait.target(), wait.mostMillis());
+    }
+
     /** A target's limit changed or ended, by one of its answers. */
     void limitChanged(TargetState target) {
         permits.tell(target);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/PermitCalls.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/PermitCalls.java
@@ -1,6 +1,12 @@
 package org.bankturn.daemon.gateway;
 
+import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -30,18 +36,21 @@
     private static final long ANSWER_MILLIS = 400;
 
     private final String self;
+    private final Eventloop reactor;
     private final Clock clock;
     private final NodeClients clients;
     private final TargetTable targets;
     private final DecisionLog log;
     private final ServingMetrics metrics;
     private final PermitCoordinator coordinator;
+    private final Map<TargetState, List<SettablePromise<Void>>> waiting = new HashMap<>();
     private Set<String> gateways = Set.of();
 
     /**
      * Returns calls of a gateway that knows of no other, not null.
      *
      * @param self the node address of this gateway, not null
+     * @param reactor its reactor, not null
      * @param clock the time, not null
      * @param clients asks other processes, not null
      * @param targets the targets that this gateway knows, not null
@@ -51,17 +60,19 @@
      */
     static PermitCalls of(
             Address self,
+            Eventloop reactor,
             Clock clock,
             NodeClients clients,
             TargetTable targets,
             UniformRandomProvider random,
             DecisionLog log,
             ServingMetrics metrics) {
-        return new PermitCalls(self, clock, clients, targets, random, log, metrics);
+        return new PermitCalls(self, reactor, clock, clients, targets, random, log, metrics);
     }
 
     private PermitCalls(
             Address self,
+            Eventloop reactor,
             Clock clock,
             NodeClients clients,
             TargetTable targets,
@@ -69,6 +80,7 @@
             DecisionLog log,
             ServingMetrics metrics) {
         this.self = self.toString();
+        this.reactor = reactor;
         this.clock = clock;
         this.clients = clients;
         this.targets = targets;
@@ -89,6 +101,25 @@
         }
     }
 
+    /**
+     * Waits for a permit that is being asked for, or for the time of one that is held.
+     *
+     * @param target the target, not null
+     * @param mostMillis how long to wait at most
+     * @return completes when a request should be placed again, not null
+     */
+    Promise<Void> await(TargetState target, long mostMillis) {
+        SettablePromise<Void> ready = new SettablePromise<>();
+        if (target.isAskingPermit()) {
+            waiting.computeIfAbsent(target, key -> new ArrayList<>()).add(ready);
+            reactor.delayBackground(mostMillis, () -> ready.trySet(null));
+        } else {
+            long untilPermit = Math.min(mostMillis, target.untilPermitMillis(clock.millis()));
+            reactor.delayBackground(Math.max(1, untilPermit), () -> ready.trySet(null));
+        }
+        return ready;
+    }
+
     /** Tells the gateway that is responsible for a target that its limit changed or ended. */
     void tell(TargetState target) {
         ask(target, false).whenException(failure -> unanswered(target, failure));
@@ -114,9 +145,17 @@
                 target.permitUnanswered(clock.millis());
                 unanswered(target, failure);
             }
+            placeWaiting(target);
         });
     }
 
+    private void placeWaiting(TargetState target) {
+        List<SettablePromise<Void>> requests = waiting.remove(target);
+        if (requests != null) {
+            requests.forEach(request -> request.trySet(null));
+        }
+    }
+
     private void answered(TargetState target, PermitCoordinator.Answer answer, long askedMillis) {
         RateLimit before = target.rateLimit();
         target.permitAnswered(answer, askedMillis, clock.millis());
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/SeveralGateways.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/SeveralGateways.java
@@ -135,13 +135,9 @@
 
     private void callUntil(long end, Address gateway) {
         for (int number = 0; clock.millis() < end; number++) {
-            try (Socket socket = new Socket(gateway.host(), gateway.port())) {
-                ScriptedTarget.write(
-                        socket,
-                        "POST /x/1 HTTP/1.1\r\nHost: h\r\nId: " + gateway.port() + "-"
-                                + Thread.currentThread().getId() + "-" + number
-                                + "\r\nDeadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
-                String unused = GatewayFixture.readAll(socket.getInputStream());
+            try {
+                String unused = call(
+                        gateway, gateway.port() + "-" + Thread.currentThread().getId() + "-" + number);
             } catch (IOException e) {
                 thrown.add(e);
                 return;
@@ -150,6 +146,21 @@
         }
     }
 
+    /** Has a caller ask at one gateway, and returns what it gets. */
+    String call(int gateway, String id) throws IOException {
+        return call(started.get(gateway).callers(), id);
+    }
+
+    private static String call(Address gateway, String id) throws IOException {
+        try (Socket socket = new Socket(gateway.host(), gateway.port())) {
+            ScriptedTarget.write(
+                    socket,
+                    "POST /x/1 HTTP/1.1\r\nHost: h\r\nId: " + id
+                            + "\r\nDeadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            return GatewayFixture.readAll(socket.getInputStream());
+        }
+    }
+
     @Override
     public void close() {
         reactor.keepAlive(false);
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/TargetRateLimitTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/TargetRateLimitTest.java
@@ -21,6 +21,8 @@
     private static final double TOLERANCE = 1.5;
     private static final int ALLOWANCE = 5;
     private static final long ANSWER_MILLIS = 100;
+    private static final int SELDOM_CALLS = 10;
+    private static final long SELDOM_MILLIS = 900;
 
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private SeveralGateways gateways;
@@ -122,4 +124,18 @@
         }
         assertThat(limited.countAfter(endedMillis)).isGreaterThanOrEqualTo(100);
     }
+
+    /** A permit that comes once the request that wanted it was refused is over before the next request. */
+    @Test
+    void a_service_whose_only_target_takes_little_is_served_at_that_rate() throws Exception {
+        gateways = SeveralGateways.start("TargetRateLimitTest", 2);
+        Limited limited = new Limited(gateways.clock, "2");
+        gateways.publish(keep(limited.start()));
+        int answered = 0;
+        for (int call = 0; call < SELDOM_CALLS; call++) {
+            answered += gateways.call(0, "seldom-" + call).startsWith("HTTP/1.1 200") ? 1 : 0;
+            GatewayFixture.await(new CountDownLatch(1), SELDOM_MILLIS);
+        }
+        assertThat(answered).isGreaterThanOrEqualTo(SELDOM_CALLS / 2);
+    }
 }
