--- a/core/src/main/java/org/bankturn/registry/TargetSighting.java
+++ b/core/src/main/java/org/bankturn/registry/TargetSighting.java
@@ -13,6 +13,7 @@
  * @param draining true if it is about to leave
  * @param heldVersion the version of the weights that it holds completely, 0 for none, -1 if it needs none
  * @param sequence the number of the heartbeat, increasing within an incarnation
+ * @param coldMillis how much longer the target bears only a part of its load, 0 if it bears all of it
  */
 public record TargetSighting(
         String id,
@@ -24,7 +25,8 @@
         int slots,
         boolean draining,
         int heldVersion,
-        long sequence) {
+        long sequence,
+        long coldMillis) {
     private static final String START_TIME_SEPARATOR = "@";
 
     /** Uses the incarnation as the name of sightings that an earlier version stored without names. */
@@ -42,7 +44,22 @@
             boolean draining,
             int heldVersion,
             long sequence) {
-        this(id, id, 0, service, address, dataHall, slots, draining, heldVersion, sequence);
+        this(id, id, 0, service, address, dataHall, slots, draining, heldVersion, sequence, 0);
+    }
+
+    /** Creates the sighting of a target that bears its full load. */
+    public TargetSighting(
+            String id,
+            String name,
+            long bornMillis,
+            String service,
+            String address,
+            String dataHall,
+            int slots,
+            boolean draining,
+            int heldVersion,
+            long sequence) {
+        this(id, name, bornMillis, service, address, dataHall, slots, draining, heldVersion, sequence, 0);
     }
 
     /** Returns the incarnation of a target with the given name and start time, not null. */
@@ -68,6 +85,7 @@
 
     /** Returns a copy of this sighting that is draining. */
     public TargetSighting asDraining() {
-        return new TargetSighting(id, name, bornMillis, service, address, dataHall, slots, true, heldVersion, sequence);
+        return new TargetSighting(
+                id, name, bornMillis, service, address, dataHall, slots, true, heldVersion, sequence, coldMillis);
     }
 }
--- a/core/src/main/java/org/bankturn/routing/CandidateSelector.java
+++ b/core/src/main/java/org/bankturn/routing/CandidateSelector.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.bankturn.routing.TargetTable.Candidate;
-import org.bankturn.routing.TargetTable.Requirements;
 import org.bankturn.time.Clock;
 
 /**
--- a/core/src/main/java/org/bankturn/routing/Candidates.java
+++ b/core/src/main/java/org/bankturn/routing/Candidates.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
-import org.bankturn.routing.TargetTable.Candidate;
 
 /**
  * The eligible targets for one request, by locality and state, and those that are held back.
--- a/core/src/main/java/org/bankturn/routing/NextStep.java
+++ b/core/src/main/java/org/bankturn/routing/NextStep.java
@@ -36,7 +36,7 @@
      *
      * @param candidate the target and its predicted delays, not null
      */
-    record Send(TargetTable.Candidate candidate) implements NextStep {}
+    record Send(Candidate candidate) implements NextStep {}
 
     /**
      * Gives the request up and sends its final response.
--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -8,8 +8,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.bankturn.routing.TargetTable.Candidate;
-import org.bankturn.routing.TargetTable.Requirements;
+import org.bankturn.service.AllowedRegions;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
 import org.bankturn.service.ServingConfiguration;
@@ -402,7 +401,8 @@
                 request.promptTokens(),
                 request.route().objectiveMillis(),
                 excluded(request),
-                request.hasBegun() || request.sends() + 1 >= request.route().maximumAttempts());
+                request.hasBegun() || request.sends() + 1 >= request.route().maximumAttempts(),
+                AllowedRegions.ANY);
     }
 
     /**
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -14,7 +14,6 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.EngineModel;
-import org.bankturn.service.Service;
 import org.bankturn.time.Clock;
 
 /**
@@ -53,53 +52,6 @@
     private List<TargetState> watchedStates = List.of();
     private final Set<TargetState> permitRequests = new LinkedHashSet<>();
 
-    /**
-     * The requirements of a request on its target.
-     *
-     * @param service the service, not null
-     * @param minVersion the minimum version of the weights, 0 for any, -1 if the service has none
-     * @param deadlines when requests must start on newer weights, not null
-     * @param promptTokens the size of the prompt
-     * @param objectiveMillis the objective for the first event
-     * @param excluded the incarnations that were tried, not null
-     * @param lastAttempt true if the request would be lost if its target interrupted it
-     */
-    public record Requirements(
-            Service service,
-            int minVersion,
-            VersionDeadlines deadlines,
-            int promptTokens,
-            long objectiveMillis,
-            Set<String> excluded,
-            boolean lastAttempt) {
-        /** Returns the requirements of a request that may be interrupted. */
-        public Requirements(
-                Service service,
-                int minVersion,
-                VersionDeadlines deadlines,
-                int promptTokens,
-                long objectiveMillis,
-                Set<String> excluded) {
-            this(service, minVersion, deadlines, promptTokens, objectiveMillis, excluded, false);
-        }
-    }
-
-    /**
-     * A target and its predicted delays for a request.
-     *
-     * @param target the target, not null
-     * @param predictedMillis the time to the first event
-     * @param roundTripMillis the part of it that is network round trip
-     * @param interruptionMillis the additional cost of an expected interruption
-     */
-    public record Candidate(
-            TargetState target, double predictedMillis, long roundTripMillis, double interruptionMillis) {
-        /** Returns the cost used for comparison, in milliseconds. */
-        double costMillis() {
-            return predictedMillis + interruptionMillis;
-        }
-    }
-
     /**
      * Returns an empty table, not null.
      *
--- a/core/src/main/java/org/bankturn/service/Route.java
+++ b/core/src/main/java/org/bankturn/service/Route.java
@@ -15,6 +15,8 @@
  * @param services the weighted services that execute the requests, at least one with a positive weight
  * @param maximumAttempts the maximum number of attempts per request
  * @param allowsAnonymous true if requests need no API key
+ * @param allowedRegions the regions in which requests may be served, not null
+ * @param maximumGapMillis the longest pause between two events of a stream that keeps it in time, 0 if unknown
  */
 public record Route(
         String name,
@@ -26,12 +28,41 @@
         int priority,
         List<WeightedService> services,
         int maximumAttempts,
-        boolean allowsAnonymous) {
+        boolean allowsAnonymous,
+        AllowedRegions allowedRegions,
+        long maximumGapMillis) {
     /** Creates a route with a copy of the services. */
     public Route {
         services = List.copyOf(services);
     }
 
+    /** Creates a route without a restriction of regions and without a known limit on pauses. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            RequestKind kind,
+            long timeoutMillis,
+            long objectiveMillis,
+            int priority,
+            List<WeightedService> services,
+            int maximumAttempts,
+            boolean allowsAnonymous) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeoutMillis,
+                objectiveMillis,
+                priority,
+                services,
+                maximumAttempts,
+                allowsAnonymous,
+                AllowedRegions.ANY,
+                0);
+    }
+
     /** Returns the sum of the service weights. */
     public int totalWeight() {
         return services.stream().mapToInt(WeightedService::weight).sum();
--- a/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
+++ b/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
@@ -11,7 +11,6 @@
 import java.util.stream.Stream;
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.registry.TargetSighting;
-import org.bankturn.routing.TargetTable.Candidate;
 import org.bankturn.service.ClientLimits;
 import org.bankturn.service.EngineModel;
 import org.bankturn.service.RequestKind;
--- a/core/src/test/java/org/bankturn/routing/TargetTableTest.java
+++ b/core/src/test/java/org/bankturn/routing/TargetTableTest.java
@@ -9,8 +9,6 @@
 import java.util.Set;
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.registry.TargetSighting;
-import org.bankturn.routing.TargetTable.Candidate;
-import org.bankturn.routing.TargetTable.Requirements;
 import org.bankturn.service.EngineModel;
 import org.bankturn.service.Service;
 import org.bankturn.time.ManualClock;
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -15,10 +15,10 @@
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.Candidate;
 import org.bankturn.routing.HoldReason;
 import org.bankturn.routing.NoticeChange;
 import org.bankturn.routing.TargetState;
-import org.bankturn.routing.TargetTable.Candidate;
 import org.bankturn.service.Route;
 
 /**
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.routing.RetryLimits;
+import org.bankturn.service.RegionMap;
 
 /**
  * Settings of a gateway.
@@ -16,6 +17,7 @@
  * @param weightsDeadlineMillis how long requests may still start on the previous weights version after a new
  *     one is published
  * @param stopTimeoutMillis the maximum duration of a graceful shutdown
+ * @param regions the region of each data hall, not null
  */
 public record GatewaySettings(
         String process,
@@ -25,4 +27,27 @@
         Address nodeAddress,
         RetryLimits retryLimits,
         long weightsDeadlineMillis,
-        long stopTimeoutMillis) {}
+        long stopTimeoutMillis,
+        RegionMap regions) {
+    /** Creates the settings of a gateway that knows no regions. */
+    public GatewaySettings(
+            String process,
+            String dataHall,
+            Address callerAddress,
+            Address readyAddress,
+            Address nodeAddress,
+            RetryLimits retryLimits,
+            long weightsDeadlineMillis,
+            long stopTimeoutMillis) {
+        this(
+                process,
+                dataHall,
+                callerAddress,
+                readyAddress,
+                nodeAddress,
+                retryLimits,
+                weightsDeadlineMillis,
+                stopTimeoutMillis,
+                RegionMap.NONE);
+    }
+}
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/StallDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/StallDetector.java
@@ -5,10 +5,10 @@
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.ServingMetrics;
+import org.bankturn.routing.Candidate;
 import org.bankturn.routing.ConnectionReusePolicy;
 import org.bankturn.routing.FailureCause;
 import org.bankturn.routing.TargetState;
-import org.bankturn.routing.TargetTable.Candidate;
 
 /**
  * Detects that no more data arrives for a request sent to a target.
--- a/daemon/src/main/java/org/bankturn/daemon/serving/CdsTrainingRun.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/CdsTrainingRun.java
@@ -14,6 +14,7 @@
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.ProcessRole;
 import org.bankturn.routing.RetryLimits;
+import org.bankturn.service.RegionMap;
 import org.bankturn.time.Clock;
 
 /**
@@ -123,7 +124,8 @@
                         CALL_TIMEOUT_MILLIS,
                         CALL_TIMEOUT_MILLIS,
                         CALL_TIMEOUT_MILLIS,
-                        new RetryLimits(0.1, 1, CALL_TIMEOUT_MILLIS)));
+                        new RetryLimits(0.1, 1, CALL_TIMEOUT_MILLIS)),
+                RegionMap.NONE);
     }
 
     /** An HTTP request with an empty header section. */
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -141,7 +141,8 @@
                 settings.nodeAddress(),
                 settings.bounds().retries(),
                 (long) (settings.bounds().weightsDeadlineMillis() * WEIGHTS_DEADLINE_FRACTION),
-                settings.bounds().stopTimeoutMillis());
+                settings.bounds().stopTimeoutMillis(),
+                settings.regions());
     }
 
     private NodeClients nodeClients() {
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
@@ -4,6 +4,7 @@
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.ProcessRole;
 import org.bankturn.routing.RetryLimits;
+import org.bankturn.service.RegionMap;
 
 /**
  * The validated settings of one process.
@@ -22,6 +23,7 @@
  * @param service the service of that engine; null unless it is a target process
  * @param linkBytesPerSecond the bandwidth of the box's network link
  * @param bounds the timeouts and limits of the deployment, not null
+ * @param regions the region of each data hall, not null
  */
 public record ServingSettings(
         String process,
@@ -37,7 +39,8 @@
         Address engineAddress,
         String service,
         long linkBytesPerSecond,
-        Bounds bounds) {
+        Bounds bounds,
+        RegionMap regions) {
     /** Makes a defensive copy of the seeds. */
     public ServingSettings {
         seeds = List.copyOf(seeds);
--- a/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
@@ -19,6 +19,7 @@
 import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
 import org.bankturn.service.DocumentFormat;
+import org.bankturn.service.RegionMap;
 import org.bankturn.service.RequestKind;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
@@ -96,7 +97,8 @@
                 null,
                 null,
                 1_000_000,
-                BOUNDS);
+                BOUNDS,
+                RegionMap.NONE);
         Dialects dialects =
                 new Dialects(format(), new PlainDialect(), new PlainControlDialect(), new PlainWeightsDialect());
         ServingProcess.of(settings, new UnchangedSettings(settings), dialects)
--- a/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
@@ -9,6 +9,7 @@
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.crash.Suspect;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.Candidate;
 import org.bankturn.routing.LoadPollSchedule;
 import org.bankturn.routing.NextStep;
 import org.bankturn.routing.PlacementSettings;
@@ -240,7 +241,7 @@
     /** One attempt to serve a request on an engine. */
     private final class Attempt implements EngineTask.Listener {
         private final ForwardedRequest request;
-        private final TargetTable.Candidate candidate;
+        private final Candidate candidate;
         private final ReplayedEngine engine;
         private final EngineTask task;
         private final double latency;
@@ -249,7 +250,7 @@
         private boolean promptPending = true;
         private boolean finished;
 
-        Attempt(ForwardedRequest request, TargetTable.Candidate candidate) {
+        Attempt(ForwardedRequest request, Candidate candidate) {
             this.request = request;
             this.candidate = candidate;
             this.engine = simulation.engine(candidate.target().sighting().id());
