Weights: start a change by the deadline of the first version that an engine lacks

Cause: a box planned its change from the publication of the version that it copies. With two versions 3 s apart, engines that skip the first planned their change by the deadline of the second, and still held the oldest version when the first became due; gateways then had no target. Of versions published at 18.0 and 21.0 s with 13.4 s each, the last box started 1.4 s after the first deadline.

Change: the schedule counts from the publication of the first version newer than the held one. PublicationTimes keeps these times.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -4,7 +4,6 @@
 import io.activej.promise.SettablePromise;
 import java.util.List;
 import java.util.Optional;
-import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
@@ -17,6 +16,7 @@
 import org.bankturn.weights.ChangeMethod;
 import org.bankturn.weights.ChangeSchedule;
 import org.bankturn.weights.PieceRouting;
+import org.bankturn.weights.PublicationTimes;
 import org.bankturn.weights.WeightsPeer;
 
 /**
@@ -39,9 +39,6 @@
     private static final long REORDER_START_MILLIS = 1_500;
     private static final long FAILED_START_RETRY_MILLIS = 150;
 
-    /** Versions whose publication time is retained, since the next version to start may not be the newest. */
-    private static final int MAX_TIMED_VERSIONS = 8;
-
     private final WeightsSettings settings;
     private final ProcessCopyContext context;
     private final PieceSender sender;
@@ -55,8 +52,7 @@
     private EngineReport lastReport;
     private int publishedVersion;
 
-    /** The time at which each version became known here, by version. */
-    private final TreeMap<Integer, Long> publishedMillis = new TreeMap<>();
+    private final PublicationTimes publicationTimes = PublicationTimes.none();
 
     private boolean starting;
 
@@ -93,8 +89,7 @@
     private void recordVersion(NamedWeights named) {
         if (named.version() > publishedVersion) {
             publishedVersion = named.version();
-            publishedMillis.put(named.version(), context.clock().millis());
-            publishedMillis.headMap(named.version() - MAX_TIMED_VERSIONS).clear();
+            publicationTimes.record(named.version(), context.clock().millis());
             poll();
         }
     }
@@ -217,9 +212,7 @@
         WeightsCopy started = copy;
         long wait = lastReport.heldVersion() == 0
                 ? 0
-                : Math.max(
-                        0,
-                        plannedStartMillis(started.version()) - context.clock().millis());
+                : Math.max(0, plannedStartMillis() - context.clock().millis());
         if (lastReport.heldVersion() > 0 && changeMethod() == ChangeMethod.AT_ONCE) {
             abortMillis = context.clock().millis() + wait;
         }
@@ -241,9 +234,9 @@
         });
     }
 
-    private long plannedStartMillis(int version) {
+    private long plannedStartMillis() {
         long now = context.clock().millis();
-        long named = publishedMillis.getOrDefault(version, now);
+        long named = publicationTimes.firstNewerThan(lastReport.heldVersion()).orElse(now);
         ChangeSchedule schedule = ChangeSchedule.within(settings.deadlineMillis(), changeMethod());
         return named + schedule.startMillis(settings.nodeAddress().toString(), boxes(), now - named);
     }
