Control: answer watchers in rounds while changes come in quick succession

Cause: every process announces itself at its start, each announcement is a change, and each change was sent to every watcher at once, so that a start of all processes together costs answers with the square of their number.

A process without any state is still answered at once.

--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -117,7 +117,7 @@
         this.clock = clock;
         this.log = log;
         this.metrics = metrics;
-        this.watchers = new Watchers(reactor);
+        this.watchers = new Watchers(reactor, clock);
         this.clients = NodeClients.on(reactor, clock, SilentConnectionReporter.of(log, metrics));
         this.nodeServer = NodeServer.create(reactor, settings.listenAddress(), this::answer);
         this.listener = HttpListener.create(
@@ -354,10 +354,18 @@
 
     private Promise<NodeReply> watch(NodeRequest.WatchPublication watch) {
         boolean freshAtRequest = isFresh();
-        return ask(member.query(PublicationState::index))
-                .then(index -> index > watch.haveIndex()
-                        ? watched(watch.haveIndex(), false)
-                        : awaitNewer(watch, freshAtRequest));
+        return ask(member.query(PublicationState::index)).then(index -> {
+            if (index <= watch.haveIndex()) {
+                return awaitNewer(watch, freshAtRequest);
+            }
+            // a process without any state must not wait for the next round
+            return watch.haveIndex() == 0 ? watched(0, false) : awaitNextRound(watch, index);
+        });
+    }
+
+    private Promise<NodeReply> awaitNextRound(NodeRequest.WatchPublication watch, long index) {
+        watchers.wake(index);
+        return watchers.await(watch.haveIndex(), watch.waitMillis()).then(newer -> watched(watch.haveIndex(), false));
     }
 
     private Promise<NodeReply> awaitNewer(NodeRequest.WatchPublication watch, boolean freshAtRequest) {
