Control state: evacuation orders for data halls

The control group could not hold that a data hall is evacuated.

The tests of PublicationState and of the orders pass.

--- a/core/src/main/java/org/bankturn/publication/PublicationCommand.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationCommand.java
@@ -17,7 +17,8 @@
     @JsonSubTypes.Type(value = PublicationCommand.RemoveTarget.class, name = "gone"),
     @JsonSubTypes.Type(value = PublicationCommand.RecordOutcomes.class, name = "runs"),
     @JsonSubTypes.Type(value = PublicationCommand.TakeTrial.class, name = "trial"),
-    @JsonSubTypes.Type(value = PublicationCommand.Confirm.class, name = "confirm")
+    @JsonSubTypes.Type(value = PublicationCommand.Confirm.class, name = "confirm"),
+    @JsonSubTypes.Type(value = PublicationCommand.Evacuate.class, name = "evacuate")
 })
 public sealed interface PublicationCommand {
     /** Publishes a deflated operators' document; the highest version wins. */
@@ -73,4 +74,13 @@
 
     /** Changes nothing; its commit proves to the submitter that it has applied all earlier entries. */
     record Confirm() implements PublicationCommand {}
+
+    /**
+     * Starts or ends the evacuation of a data hall, unless a later order for the hall took effect in the meantime.
+     *
+     * @param hall the name of the data hall, not null
+     * @param start true to start, false to end the evacuation
+     * @param lastOrderIndex the index of the hall's last order when the control process received this one, 0 for none
+     */
+    record Evacuate(String hall, boolean start, long lastOrderIndex) implements PublicationCommand {}
 }
--- a/core/src/main/java/org/bankturn/publication/PublicationState.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationState.java
@@ -3,6 +3,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 import org.bankturn.codec.MessagePackCodec;
 import org.bankturn.crash.EndedTarget;
 import org.bankturn.crash.Suspect;
@@ -25,6 +27,7 @@
     private final Map<String, NamedWeights> weights = new LinkedHashMap<>();
     private TargetRegistry registry = TargetRegistry.empty();
     private SuspectTable suspects = SuspectTable.empty();
+    private final Map<String, HallEvacuation> evacuations = new TreeMap<>();
 
     private record Content(
             long index,
@@ -33,7 +36,8 @@
             byte[] document,
             List<NamedWeights> weights,
             TargetRegistry.Content registry,
-            List<Suspect> suspects) {}
+            List<Suspect> suspects,
+            List<HallEvacuation> evacuations) {}
 
     /** Returns an empty state, not null. */
     public static PublicationState empty() {
@@ -59,6 +63,10 @@
         state.registry = TargetRegistry.restore(content.registry());
         // snapshots of earlier versions have no suspects
         state.suspects = SuspectTable.restore(content.suspects() == null ? List.of() : content.suspects());
+        // snapshots of earlier versions have no evacuations
+        if (content.evacuations() != null) {
+            content.evacuations().forEach(each -> state.evacuations.put(each.hall(), each));
+        }
         return state;
     }
 
@@ -74,7 +82,8 @@
                         document,
                         List.copyOf(weights.values()),
                         registry.content(),
-                        suspects.content()));
+                        suspects.content(),
+                        evacuations()));
     }
 
     /** Returns the index of the last log entry that changed the state. */
@@ -107,6 +116,21 @@
         return List.copyOf(weights.values());
     }
 
+    /** Returns the last evacuation order of every data hall that had one, not null. */
+    public List<HallEvacuation> evacuations() {
+        return List.copyOf(evacuations.values());
+    }
+
+    /** Returns the last evacuation order of a data hall, empty if there was none, not null. */
+    public Optional<HallEvacuation> evacuationOf(String hall) {
+        return Optional.ofNullable(evacuations.get(hall));
+    }
+
+    /** Returns the index of the last evacuation order of a data hall, 0 if there was none. */
+    public long lastOrderIndex(String hall) {
+        return evacuationOf(hall).map(HallEvacuation::orderIndex).orElse(0L);
+    }
+
     /** Returns true if applying the command would change the state. */
     public boolean wouldChange(PublicationCommand command) {
         if (command instanceof PublicationCommand.PutDocument put) {
@@ -128,9 +152,24 @@
         if (command instanceof PublicationCommand.TakeTrial trial) {
             return suspects.isTrialAvailable(trial.request(), trial.number());
         }
+        if (command instanceof PublicationCommand.Evacuate order) {
+            return takesEffect(order);
+        }
         return false;
     }
 
+    /**
+     * Returns true if no later order took effect since this one was received, or if the hall is in the wanted state.
+     *
+     * <p>An order for the current state takes effect, too: its index replaces that of the last order, so that a delayed
+     * copy of an order between the two no longer matches.
+     */
+    private boolean takesEffect(PublicationCommand.Evacuate order) {
+        boolean evacuated =
+                evacuationOf(order.hall()).map(HallEvacuation::evacuated).orElse(false);
+        return order.start() == evacuated || order.lastOrderIndex() == lastOrderIndex(order.hall());
+    }
+
     private boolean wouldChangeSuspects(PublicationCommand.RecordOutcomes outcomes) {
         boolean addsCrash = outcomes.ended().stream()
                 .anyMatch(ended -> ended.underWay().stream()
@@ -152,10 +191,11 @@
      *
      * @param entryIndex the index of its log entry
      * @param command the command, not null
+     * @return true if the command changed the state
      */
-    public void apply(long entryIndex, PublicationCommand command) {
+    public boolean apply(long entryIndex, PublicationCommand command) {
         if (!wouldChange(command)) {
-            return;
+            return false;
         }
         index = entryIndex;
         if (command instanceof PublicationCommand.PutDocument put) {
@@ -172,7 +212,10 @@
             recordOutcomes(entryIndex, outcomes);
         } else if (command instanceof PublicationCommand.TakeTrial trial) {
             suspects.takeTrial(entryIndex, trial.request(), trial.number(), trial.who());
+        } else if (command instanceof PublicationCommand.Evacuate order) {
+            evacuations.put(order.hall(), new HallEvacuation(order.hall(), order.start(), entryIndex));
         }
+        return true;
     }
 
     /**
@@ -193,6 +236,14 @@
         byte[] changedDocument = full || documentIndex > haveIndex ? document : null;
         List<Suspect> changedSuspects = full ? suspects.content() : suspects.changedSince(haveIndex);
         return new PublicationUpdate(
-                index, documentVersion, changedDocument, weights(), changed, removed, changedSuspects, full);
+                index,
+                documentVersion,
+                changedDocument,
+                weights(),
+                changed,
+                removed,
+                changedSuspects,
+                full,
+                evacuations());
     }
 }
--- a/core/src/main/java/org/bankturn/publication/PublicationUpdate.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationUpdate.java
@@ -15,6 +15,8 @@
  * @param gone the incarnations of removed targets, not null
  * @param suspects the added, changed or cleared suspects, not null
  * @param whole true if {@code changed} and {@code suspects} are complete and replace the follower's
+ * @param evacuations the last evacuation order of every data hall that had one; null if sent by an earlier version, which
+ *     does not know them
  */
 public record PublicationUpdate(
         long index,
@@ -24,9 +26,11 @@
         List<TargetSighting> changed,
         List<String> gone,
         List<Suspect> suspects,
-        boolean whole) {
+        boolean whole,
+        List<HallEvacuation> evacuations) {
     /** Treats missing suspects, as sent by earlier versions, as an empty list. */
     public PublicationUpdate {
         suspects = suspects == null ? List.of() : List.copyOf(suspects);
+        evacuations = evacuations == null ? null : List.copyOf(evacuations);
     }
 }
