Control processes take evacuation orders and publish the evacuated halls

Operators had no way to evacuate a data hall. POST /evacuations/HALL/start and /end of the platform, and PUT, DELETE and GET under /evacuations at the operators' address, now submit orders and list the evacuated halls. An order is read against the local state once, when it arrives, always goes through the log, and is accepted only if it took effect; otherwise the answer is 503, so that the operator sends it again. An unknown hall gets 400. Responses to refused and failed calls state their reason.

--- a/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
@@ -29,6 +29,12 @@
     /** Allows a request to run again although targets crashed while running it. */
     record ClearSuspect(RequestFingerprint request) implements ControlCall {}
 
+    /** Starts or ends the evacuation of a data hall. */
+    record Evacuate(String hall, boolean start) implements ControlCall {}
+
+    /** Lists the evacuated data halls. */
+    record ListEvacuations() implements ControlCall {}
+
     /** A request that matches no known call. */
     record Unknown() implements ControlCall {}
 
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -48,6 +48,8 @@
         COMMITTED,
         /** This member does not lead; the command was not proposed. */
         NOT_LEADER,
+        /** The command was committed but changed nothing, since a later command was committed before it. */
+        SUPERSEDED,
         /** The command may or may not be committed. */
         UNKNOWN
     }
@@ -160,7 +162,11 @@
             if (entry.command().length > 0) {
                 PublicationCommand command =
                         MessagePackCodec.instance().decode(entry.command(), PublicationCommand.class);
-                state.apply(entry.index(), command);
+                boolean changed = state.apply(entry.index(), command);
+                // other commands are also accepted if the state already reflects them
+                return !changed && command instanceof PublicationCommand.Evacuate
+                        ? Outcome.SUPERSEDED
+                        : Outcome.COMMITTED;
             }
             return Outcome.COMMITTED;
         }
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -17,12 +17,14 @@
 import org.bankturn.agreement.Snapshot;
 import org.bankturn.codec.DeflateCodec;
 import org.bankturn.daemon.group.GroupMember.Outcome;
+import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.HttpListener;
 import org.bankturn.daemon.http.ServerExchange;
 import org.bankturn.daemon.http.ServerLimits;
 import org.bankturn.daemon.member.ReplicatedStateMachine;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.DecisionLine;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.observe.SilentConnectionReporter;
@@ -75,6 +77,8 @@
     private final DocumentReads reads;
     private final TargetLivenessMonitor targetWatch;
     private final TargetCallHandler targetCalls;
+    private final EvacuationOrders evacuations;
+    private final EvacuationReporter evacuationReporter;
 
     /**
      * Returns a control process that is not started yet, not null.
@@ -118,6 +122,7 @@
         this.log = log;
         this.metrics = metrics;
         this.watchers = new Watchers(reactor);
+        this.evacuationReporter = EvacuationReporter.of(log, metrics);
         this.clients = NodeClients.on(reactor, clock, SilentConnectionReporter.of(log, metrics));
         this.nodeServer = NodeServer.create(reactor, settings.listenAddress(), this::answer);
         this.listener = HttpListener.create(
@@ -140,6 +145,7 @@
                 AddressConflictResolver.of(reactor, clock, dialect, log, settings.heartbeatMillis());
         this.targetCalls =
                 TargetCallHandler.of(reactor, member, targetWatch, addresses, format, this::isFresh, this::change);
+        this.evacuations = EvacuationOrders.of(reactor, member, settings.regions(), this::submit);
     }
 
     /** Starts the process; call on the reactor's thread. */
@@ -210,6 +216,7 @@
 
     private void applied(PublicationState state) {
         long index = state.index();
+        evacuationReporter.update(state.evacuations());
         reactor.execute(() -> watchers.wake(index));
     }
 
@@ -220,9 +227,8 @@
     // ---- requests of operators and targets
 
     private void handle(ServerExchange exchange) {
-        ControlCall call =
-                SuspectCalls.read(exchange.head()).orElseGet(() -> dialect.read(exchange.head(), exchange.body()));
-        dispatch(call).whenComplete((answer, failure) -> {
+        ControlCall call = ownCall(exchange.head()).orElseGet(() -> dialect.read(exchange.head(), exchange.body()));
+        dispatch(call, exchange).whenComplete((answer, failure) -> {
             ControlAnswer sent =
                     failure == null ? answer : new ControlAnswer.Unavailable(String.valueOf(failure.getMessage()));
             record(call, sent, clock.millis() - exchange.receivedMillis());
@@ -230,20 +236,29 @@
         });
     }
 
+    /** Parses the calls that are served in addition to those of the platform. */
+    private static Optional<ControlCall> ownCall(HttpHead head) {
+        return SuspectCalls.read(head).or(() -> EvacuationCalls.read(head));
+    }
+
     private void record(ControlCall call, ControlAnswer answer, long tookMillis) {
         String name = call.getClass().getSimpleName();
         metrics.setLeader(member.view().leads());
         metrics.controlCall(name, answer.getClass().getSimpleName(), tookMillis);
         boolean unlogged = answer instanceof ControlAnswer.Accepted && call instanceof ControlCall.Heartbeat;
-        if (!unlogged) {
-            log.line(DecisionKind.CHANGE)
-                    .with(DecisionField.CALL, name)
-                    .with(DecisionField.ANSWER, answer instanceof ControlAnswer.Document ? "Document" : answer)
-                    .write();
+        if (unlogged) {
+            return;
+        }
+        DecisionLine line = log.line(DecisionKind.CHANGE)
+                .with(DecisionField.CALL, name)
+                .with(DecisionField.ANSWER, answer instanceof ControlAnswer.Document ? "Document" : answer);
+        if (call instanceof ControlCall.Evacuate order) {
+            line.with(DecisionField.HALL, order.hall()).with(DecisionField.EVENT, order.start() ? "start" : "end");
         }
+        line.write();
     }
 
-    private Promise<ControlAnswer> dispatch(ControlCall call) {
+    private Promise<ControlAnswer> dispatch(ControlCall call, ServerExchange exchange) {
         if (call instanceof ControlCall.Publish publish) {
             return publish(publish.document());
         }
@@ -266,6 +281,12 @@
         if (call instanceof ControlCall.ClearSuspect clear) {
             return change(new PublicationCommand.RecordOutcomes(List.of(), List.of(clear.request())));
         }
+        if (call instanceof ControlCall.Evacuate order) {
+            return evacuations.order(order, exchange::isFinished);
+        }
+        if (call instanceof ControlCall.ListEvacuations) {
+            return evacuations.list(isFresh());
+        }
         if (call instanceof ControlCall.Malformed malformed) {
             return Promise.of(new ControlAnswer.Refused(malformed.reason()));
         }
@@ -295,7 +316,7 @@
         });
     }
 
-    private static ControlAnswer answerTo(Outcome outcome) {
+    static ControlAnswer answerTo(Outcome outcome) {
         return outcome == Outcome.COMMITTED
                 ? new ControlAnswer.Accepted()
                 : new ControlAnswer.Unavailable(outcome.name());
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -44,6 +44,8 @@
     HEALTH,
     /** A target changed its request for lower rate, back-off or draining. */
     NOTICE,
+    /** A data hall is evacuated, or its evacuation ended. */
+    EVACUATION,
     /** This control box became leader or follower, joined the group or recovered. */
     GROUP,
     /** A target crashed while it processed a request, or a request was stopped for that reason. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -86,6 +86,7 @@
     private final Gauge documentVersion;
     private final Gauge targets;
     private final Gauge leads;
+    private final Gauge evacuatedHalls;
 
     /** Returns metrics that include the line counts of the log, not null. */
     public static ServingMetrics of(DecisionLog log) {
@@ -129,6 +130,7 @@
         documentVersion = gauge("document_version", "Version of the operators' document in force here.");
         targets = gauge("targets", "Targets known here.");
         leads = gauge("leads", "1 if this process leads its group.");
+        evacuatedHalls = gauge("evacuated_halls", "Data halls evacuated as known here.");
         CounterWithCallback.builder()
                 .name("bankturn_log_lines")
                 .help("Lines of the decision log, written and dropped.")
@@ -289,6 +291,11 @@
         leads.set(leading ? 1 : 0);
     }
 
+    /** Sets the number of evacuated data halls known to this process. */
+    public void setEvacuatedHalls(int halls) {
+        evacuatedHalls.set(halls);
+    }
+
     /** Returns all metrics in the Prometheus text format, not null. */
     public byte[] metricsText() {
         ByteArrayOutputStream text = new ByteArrayOutputStream();
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublishedState.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublishedState.java
@@ -4,8 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.bankturn.crash.Suspect;
 import org.bankturn.crash.SuspectTable;
+import org.bankturn.publication.HallEvacuation;
 import org.bankturn.publication.NamedWeights;
 import org.bankturn.publication.PublicationUpdate;
 import org.bankturn.registry.TargetSighting;
@@ -23,6 +26,7 @@
  * @param suspects the requests during which targets crashed, not null
  * @param confirmed true after the first reply of a control process with contact to a majority; before that, the state
  *     may be the recovered state of a restarted control process, and newer changes may be committed
+ * @param evacuations the last evacuation order of every data hall that had one, not null
  */
 public record PublishedState(
         long index,
@@ -30,7 +34,8 @@
         List<NamedWeights> weights,
         Map<String, TargetSighting> targets,
         List<Suspect> suspects,
-        boolean confirmed) {
+        boolean confirmed,
+        List<HallEvacuation> evacuations) {
     /** The state of a process that has not received any update. */
     public static final PublishedState EMPTY = new PublishedState(0, null, List.of(), Map.of(), List.of(), false);
 
@@ -39,6 +44,26 @@
         weights = List.copyOf(weights);
         targets = Map.copyOf(targets);
         suspects = List.copyOf(suspects);
+        evacuations = List.copyOf(evacuations);
+    }
+
+    /** Returns a state in which no data hall was ever evacuated. */
+    public PublishedState(
+            long index,
+            ServingConfiguration configuration,
+            List<NamedWeights> weights,
+            Map<String, TargetSighting> targets,
+            List<Suspect> suspects,
+            boolean confirmed) {
+        this(index, configuration, weights, targets, suspects, confirmed, List.of());
+    }
+
+    /** Returns the data halls whose targets get no requests, not null. */
+    public Set<String> evacuatedHalls() {
+        return evacuations.stream()
+                .filter(HallEvacuation::evacuated)
+                .map(HallEvacuation::hall)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /** Returns the selected weights of a model, empty if there are none. */
@@ -48,7 +73,7 @@
 
     /** Returns a confirmed copy of this state. */
     PublishedState confirm() {
-        return new PublishedState(index, configuration, weights, targets, suspects, true);
+        return new PublishedState(index, configuration, weights, targets, suspects, true, evacuations);
     }
 
     /**
@@ -61,7 +86,14 @@
         Map<String, TargetSighting> next = update.whole() ? new HashMap<>() : new HashMap<>(targets);
         update.gone().forEach(next::remove);
         update.changed().forEach(each -> next.put(each.id(), each));
-        return new PublishedState(update.index(), newest, update.weights(), next, suspectsAfter(update), confirmed);
+        return new PublishedState(
+                update.index(),
+                newest,
+                update.weights(),
+                next,
+                suspectsAfter(update),
+                confirmed,
+                update.evacuations() == null ? evacuations : update.evacuations());
     }
 
     private List<Suspect> suspectsAfter(PublicationUpdate update) {
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -9,14 +9,17 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.Announcer;
@@ -27,6 +30,10 @@
 import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.daemon.wire.NodeClients;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.publication.HallEvacuation;
+import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.time.Clock;
 import org.junit.jupiter.api.AfterEach;
@@ -178,6 +185,147 @@
         assertThat(seen.get().targets()).doesNotContainKey("relay-1");
     }
 
+    // ---- evacuations
+
+    /** Guards against an order that is acknowledged at one box and never reaches the followers of another one. */
+    @Test
+    void an_evacuation_ordered_at_any_box_is_published_at_every_other_until_it_ends() throws Exception {
+        registerTargetInNorth();
+        List<AtomicReference<PublishedState>> seen = new ArrayList<>();
+        for (int box = 0; box < BOXES; box++) {
+            seen.add(follow(box));
+        }
+        assertThat(untilOrdered(0, "PUT", "north")).isEqualTo(200);
+        awaitEvacuated(seen, Set.of("north"));
+        assertThat(untilOrdered(1, "DELETE", "north")).isEqualTo(200);
+        awaitEvacuated(seen, Set.of());
+        assertThat(seen.get(2).get().evacuations()).hasSize(1);
+    }
+
+    /** Guards against an order for a misspelt hall being acknowledged and evacuating nothing. */
+    @Test
+    void an_order_for_an_unknown_hall_is_refused_and_counted() throws Exception {
+        registerTargetInNorth();
+        awaitPublishedTarget(follow(0), "t1");
+        assertThat(order(0, "PUT", "nrth").statusCode()).isEqualTo(400);
+        assertThat(evacuationsAt(0)).contains("\"evacuated\":[]");
+        assertThat(new String(metrics.metricsText(), StandardCharsets.UTF_8))
+                .contains("bankturn_control_seconds_count{answer=\"Refused\",call=\"Evacuate\"} 1");
+    }
+
+    /** Guards against an acknowledgement before a majority holds the order. */
+    @Test
+    void without_a_majority_an_order_is_not_acknowledged_and_changes_nothing() throws Exception {
+        registerTargetInNorth();
+        awaitPublished(0, state -> state.targets().containsKey("t1"));
+        stopBox(1);
+        stopBox(2);
+        assertThat(order(0, "PUT", "north").statusCode()).isEqualTo(503);
+        assertThat(order(0, "DELETE", "north").statusCode()).isEqualTo(503);
+        assertThat(evacuationsAt(0)).contains("\"evacuated\":[]");
+    }
+
+    /** Guards against a box that is behind acknowledging an order for a state that has ended since. */
+    @Test
+    void of_orders_in_quick_succession_at_different_boxes_the_last_one_acknowledged_is_in_force() throws Exception {
+        registerTargetInNorth();
+        List<AtomicReference<PublishedState>> seen = List.of(follow(0), follow(1), follow(2));
+        for (int round = 0; round < 4; round++) {
+            assertThat(untilOrdered(round % BOXES, "PUT", "north")).isEqualTo(200);
+            assertThat(untilOrdered((round + 1) % BOXES, "DELETE", "north")).isEqualTo(200);
+            assertThat(untilOrdered((round + 2) % BOXES, "PUT", "north")).isEqualTo(200);
+            assertThat(untilOrdered(round % BOXES, "PUT", "north")).isEqualTo(200);
+            awaitEvacuated(seen, Set.of("north"));
+        }
+    }
+
+    /** Guards against a copy that was delayed between boxes taking effect after a later order was acknowledged. */
+    @Test
+    void a_copy_that_reaches_the_leader_after_a_later_order_changes_nothing() throws Exception {
+        registerTargetInNorth();
+        AtomicReference<PublishedState> seen = follow(2);
+        assertThat(untilOrdered(0, "PUT", "north")).isEqualTo(200);
+        assertThat(untilOrdered(1, "DELETE", "north")).isEqualTo(200);
+        assertThat(submitAtLeader(new PublicationCommand.Evacuate("north", true, 0)))
+                .isEqualTo(GroupMember.Outcome.SUPERSEDED);
+        assertThat(untilOrdered(0, "DELETE", "north")).isEqualTo(200);
+        awaitEvacuated(List.of(seen), Set.of());
+        assertThat(seen.get().evacuations()).noneMatch(HallEvacuation::evacuated);
+    }
+
+    /** Guards against the loss of all power making the group forget an evacuation, or the order that ended one. */
+    @Test
+    void evacuations_survive_a_restart_of_the_group() throws Exception {
+        registerTargetInNorth();
+        assertThat(untilOrdered(0, "PUT", "north")).isEqualTo(200);
+        restartAll();
+        assertThat(submitAtLeader(new PublicationCommand.Confirm())).isEqualTo(GroupMember.Outcome.COMMITTED);
+        awaitPublished(1, state -> state.evacuatedHalls().equals(Set.of("north")));
+        assertThat(untilOrdered(2, "DELETE", "north")).isEqualTo(200);
+        restartAll();
+        assertThat(submitAtLeader(new PublicationCommand.Evacuate("north", true, 0)))
+                .isEqualTo(GroupMember.Outcome.SUPERSEDED);
+        awaitPublished(1, state -> state.evacuatedHalls().isEmpty());
+    }
+
+    private void registerTargetInNorth() throws Exception {
+        assertThat(untilAccepted(0, "/beat/t1/ready/1", "")).isEqualTo(200);
+    }
+
+    private void restartAll() throws IOException {
+        for (int box = 0; box < BOXES; box++) {
+            stopBox(box);
+        }
+        for (int box = 0; box < BOXES; box++) {
+            start(box);
+        }
+    }
+
+    private static void awaitEvacuated(List<AtomicReference<PublishedState>> seen, Set<String> halls)
+            throws InterruptedException {
+        for (AtomicReference<PublishedState> each : seen) {
+            while (each.get().index() == 0 || !each.get().evacuatedHalls().equals(halls)) {
+                Thread.sleep(POLL_INTERVAL_MILLIS);
+            }
+        }
+    }
+
+    /** Submits a command to each box until one of them leads, and returns the outcome there. */
+    private GroupMember.Outcome submitAtLeader(PublicationCommand command) throws InterruptedException {
+        Eventloop reactor = running.get(0).reactor();
+        NodeClients clients = NodeClients.on(reactor);
+        while (true) {
+            for (Address box : seeds) {
+                NodeReply reply = reactor.submit(
+                                () -> clients.ask(box, new NodeRequest.SubmitPublication(command), 2_000))
+                        .join();
+                if (reply instanceof NodeReply.PublicationOutcome done
+                        && done.outcome() != GroupMember.Outcome.NOT_LEADER) {
+                    return done.outcome();
+                }
+            }
+            Thread.sleep(POLL_INTERVAL_MILLIS);
+        }
+    }
+
+    /** Repeats an order as an operator does; a box that does not know the target's hall yet refuses it. */
+    private int untilOrdered(int box, String method, String hall) throws Exception {
+        int status = order(box, method, hall).statusCode();
+        while (status != 200) {
+            Thread.sleep(POLL_INTERVAL_MILLIS);
+            status = order(box, method, hall).statusCode();
+        }
+        return status;
+    }
+
+    private HttpResponse<String> order(int box, String method, String hall) throws Exception {
+        return send(box, "/evacuations/" + hall, method, "");
+    }
+
+    private String evacuationsAt(int box) throws Exception {
+        return send(box, "/evacuations", "GET", "").body();
+    }
+
     private void announce(String name, String service) {
         Eventloop reactor = running.get(0).reactor();
         PublicationFollower follower = follower(0, (published, changedSinceMillis) -> {});
@@ -275,9 +423,16 @@
 
     /** Waits until a box has applied a document version locally. */
     private void awaitPublished(int box, long version) {
+        awaitPublished(
+                box,
+                state -> state.configuration() != null && state.configuration().version() >= version);
+    }
+
+    /** Waits until a box publishes a state, and stops following it, since a box stops only without followers. */
+    private void awaitPublished(int box, Predicate<PublishedState> expected) {
         CompletableFuture<Void> applied = new CompletableFuture<>();
         PublicationFollower follower = follower(box, (published, changedSinceMillis) -> {
-            if (published.configuration() != null && published.configuration().version() >= version) {
+            if (expected.test(published)) {
                 applied.complete(null);
             }
         });
@@ -335,8 +490,12 @@
     }
 
     private HttpResponse<String> call(int box, String target, String body) throws Exception {
+        return send(box, target, "POST", body);
+    }
+
+    private HttpResponse<String> send(int box, String target, String method, String body) throws Exception {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + callAddresses.get(box) + target))
-                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
                 .build();
         return http.send(request, HttpResponse.BodyHandlers.ofString());
     }
--- a/daemon/src/test/java/org/bankturn/daemon/publication/PublicationFollowerTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/publication/PublicationFollowerTest.java
@@ -119,7 +119,7 @@
     }
 
     private static PublicationUpdate update(long index) {
-        return new PublicationUpdate(index, 0, null, List.of(), List.of(), List.of(), List.of(), false);
+        return new PublicationUpdate(index, 0, null, List.of(), List.of(), List.of(), List.of(), false, List.of());
     }
 
     private void listen(Address control) throws IOException {
