Gateways send nothing to targets of an evacuated hall

A published evacuation had no effect on placement. Its targets are now held back like those that limit their rate: not chosen, polled, waited for or given a request whose connection was open already, and not watched, so that a gateway of the hall watches engines elsewhere, enough for its own requests. Running requests finish.

--- a/core/src/main/java/org/bankturn/routing/HeldBackTargets.java
+++ b/core/src/main/java/org/bankturn/routing/HeldBackTargets.java
@@ -5,7 +5,7 @@
 import java.util.stream.Collectors;
 
 /**
- * The otherwise eligible targets that are held back at their own request.
+ * The otherwise eligible targets that are held back, at their own request or because their data hall is evacuated.
  *
  * <p>HeldBackTargets is mutable and not thread-safe.
  */
@@ -21,6 +21,11 @@
         earliestReleaseMillis = Math.min(earliestReleaseMillis, releaseMillis);
     }
 
+    /** Returns true if there are none. */
+    public boolean isEmpty() {
+        return counts.isEmpty();
+    }
+
     /** Returns true if the release time of at least one target is known. */
     public boolean hasKnownReleaseTime() {
         return earliestReleaseMillis < Long.MAX_VALUE;
--- a/core/src/main/java/org/bankturn/routing/HoldReason.java
+++ b/core/src/main/java/org/bankturn/routing/HoldReason.java
@@ -4,6 +4,8 @@
 
 /** The reason why a target currently receives no requests from this gateway. */
 public enum HoldReason {
+    /** The target's data hall is evacuated. */
+    EVACUATED,
     /** The target is shutting down. */
     LEAVING,
     /** The target asked this gateway to back off. */
--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -300,10 +300,11 @@
         }
         long retryAfter =
                 request.triedTargets().isEmpty() ? RetryAfter.NO_TARGET_MILLIS : RetryAfter.ALL_TARGETS_TRIED_MILLIS;
-        return new NextStep.GiveUp(FailureCause.NO_TARGET, "no target left", retryAfter);
+        String reason = heldBack.isEmpty() ? "no target left" : "no target left but " + heldBack;
+        return new NextStep.GiveUp(FailureCause.NO_TARGET, reason, retryAfter);
     }
 
-    /** Returns the otherwise eligible targets that are held back at their own request, not null. */
+    /** Returns the otherwise eligible targets that are held back, not null. */
     public HeldBackTargets heldBackTargets(RequestProgress request) {
         return targets.heldBack(requirements(request));
     }
--- a/core/src/main/java/org/bankturn/routing/TargetState.java
+++ b/core/src/main/java/org/bankturn/routing/TargetState.java
@@ -42,6 +42,7 @@
 
     private TargetSighting sighting;
     private int inFlight;
+    private boolean evacuated;
     private long pendingPromptTokens;
     private int observedVersion;
     private int consecutiveFailures;
@@ -164,17 +165,17 @@
 
     /** Returns the reason why the target is held back, empty if it is not, not null. */
     public Optional<HoldReason> heldBack(long nowMillis) {
-        return flowControl.heldBack(nowMillis);
+        return evacuated ? Optional.of(HoldReason.EVACUATED) : flowControl.heldBack(nowMillis);
     }
 
-    /** Returns the time until a held-back target is released, as far as known. */
+    /** Returns the time until a held-back target is released, as far as known; Long.MAX_VALUE for never. */
     long untilReleaseMillis(long nowMillis) {
-        return flowControl.untilReleaseMillis(nowMillis);
+        return evacuated ? Long.MAX_VALUE : flowControl.untilReleaseMillis(nowMillis);
     }
 
     /** Returns true if a permit may become available within a time: one is held for later or pending. */
     boolean mayGetPermitWithin(long millis, long nowMillis) {
-        return flowControl.mayGetPermitWithin(millis, nowMillis);
+        return !evacuated && flowControl.mayGetPermitWithin(millis, nowMillis);
     }
 
     /** Returns the time until the held permit becomes valid, 0 if none is held. */
@@ -189,7 +190,7 @@
 
     /** Returns true if a permit should be requested. */
     boolean needsPermit(long nowMillis) {
-        return flowControl.needsPermit(nowMillis);
+        return !evacuated && flowControl.needsPermit(nowMillis);
     }
 
     // ---- updates
@@ -213,7 +214,7 @@
      * @return the reason why the request must not be sent, empty if it may be; not null
      */
     public Optional<HoldReason> acquire(long nowMillis) {
-        return flowControl.acquire(nowMillis);
+        return evacuated ? Optional.of(HoldReason.EVACUATED) : flowControl.acquire(nowMillis);
     }
 
     /** Records that a permit is requested. */
@@ -237,6 +238,11 @@
         flowControl.permitUnanswered(nowMillis);
     }
 
+    /** Sets whether the target's data hall is evacuated, so that it gets no requests. */
+    void setEvacuated(boolean evacuated) {
+        this.evacuated = evacuated;
+    }
+
     void update(TargetSighting newer) {
         sighting = newer;
     }
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -51,6 +51,7 @@
     private Set<String> watched = Set.of();
     private List<TargetState> watchedStates = List.of();
     private final Set<TargetState> permitRequests = new LinkedHashSet<>();
+    private Set<String> evacuatedHalls = Set.of();
 
     /**
      * Returns an empty table, not null.
@@ -89,6 +90,7 @@
         }
         removed.forEach(id -> flowControlCache.put(id, targets.remove(id).flowControl()));
         unansweredPolls.removeAll(removed);
+        markEvacuated();
         byService.clear();
         targets.values()
                 .forEach(state -> byService
@@ -98,6 +100,34 @@
         return removed;
     }
 
+    /** Sets the data halls whose targets get no requests. */
+    public void setEvacuatedHalls(Set<String> halls) {
+        Set<String> released = new HashSet<>(evacuatedHalls);
+        released.removeAll(halls);
+        evacuatedHalls = Set.copyOf(halls);
+        markEvacuated();
+        released.forEach(this::evacuationEnded);
+    }
+
+    private void markEvacuated() {
+        targets.values()
+                .forEach(state -> state.setEvacuated(
+                        evacuatedHalls.contains(state.sighting().dataHall())));
+    }
+
+    /** Called for each data hall whose targets get requests again. */
+    private void evacuationEnded(String hall) {
+        // targets return as they left; a limit for cold targets of the hall would start here
+    }
+
+    /** Returns the number of the gateway's own requests in flight at targets of a data hall. */
+    public int inFlightInHall(String hall) {
+        return targets.values().stream()
+                .filter(state -> state.sighting().dataHall().equals(hall))
+                .mapToInt(TargetState::inFlight)
+                .sum();
+    }
+
     /** Sets the engines that the gateway polls; others are used only if none of these is available. */
     public void setWatched(Set<String> ids) {
         watched = Set.copyOf(ids);
--- a/core/src/main/java/org/bankturn/routing/WatchPlan.java
+++ b/core/src/main/java/org/bankturn/routing/WatchPlan.java
@@ -65,6 +65,10 @@
         Set<String> watched = new HashSet<>();
         arc(local, localGateways, inFlight).forEach(engine -> watched.add(engine.id()));
         int remoteCount = Math.max(settings.minWatchedRemote(), settings.minWatchedTotal() - watched.size());
+        if (local.isEmpty()) {
+            // as in an evacuated hall: engines elsewhere serve all requests of this gateway
+            remoteCount = Math.max(remoteCount, (int) Math.ceil(enginesForOwnRequests(remote, inFlight)));
+        }
         remote.stream()
                 .sorted(Comparator.comparingLong(engine -> TextHash.of(gateway + " " + engine.id())))
                 .limit(remoteCount)
@@ -95,9 +99,14 @@
     }
 
     private int arcLength(List<Engine> local, int gateways, int inFlight) {
-        int slots = local.stream().mapToInt(Engine::slots).max().orElse(1);
-        double forOwnRequests = settings.watchedPerFilledEngine() * inFlight / Math.max(1, slots);
+        double forOwnRequests = enginesForOwnRequests(local, inFlight);
         double forCoverage = settings.minWatchersPerEngine() * local.size() / gateways;
         return (int) Math.max(settings.minWatchedLocal(), Math.ceil(Math.max(forOwnRequests, forCoverage)));
     }
+
+    /** Returns how many engines to watch for the gateway's own requests. */
+    private double enginesForOwnRequests(List<Engine> engines, int inFlight) {
+        int slots = engines.stream().mapToInt(Engine::slots).max().orElse(1);
+        return settings.watchedPerFilledEngine() * inFlight / Math.max(1, slots);
+    }
 }
--- a/core/src/test/java/org/bankturn/routing/WatchPlanTest.java
+++ b/core/src/test/java/org/bankturn/routing/WatchPlanTest.java
@@ -48,6 +48,15 @@
         assertThat(plan(0).watched(engines, gateways(10), 70)).hasSize(18);
     }
 
+    /** Guards against a busy gateway of an evacuated hall overloading the few engines that it watches elsewhere. */
+    @Test
+    void gateway_without_local_engines_watches_enough_remote_ones_for_its_own_requests() {
+        List<WatchPlan.Engine> engines = engines("there", 40);
+        assertThat(plan(0).watched(engines, gateways(10), 16)).hasSize(SETTINGS.minWatchedTotal());
+        assertThat(plan(0).watched(engines, gateways(10), 100).size()).isEqualTo((int) Math.ceil(
+                SETTINGS.watchedPerFilledEngine() * 100 / engines.get(0).slots()));
+    }
+
     @Test
     void remote_engines_are_watched_by_different_gateways() {
         List<WatchPlan.Engine> engines = engines("there", 40);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.daemon.wire.NodeReply;
 import org.bankturn.daemon.wire.NodeRequest;
+import org.bankturn.publication.HallEvacuation;
 import org.bankturn.publication.NamedWeights;
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
@@ -170,7 +171,9 @@
         for (NamedWeights named : newer.weights()) {
             policy.versionAnnounced(named.model(), named.version(), due);
         }
+        reportEvacuations(newer);
         published = newer;
+        targets.setEvacuatedHalls(newer.evacuatedHalls());
         policy.update(newer.configuration(), publishedGatewayCount());
         connections.closeAll(targets.update(newer.targets().values()));
         loadPoller.update(newer, gatewaysInDataHall());
@@ -178,6 +181,22 @@
         crashDetector.update(newer.suspects(), newer.targets().values());
     }
 
+    private void reportEvacuations(PublishedState newer) {
+        Set<String> before = published.evacuatedHalls();
+        Set<String> now = newer.evacuatedHalls();
+        metrics.setEvacuatedHalls(now.size());
+        for (HallEvacuation order : newer.evacuations()) {
+            if (before.contains(order.hall()) != now.contains(order.hall())) {
+                log.line(DecisionKind.EVACUATION)
+                        .with(DecisionField.HALL, order.hall())
+                        .with(DecisionField.EVENT, order.evacuated() ? "evacuated" : "ended")
+                        .with(DecisionField.INDEX, order.orderIndex())
+                        .with(DecisionField.UNDER_WAY, targets.inFlightInHall(order.hall()))
+                        .write();
+            }
+        }
+    }
+
     /** Stops the requests in flight that have become condemned, before they crash their targets. */
     private void stopCondemned() {
         List.copyOf(inFlight).stream().filter(crashDetector::isCondemned).forEach(ForwardedRequest::stopCondemned);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/LoadPoller.java
@@ -124,8 +124,10 @@
     }
 
     private void updateWatchedEngines() {
+        Set<String> evacuatedHalls = published.evacuatedHalls();
         List<WatchPlan.Engine> engines = published.targets().values().stream()
                 .filter(target -> target.heldVersion() >= 0)
+                .filter(target -> !evacuatedHalls.contains(target.dataHall()))
                 .map(target -> new WatchPlan.Engine(target.id(), target.dataHall(), target.slots()))
                 .toList();
         // watches substitutes for engines that are held back, so that their requests do not overload unwatched engines
