--- a/cli/src/main/java/org/bankturn/cli/BankturnTool.java
+++ b/cli/src/main/java/org/bankturn/cli/BankturnTool.java
@@ -16,7 +16,8 @@
             ShowCommand.class,
             StatusCommand.class,
             HistoryCommand.class,
-            WatchCommand.class
+            WatchCommand.class,
+            EvacuateCommand.class
         })
 public final class BankturnTool {
     private static final String HELP = "help";
--- a/cli/src/main/java/org/bankturn/cli/OperatorClient.java
+++ b/cli/src/main/java/org/bankturn/cli/OperatorClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
+import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
@@ -50,6 +51,16 @@
                 .build());
     }
 
+    Answer put(String path) throws IOException {
+        return firstAnswer(
+                address -> HttpRequest.put("http://" + address + path).build());
+    }
+
+    Answer delete(String path) throws IOException {
+        return firstAnswer(address -> HttpRequest.builder(HttpMethod.DELETE, "http://" + address + path)
+                .build());
+    }
+
     private interface RequestFactory {
         HttpRequest create(String address);
     }
--- a/cli/src/main/java/org/bankturn/cli/TextRenderer.java
+++ b/cli/src/main/java/org/bankturn/cli/TextRenderer.java
@@ -109,6 +109,23 @@
                         .append('\n'));
     }
 
+    static String evacuations(JsonNode answer) {
+        StringBuilder text = new StringBuilder();
+        answer.path("evacuated")
+                .forEach(each -> text.append("evacuated  ")
+                        .append(each.path("hall").asText())
+                        .append("  since index ")
+                        .append(each.path("orderIndex"))
+                        .append('\n'));
+        if (text.isEmpty()) {
+            text.append("no data hall is evacuated\n");
+        }
+        if (!answer.path("fresh").asBoolean()) {
+            text.append("the answering process has no contact to a majority and may have missed an order\n");
+        }
+        return text.toString();
+    }
+
     private static String shorten(String digest) {
         return digest.substring(0, Math.min(SHORT_DIGEST_LENGTH, digest.length()));
     }
--- a/cli/src/test/java/org/bankturn/cli/BankturnToolTest.java
+++ b/cli/src/test/java/org/bankturn/cli/BankturnToolTest.java
@@ -2,9 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -37,6 +44,40 @@
         assertThat(BankturnTool.run("show", "--output", "xml")).isEqualTo(ExitCode.USAGE.number());
     }
 
+    /** Guards against an order whose outcome is unknown, or that was refused, being reported as done. */
+    @Test
+    void evacuation_orders_exit_by_the_answer_of_the_control_process() throws IOException {
+        List<String> calls = new CopyOnWriteArrayList<>();
+        AtomicInteger status = new AtomicInteger(200);
+        HttpServer control = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        control.createContext("/", exchange -> {
+            calls.add(exchange.getRequestMethod() + " " + exchange.getRequestURI());
+            byte[] body = "{\"reason\":\"SUPERSEDED\",\"evacuated\":[]}".getBytes(StandardCharsets.UTF_8);
+            exchange.sendResponseHeaders(status.get(), body.length);
+            exchange.getResponseBody().write(body);
+            exchange.close();
+        });
+        control.start();
+        String address = "127.0.0.1:" + control.getAddress().getPort();
+        try {
+            assertThat(BankturnTool.run("evacuate", "--addresses", address, "north"))
+                    .isZero();
+            assertThat(BankturnTool.run("evacuate", "--addresses", address, "--end", "north"))
+                    .isZero();
+            assertThat(BankturnTool.run("evacuate", "--addresses", address)).isZero();
+            assertThat(calls)
+                    .containsExactly("PUT /evacuations/north", "DELETE /evacuations/north", "GET /evacuations");
+            status.set(400);
+            assertThat(BankturnTool.run("evacuate", "--addresses", address, "nrth"))
+                    .isEqualTo(ExitCode.REFUSED.number());
+            status.set(503);
+            assertThat(BankturnTool.run("evacuate", "--addresses", address, "north"))
+                    .isEqualTo(ExitCode.UNKNOWN.number());
+        } finally {
+            control.stop(0);
+        }
+    }
+
     @Test
     void no_answering_address_exits_with_unreachable() {
         assertThat(BankturnTool.run("show", "--addresses", "127.0.0.1:1,127.0.0.1:2"))
