--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -294,17 +294,22 @@
     private GroupMember.Outcome submitAtLeader(PublicationCommand command) throws InterruptedException {
         Eventloop reactor = running.get(0).reactor();
         NodeClients clients = NodeClients.on(reactor);
-        while (true) {
-            for (Address box : seeds) {
-                NodeReply reply = reactor.submit(
-                                () -> clients.ask(box, new NodeRequest.SubmitPublication(command), 2_000))
-                        .join();
-                if (reply instanceof NodeReply.PublicationOutcome done
-                        && done.outcome() != GroupMember.Outcome.NOT_LEADER) {
-                    return done.outcome();
+        try {
+            while (true) {
+                for (Address box : seeds) {
+                    NodeReply reply = reactor.submit(
+                                    () -> clients.ask(box, new NodeRequest.SubmitPublication(command), 2_000))
+                            .join();
+                    if (reply instanceof NodeReply.PublicationOutcome done
+                            && done.outcome() != GroupMember.Outcome.NOT_LEADER) {
+                        return done.outcome();
+                    }
                 }
+                Thread.sleep(POLL_INTERVAL_MILLIS);
             }
-            Thread.sleep(POLL_INTERVAL_MILLIS);
+        } finally {
+            // a box stops only once nothing is scheduled on its reactor
+            reactor.execute(clients::close);
         }
     }
 
