--- a/daemon/src/test/java/org/bankturn/daemon/gateway/EvacuationTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/EvacuationTest.java
@@ -2,16 +2,21 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.activej.promise.Promise;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.publication.PublishedState;
+import org.bankturn.daemon.wire.NodeReply;
+import org.bankturn.daemon.wire.NodeServer;
 import org.bankturn.publication.HallEvacuation;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.PlacementSettings;
 import org.bankturn.service.RequestKind;
 import org.bankturn.service.Service;
 import org.junit.jupiter.api.Test;
@@ -19,6 +24,7 @@
 /** Runs a gateway in hall north in front of targets in two halls, of which some are evacuated. */
 class EvacuationTest extends GatewayFixture {
     private static final int CALLS = 8;
+    private static final long LOCAL_POLL_INTERVAL_MILLIS = PlacementSettings.DEFAULT.localPollIntervalMillis();
 
     private final Map<String, TargetSighting> sightings = new HashMap<>();
     private long index;
@@ -102,6 +108,29 @@
         assertThat(north.heads).isEmpty();
     }
 
+    /** Guards against polls of engines that get no requests, and against engines that are not polled after the end. */
+    @Test
+    void engines_of_an_evacuated_hall_are_polled_only_after_its_end() throws Exception {
+        AtomicInteger polls = new AtomicInteger();
+        reactor.submit(() -> {
+                    NodeServer.create(reactor, nodeAddress, request -> {
+                                polls.incrementAndGet();
+                                return Promise.of(new NodeReply.Load(null, 0, 0));
+                            })
+                            .listen();
+                    return Promise.complete();
+                })
+                .join();
+        sightings.put("e", new TargetSighting("e", "chat", nodeAddress.toString(), "north", 4, false, 1, 1));
+        publish(new HallEvacuation("north", true, 2));
+        Thread.sleep(LOCAL_POLL_INTERVAL_MILLIS + 200);
+        assertThat(polls).hasValue(0);
+        publish(new HallEvacuation("north", false, 3));
+        while (polls.get() == 0) {
+            pause();
+        }
+    }
+
     private ScriptedTarget in(String hall, ScriptedTarget target) {
         String id = "t-" + target.address();
         sightings.put(id, new TargetSighting(id, "chat", target.address(), hall, 4, false, -1, 1));
