Regions of routes and accounts decide which targets a request reaches

Requests were sent to targets in regions that their route or account does not allow, since nothing compared a target's region with them.

RequestPolicy now computes the regions from the configuration in force (route and account by name; those at arrival if they were removed), and TargetEligibility, taken out of TargetTable, checks the region of the target's data hall on every path. A target that is being connected to is checked again before the request is sent. A request without an eligible target left in its regions is rejected at once with cause "regions" and a retry time; bankturn_refusals_total counts refusals by cause. Control processes answer 400 to a document that names a region of no data hall and count it in bankturn_documents_refused_total.

The check of the last attempt moves from TargetTable to Candidate.

--- a/core/src/main/java/org/bankturn/routing/FailureCause.java
+++ b/core/src/main/java/org/bankturn/routing/FailureCause.java
@@ -14,6 +14,8 @@
     RETRY_BUDGET,
     /** No target is left that may serve the request. */
     NO_TARGET,
+    /** No target is left in the regions that the route and the account allow, but there is one in another region. */
+    REGIONS,
     /** Every target would start too late for the objective of the route. */
     LATE_START,
     /** The target may have executed the request, which must not be repeated. */
--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -8,7 +8,6 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.bankturn.service.AllowedRegions;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
 import org.bankturn.service.ServingConfiguration;
@@ -293,13 +292,19 @@
     }
 
     private NextStep.GiveUp rejectWithoutTarget(RequestProgress request) {
-        HeldBackTargets heldBack = heldBackTargets(request);
-        if (heldBack.hasKnownReleaseTime()) {
-            long retryAfter = RetryAfter.forHeldBackTargets(heldBack.earliestReleaseMillis(), random);
-            return new NextStep.GiveUp(FailureCause.NO_TARGET, "no target left but " + heldBack, retryAfter);
-        }
+        Requirements requirements = requirements(request);
         long retryAfter =
                 request.triedTargets().isEmpty() ? RetryAfter.NO_TARGET_MILLIS : RetryAfter.ALL_TARGETS_TRIED_MILLIS;
+        if (targets.isLimitedByRegions(requirements)) {
+            return new NextStep.GiveUp(FailureCause.REGIONS, RequestRegions.reason(requirements.regions()), retryAfter);
+        }
+        HeldBackTargets heldBack = targets.heldBack(requirements);
+        if (heldBack.hasKnownReleaseTime()) {
+            return new NextStep.GiveUp(
+                    FailureCause.NO_TARGET,
+                    "no target left but " + heldBack,
+                    RetryAfter.forHeldBackTargets(heldBack.earliestReleaseMillis(), random));
+        }
         return new NextStep.GiveUp(FailureCause.NO_TARGET, "no target left", retryAfter);
     }
 
@@ -308,6 +313,11 @@
         return targets.heldBack(requirements(request));
     }
 
+    /** Returns true if the configuration in force still allows a request to be sent to the target chosen for it. */
+    public boolean maySendTo(RequestProgress request, TargetState target) {
+        return targets.isInRegions(target, RequestRegions.of(request, configuration));
+    }
+
     /** Returns another target for a request that failed, empty if the failure is returned to the caller. */
     public Optional<NextStep.Send> retryAfterFailure(RequestProgress request) {
         boolean repeatable = request.route().kind().isRetryable();
@@ -335,7 +345,11 @@
         Optional<Candidate> candidate = choose(request);
         boolean available = candidate.isPresent()
                 && !(request.hasBegun() && candidate.get().target().isBrieflyUnavailable(clock.millis()));
-        return available ? Optional.empty() : Optional.of(FailureCause.NO_TARGET);
+        if (available) {
+            return Optional.empty();
+        }
+        boolean limitedByRegions = targets.isLimitedByRegions(requirements(request));
+        return Optional.of(limitedByRegions ? FailureCause.REGIONS : FailureCause.NO_TARGET);
     }
 
     /**
@@ -402,7 +416,7 @@
                 request.route().objectiveMillis(),
                 excluded(request),
                 request.hasBegun() || request.sends() + 1 >= request.route().maximumAttempts(),
-                AllowedRegions.ANY);
+                RequestRegions.of(request, configuration));
     }
 
     /**
--- a/core/src/main/java/org/bankturn/routing/RequestProgress.java
+++ b/core/src/main/java/org/bankturn/routing/RequestProgress.java
@@ -2,7 +2,9 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.bankturn.service.Account;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
 
@@ -14,6 +16,7 @@
  */
 public final class RequestProgress {
     private final Route route;
+    private final Account account;
     private final Service service;
     private final int promptTokens;
     private final long deadlineMillis;
@@ -35,20 +38,28 @@
     private long lastEventMillis;
     private long permitWaitDeadlineMillis = Long.MAX_VALUE;
 
+    /** Returns the progress of an anonymous request that was not sent yet, not null. */
+    public static RequestProgress of(Route route, Service service, int promptTokens, long deadlineMillis) {
+        return of(route, null, service, promptTokens, deadlineMillis);
+    }
+
     /**
      * Returns the progress of a request that was not sent yet, not null.
      *
      * @param route its route, not null
+     * @param account the client account that sent it, null if it is anonymous
      * @param service the service that serves it, not null
      * @param promptTokens the size of its prompt, 0 if it has none
      * @param deadlineMillis the deadline for its final response
      */
-    public static RequestProgress of(Route route, Service service, int promptTokens, long deadlineMillis) {
-        return new RequestProgress(route, service, promptTokens, deadlineMillis);
+    public static RequestProgress of(
+            Route route, Account account, Service service, int promptTokens, long deadlineMillis) {
+        return new RequestProgress(route, account, service, promptTokens, deadlineMillis);
     }
 
-    private RequestProgress(Route route, Service service, int promptTokens, long deadlineMillis) {
+    private RequestProgress(Route route, Account account, Service service, int promptTokens, long deadlineMillis) {
         this.route = route;
+        this.account = account;
         this.service = service;
         this.promptTokens = promptTokens;
         this.deadlineMillis = deadlineMillis;
@@ -56,11 +67,16 @@
 
     // ---- queries
 
-    /** Returns the request's route, not null. */
+    /** Returns the request's route at its arrival, not null. */
     public Route route() {
         return route;
     }
 
+    /** Returns the account that sent the request, as it was at its arrival, empty if the request is anonymous. */
+    public Optional<Account> account() {
+        return Optional.ofNullable(account);
+    }
+
     /** Returns the service that serves it, not null. */
     public Service service() {
         return service;
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -11,9 +11,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.service.AllowedRegions;
 import org.bankturn.service.EngineModel;
+import org.bankturn.service.RegionMap;
 import org.bankturn.time.Clock;
 
 /**
@@ -34,15 +37,13 @@
     /** The maximum assumed delay of a path without recent reports. */
     private static final long MAX_PATH_DELAY_MILLIS = 1_500;
 
-    /** The probability of an interruption from which an engine does not get a last attempt if there is another. */
-    private static final double MAX_LAST_ATTEMPT_INTERRUPTION = 0.05;
-
     /** The minimum assumed delay of a path on which a poll is unanswered. */
     private static final long UNANSWERED_POLL_MILLIS = 400;
 
     private final Clock clock;
     private final String dataHall;
     private final PlacementSettings settings;
+    private final TargetEligibility eligibility;
     private final CandidateSelector selector;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, List<TargetState>> byService = new HashMap<>();
@@ -52,22 +53,35 @@
     private List<TargetState> watchedStates = List.of();
     private final Set<TargetState> permitRequests = new LinkedHashSet<>();
 
+    /** Returns an empty table of a gateway that knows no regions, not null. */
+    public static TargetTable of(
+            Clock clock, String dataHall, PlacementSettings settings, UniformRandomProvider random) {
+        return of(clock, dataHall, RegionMap.NONE, settings, random);
+    }
+
     /**
      * Returns an empty table, not null.
      *
      * @param clock the time, not null
      * @param dataHall the data hall of the gateway, not null
+     * @param regions the region of each data hall, not null
      * @param settings the placement settings, not null
      * @param random the source of randomness, not null
      */
     public static TargetTable of(
-            Clock clock, String dataHall, PlacementSettings settings, UniformRandomProvider random) {
-        return new TargetTable(clock, dataHall, settings, random);
+            Clock clock, String dataHall, RegionMap regions, PlacementSettings settings, UniformRandomProvider random) {
+        return new TargetTable(clock, dataHall, TargetEligibility.of(regions), settings, random);
     }
 
-    private TargetTable(Clock clock, String dataHall, PlacementSettings settings, UniformRandomProvider random) {
+    private TargetTable(
+            Clock clock,
+            String dataHall,
+            TargetEligibility eligibility,
+            PlacementSettings settings,
+            UniformRandomProvider random) {
         this.clock = clock;
         this.dataHall = dataHall;
+        this.eligibility = eligibility;
         this.settings = settings;
         this.selector = new CandidateSelector(clock, settings, random);
         this.unansweredPolls = UnansweredPolls.none(clock);
@@ -248,23 +262,38 @@
     public HeldBackTargets heldBack(Requirements requirements) {
         long now = clock.millis();
         HeldBackTargets heldBack = new HeldBackTargets();
-        for (TargetState state : byService.getOrDefault(requirements.service().name(), List.of())) {
-            if (isEligible(state, requirements)) {
-                state.heldBack(now).ifPresent(reason -> heldBack.add(reason, state.untilReleaseMillis(now)));
-            }
-        }
+        ofService(requirements)
+                .filter(state -> eligibility.isEligible(state, requirements))
+                .forEach(state ->
+                        state.heldBack(now).ifPresent(reason -> heldBack.add(reason, state.untilReleaseMillis(now))));
         return heldBack;
     }
 
     /** Returns an eligible target for which a permit may become available within a time, not null. */
     Optional<TargetState> targetWithPermitWithin(long millis, Requirements requirements) {
         long now = clock.millis();
-        return byService.getOrDefault(requirements.service().name(), List.of()).stream()
-                .filter(state -> isEligible(state, requirements) && state.mayGetPermitWithin(millis, now))
+        return ofService(requirements)
+                .filter(state -> eligibility.isEligible(state, requirements))
+                .filter(state -> state.mayGetPermitWithin(millis, now))
                 .min(Comparator.comparing((TargetState state) -> !isLocal(state))
                         .thenComparing(state -> state.untilReleaseMillis(now)));
     }
 
+    /** Returns true if no target is eligible for a request, and one would be if it were in another region. */
+    boolean isLimitedByRegions(Requirements requirements) {
+        return ofService(requirements).noneMatch(state -> eligibility.isEligible(state, requirements))
+                && ofService(requirements).anyMatch(state -> eligibility.isExcludedByRegion(state, requirements));
+    }
+
+    /** Returns true if a target is in one of the given regions. */
+    boolean isInRegions(TargetState target, AllowedRegions regions) {
+        return eligibility.isInRegions(target, regions);
+    }
+
+    private Stream<TargetState> ofService(Requirements requirements) {
+        return byService.getOrDefault(requirements.service().name(), List.of()).stream();
+    }
+
     /** Returns the number of targets held back for each reason, not null. */
     public Map<HoldReason, Integer> heldBackCounts() {
         long now = clock.millis();
@@ -287,39 +316,25 @@
      */
     private Candidates candidates(Requirements requirements, long now, boolean forSending) {
         Candidates candidates = new Candidates();
-        List<TargetState> ofService =
-                byService.getOrDefault(requirements.service().name(), List.of());
         if (requirements.service().engine() == null) {
-            ofService.forEach(state -> classify(state, requirements, now, forSending, candidates));
+            ofService(requirements).forEach(state -> classify(state, requirements, now, forSending, candidates));
             return candidates;
         }
         watchedStates.forEach(state -> classify(state, requirements, now, forSending, candidates));
         if (candidates.local.isEmpty() && candidates.remote.isEmpty()) {
-            ofService.stream()
+            ofService(requirements)
                     .filter(state -> !isWatched(state))
                     .forEach(state -> classify(state, requirements, now, forSending, candidates));
         }
         if (requirements.lastAttempt() && settings.avoidsInterruptions()) {
-            candidates.retainIfAny(candidate -> completesLastAttempt(candidate, requirements, now));
+            candidates.retainIfAny(candidate -> candidate.completesLastAttempt(requirements, now));
         }
         return candidates;
     }
 
-    /** Returns true if an engine is likely to start a request in time and not to interrupt it. */
-    private static boolean completesLastAttempt(Candidate candidate, Requirements requirements, long now) {
-        long untilInterruption = candidate.target().untilInterruptionMillis(now);
-        // a change without a planned time is still ahead of an engine with older weights
-        boolean interrupts = untilInterruption > 0
-                ? InterruptionCost.probability(
-                                requirements.service().engine(), untilInterruption, candidate.predictedMillis())
-                        > MAX_LAST_ATTEMPT_INTERRUPTION
-                : candidate.target().heldVersion() < requirements.deadlines().newestVersion();
-        return !interrupts && candidate.predictedMillis() <= requirements.objectiveMillis();
-    }
-
     private void classify(
             TargetState state, Requirements requirements, long now, boolean forSending, Candidates candidates) {
-        if (!isEligible(state, requirements)) {
+        if (!eligibility.isEligible(state, requirements)) {
             return;
         }
         if (state.heldBack(now).isPresent()) {
@@ -379,16 +394,6 @@
         return watched.contains(state.sighting().id());
     }
 
-    private static boolean isEligible(TargetState state, Requirements requirements) {
-        TargetSighting sighting = state.sighting();
-        boolean hasWeights =
-                requirements.minVersion() < 0 || state.heldVersion() >= Math.max(1, requirements.minVersion());
-        return sighting.service().equals(requirements.service().name())
-                && !sighting.draining()
-                && hasWeights
-                && !requirements.excluded().contains(sighting.id());
-    }
-
     /** Returns the predicted time to the first event, without the round trip. */
     private static double predictedMillis(TargetState state, Requirements requirements, long now) {
         EngineModel engine = requirements.service().engine();
--- a/core/src/main/java/org/bankturn/service/RegionMap.java
+++ b/core/src/main/java/org/bankturn/service/RegionMap.java
@@ -1,7 +1,9 @@
 package org.bankturn.service;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -30,6 +32,19 @@
         return regionByDataHall.containsKey(dataHall);
     }
 
+    /**
+     * Returns a region that a configuration names and no data hall has, empty if there is none. Without any known region,
+     * the names cannot be checked.
+     */
+    public Optional<String> unknownRegion(ServingConfiguration configuration) {
+        if (regionByDataHall.isEmpty()) {
+            return Optional.empty();
+        }
+        return configuration.namedRegions().stream()
+                .filter(region -> !regionByDataHall.containsValue(region))
+                .min(Comparator.naturalOrder());
+    }
+
     /** Returns the names of the known regions, not null. */
     public Set<String> regions() {
         Collection<String> regions = regionByDataHall.values();
--- a/core/src/main/java/org/bankturn/service/ServingConfiguration.java
+++ b/core/src/main/java/org/bankturn/service/ServingConfiguration.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -23,6 +24,8 @@
     private final List<Account> accounts;
     private final Map<String, List<Route>> routesByHost;
     private final Map<String, Account> accountsByKey;
+    private final Map<String, Account> accountsByName;
+    private final Map<String, List<Route>> routesByName;
     private final List<String> problems;
 
     /**
@@ -49,6 +52,8 @@
         this.services = new HashMap<>();
         this.routesByHost = new HashMap<>();
         this.accountsByKey = new HashMap<>();
+        this.accountsByName = new HashMap<>();
+        this.routesByName = routes.stream().collect(Collectors.groupingBy(Route::name));
         List<String> errors = new ArrayList<>();
         for (Service service : services) {
             if (this.services.put(service.name(), service) != null) {
@@ -90,6 +95,7 @@
 
     private void indexKeys(List<String> errors) {
         for (Account account : accounts) {
+            accountsByName.merge(account.name(), account, ServingConfiguration::withCommonRegions);
             for (String key : account.keys()) {
                 Account other = accountsByKey.put(key, account);
                 if (other != null && !other.name().equals(account.name())) {
@@ -99,6 +105,15 @@
         }
     }
 
+    /** Returns the account restricted to the regions that another entry of the same name allows as well. */
+    private static Account withCommonRegions(Account account, Account other) {
+        return new Account(
+                account.name(),
+                account.keys(),
+                account.priority(),
+                account.allowedRegions().and(other.allowedRegions()));
+    }
+
     /** Returns the version of the document. */
     public long version() {
         return version;
@@ -170,6 +185,34 @@
         return Optional.empty();
     }
 
+    /** Returns the account with a name, empty if there is none. */
+    public Optional<Account> account(String name) {
+        return Optional.ofNullable(accountsByName.get(name));
+    }
+
+    /**
+     * Returns the form that a route of an earlier version has in this one, empty if it was removed. Names of routes need
+     * not be unique, so the host and the path prefix decide between routes of one name.
+     */
+    public Optional<Route> currentForm(Route earlier) {
+        List<Route> named = routesByName.getOrDefault(earlier.name(), List.of());
+        return named.stream()
+                .filter(route -> route.host().equals(earlier.host())
+                        && route.pathPrefix().equals(earlier.pathPrefix()))
+                .findFirst()
+                .or(() ->
+                        named.size() == 1 && !earlier.name().isEmpty() ? Optional.of(named.get(0)) : Optional.empty());
+    }
+
+    /** Returns the names of all regions to which routes and accounts are restricted, not null. */
+    public Set<String> namedRegions() {
+        return Stream.concat(
+                        routes.stream().map(Route::allowedRegions),
+                        accounts.stream().map(Account::allowedRegions))
+                .flatMap(regions -> regions.names().stream())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /** Returns the validation errors, empty if the configuration is consistent. */
     public List<String> problems() {
         return problems;
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -91,7 +91,7 @@
             onFailure(TransportFailure.NOT_CONNECTED);
             return;
         }
-        if (isHeldBack(opened)) {
+        if (isDisallowed(opened) || isHeldBack(opened)) {
             return;
         }
         connection = opened;
@@ -119,6 +119,17 @@
                 concatenate(framed, exchange.body()), exchange.head().first().equals("HEAD"), this);
     }
 
+    /** Hands the request back, and returns true, if a configuration change excluded the target during the connect. */
+    private boolean isDisallowed(TargetConnection opened) {
+        if (gateway.policy().maySendTo(request.progress(), target)) {
+            return false;
+        }
+        finish(AttemptEnding.DISALLOWED);
+        gateway.connections().release(targetId(), opened);
+        request.onDisallowed(target.sighting());
+        return true;
+    }
+
     /** Hands the request back, and returns true, if the target stopped accepting requests during the connect. */
     private boolean isHeldBack(TargetConnection opened) {
         Optional<HoldReason> reason = target.acquire(now());
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/AttemptEnding.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/AttemptEnding.java
@@ -13,6 +13,8 @@
     ERROR_STATUS(true),
     /** The target stopped accepting requests before this one was sent. */
     HELD_BACK(false),
+    /** A configuration change excluded the target before the request was sent. */
+    DISALLOWED(false),
     /** The connection could not be established. */
     NOT_CONNECTED(false),
     /** The target reset the connection. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -70,7 +70,7 @@
         this.endMillis = exchange.receivedMillis() + timeoutMillis;
         Service service =
                 gateway.service(route.selectService(metadata.id().hashCode())).orElseThrow();
-        this.progress = RequestProgress.of(route, service, metadata.promptTokens(), endMillis);
+        this.progress = RequestProgress.of(route, account, service, metadata.promptTokens(), endMillis);
     }
 
     void start() {
@@ -283,6 +283,9 @@
 
     private void recordOutcome(RequestOutcome outcome, int status, FailureCause cause, String reason) {
         recordEnd(outcome);
+        if (outcome == RequestOutcome.REFUSED) {
+            gateway.metrics().requestRefused(service().name(), cause);
+        }
         DecisionKind kind = outcome == RequestOutcome.REFUSED ? DecisionKind.REFUSED : DecisionKind.FAILED;
         DecisionLine line = outcomeLine(kind, status, reason).with(DecisionField.CAUSE, cause.label());
         if (progress.sends() > 0) {
@@ -479,6 +482,14 @@
         }
     }
 
+    /** Handles a target that the configuration ceased to allow before the request was sent. */
+    void onDisallowed(TargetSighting target) {
+        gateway.metrics().requestHeldBack(FailureCause.REGIONS.label());
+        progress.targetHeldBack(target.id());
+        recordRetry("region of " + target.id() + " is not allowed any more");
+        sendToNext();
+    }
+
     /** Handles a failure to connect; nothing was sent. */
     void onConnectFailure() {
         progress.connectionFailed();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -124,7 +124,8 @@
         this.connectionTrust = clients.reusePolicy();
         this.connections = new TargetConnectionPool(connectionTrust);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        this.targets = TargetTable.of(clock, settings.dataHall(), PlacementSettings.DEFAULT, random);
+        this.targets =
+                TargetTable.of(clock, settings.dataHall(), settings.regions(), PlacementSettings.DEFAULT, random);
         this.policy = RequestPolicy.of(clock, targets, settings.retryLimits(), random);
         this.loadPoller = LoadPoller.of(reactor, clock, clients, targets, settings, metrics);
         this.permits =
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -277,14 +277,26 @@
         try {
             configuration = format.read(document);
         } catch (UnreadableDocumentException e) {
-            return Promise.of(new ControlAnswer.Refused(e.getMessage()));
+            return refuseDocument(ServingMetrics.DOCUMENT_UNREADABLE, e.getMessage());
         }
         if (!configuration.problems().isEmpty()) {
-            return Promise.of(new ControlAnswer.Refused(configuration.problems().get(0)));
+            return refuseDocument(
+                    ServingMetrics.DOCUMENT_INCONSISTENT,
+                    configuration.problems().get(0));
+        }
+        Optional<String> unknown = settings.regions().unknownRegion(configuration);
+        if (unknown.isPresent()) {
+            return refuseDocument(
+                    ServingMetrics.DOCUMENT_UNKNOWN_REGION, "no data hall is in the allowed region " + unknown.get());
         }
         return change(new PublicationCommand.PutDocument(configuration.version(), DeflateCodec.deflate(document)));
     }
 
+    private Promise<ControlAnswer> refuseDocument(String cause, String reason) {
+        metrics.documentRefused(cause);
+        return Promise.of(new ControlAnswer.Refused(reason));
+    }
+
     /** Submits a command; one that the local state already reflects is accepted without a submission. */
     private Promise<ControlAnswer> change(PublicationCommand command) {
         return ask(member.query(state -> state.wouldChange(command))).then(needed -> {
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.bankturn.daemon.settings.Address;
+import org.bankturn.service.RegionMap;
 
 /**
  * The settings of a control process.
@@ -15,6 +16,7 @@
  * @param formsGroup true only at the first start of all control boxes, which bootstraps the group
  * @param seeds the node addresses of the control boxes, not null
  * @param heartbeatMillis the heartbeat interval of targets
+ * @param regions the region of each data hall, not null
  */
 public record GroupSettings(
         String process,
@@ -25,9 +27,34 @@
         String dataFolder,
         boolean formsGroup,
         List<Address> seeds,
-        long heartbeatMillis) {
+        long heartbeatMillis,
+        RegionMap regions) {
     /** Copies the seeds. */
     public GroupSettings {
         seeds = List.copyOf(seeds);
     }
+
+    /** Creates the settings of a control process that knows no regions. */
+    public GroupSettings(
+            String process,
+            String dataHall,
+            Address callAddress,
+            Address nodeAddress,
+            Address listenAddress,
+            String dataFolder,
+            boolean formsGroup,
+            List<Address> seeds,
+            long heartbeatMillis) {
+        this(
+                process,
+                dataHall,
+                callAddress,
+                nodeAddress,
+                listenAddress,
+                dataFolder,
+                formsGroup,
+                seeds,
+                heartbeatMillis,
+                RegionMap.NONE);
+    }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -62,9 +62,20 @@
     public static final String RESPONSE_UNDELIVERED = "response undelivered";
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
+    /** The label of documents that cannot be parsed. */
+    public static final String DOCUMENT_UNREADABLE = "unreadable";
+
+    /** The label of documents that contradict themselves. */
+    public static final String DOCUMENT_INCONSISTENT = "inconsistent";
+
+    /** The label of documents that name a region that no data hall has. */
+    public static final String DOCUMENT_UNKNOWN_REGION = "unknown region";
+
     private final Counter requests;
     private final Counter brokenAnswers;
+    private final Counter refusals;
     private final Counter interruptedCallers;
+    private final Counter documentsRefused;
     private final Counter retries;
     private final Counter targetFailures;
     private final Counter silentConnections;
@@ -96,6 +107,9 @@
         requests = counter("requests", "Requests by service and outcome.", "service", "outcome");
         brokenAnswers = counter(
                 "broken_answers", "Responses broken off after their start, by service and cause.", "service", "cause");
+        refusals = counter("refusals", "Requests refused without being run, by service and cause.", "service", "cause");
+        documentsRefused =
+                counter("documents_refused", "Operators' documents that were not accepted, by cause.", "cause");
         interruptedCallers = counter(
                 "interrupted_callers",
                 "Callers' connections that ended within a request or before a delivered response, by cause.",
@@ -175,6 +189,16 @@
     /** Counts a response that was broken off after its start. */
     public void responseBroken(String service, FailureCause cause) {
         brokenAnswers.labelValues(service, cause.label()).inc();
+    /** Counts a request that was refused without being run. */
+    public void requestRefused(String service, FailureCause cause) {
+        refusals.labelValues(service, cause.label()).inc();
+    }
+
+    /** Counts an operators' document that was not accepted; {@code cause} is one of the {@code DOCUMENT} labels. */
+    public void documentRefused(String cause) {
+        documentsRefused.labelValues(cause).inc();
+    }
+
     }
 
     /** Counts a caller's connection that ended within a request or before a response was delivered. */
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -33,6 +33,7 @@
 import org.bankturn.routing.RetryLimits;
 import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
+import org.bankturn.service.RegionMap;
 import org.bankturn.service.RequestKind;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
@@ -94,7 +95,8 @@
                         nodeAddress,
                         retryLimits(),
                         1_000,
-                        stopTimeoutMillis()),
+                        stopTimeoutMillis(),
+                        regions()),
                 new PlainDialect(),
                 reactor,
                 NodeClients.on(reactor, clock, ConnectionObserver.NONE),
@@ -130,6 +132,11 @@
         return UNLIMITED_RETRIES;
     }
 
+    /** Returns the region of each data hall, not null. */
+    RegionMap regions() {
+        return RegionMap.NONE;
+    }
+
     // ---- targets
 
     ScriptedTarget answering(String body, String fields) throws IOException {
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -9,6 +9,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,6 +18,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.bankturn.daemon.observe.CapturedLog;
+import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.Announcer;
@@ -28,6 +31,7 @@
 import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.daemon.wire.NodeClients;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.service.RegionMap;
 import org.bankturn.time.Clock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -39,8 +43,11 @@
 @Timeout(60)
 class GroupNodeTest {
     private static final int BOXES = 3;
+    private static final int BOX_WITHOUT_REGIONS = 2;
 
     private static final int CHANGES = 12;
+    private static final int MAX_LINE_POLLS = 50;
+    private static final long LINE_POLL_MILLIS = 100;
     private static final long POLL_INTERVAL_MILLIS = 5;
     private static final long FIRST_PUBLICATION_SECONDS = 10;
 
@@ -48,8 +55,9 @@
     private Path folder;
 
     private final Clock clock = Clock.system();
-    private final DecisionLog log = DecisionLog.start("test", clock);
-    private final ServingMetrics metrics = ServingMetrics.of(log);
+    private CapturedLog captured;
+    private DecisionLog log;
+    private ServingMetrics metrics;
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<Address> seeds = new ArrayList<>();
     private final List<Address> callAddresses = new ArrayList<>();
@@ -59,6 +67,9 @@
 
     @BeforeEach
     void form() throws IOException {
+        captured = CapturedLog.of("GroupNodeTest");
+        log = DecisionLog.startTo(captured, "test", clock);
+        metrics = ServingMetrics.of(log);
         for (int box = 0; box < BOXES; box++) {
             seeds.add(FreeAddresses.next());
             callAddresses.add(FreeAddresses.next());
@@ -100,6 +111,24 @@
         assertThat(untilRead(0)).isEqualTo("7");
     }
 
+    /** Guards against restricted requests that no target could ever serve because of a misspelt region. */
+    @Test
+    void a_document_that_names_a_region_of_no_data_hall_is_refused_and_changes_nothing() throws Exception {
+        assertThat(untilAccepted(0, "/put", "7 in east")).isEqualTo(200);
+        assertThat(call(0, "/put", "8 in weast").statusCode()).isEqualTo(400);
+        assertThat(untilRead(0)).isEqualTo("7 in east");
+        assertThat(new String(metrics.metricsText(), StandardCharsets.UTF_8))
+                .contains("bankturn_documents_refused_total{cause=\"unknown region\"} 1.0");
+        assertThat(untilLogged("no data hall is in the allowed region weast", "/put", "8 in weast"))
+                .isTrue();
+    }
+
+    /** Guards against documents being refused where the settings say nothing about regions. */
+    @Test
+    void a_document_with_regions_is_accepted_if_the_settings_name_no_regions() throws Exception {
+        assertThat(untilAccepted(BOX_WITHOUT_REGIONS, "/put", "7 in weast")).isEqualTo(200);
+    }
+
     @Test
     void an_acknowledged_leave_is_published_at_every_other_box() throws Exception {
         AtomicReference<PublishedState> seen = follow(2);
@@ -224,7 +253,8 @@
                         folder.resolve("box-" + box).toString(),
                         true,
                         seeds,
-                        1_000),
+                        1_000,
+                        box == BOX_WITHOUT_REGIONS ? RegionMap.NONE : new RegionMap(Map.of("north", "east"))),
                 () -> seeds,
                 new PlainControlDialect(),
                 new NumberedDocument(),
@@ -326,6 +356,18 @@
         return status;
     }
 
+    /** Repeats a call, as lines are dropped above a rate, until a line contains a text; returns false if none does. */
+    private boolean untilLogged(String text, String target, String body) throws Exception {
+        for (int poll = 0; poll < MAX_LINE_POLLS; poll++) {
+            if (captured.lines(DecisionKind.CHANGE).stream().anyMatch(line -> line.contains(text))) {
+                return true;
+            }
+            Thread.sleep(LINE_POLL_MILLIS);
+            call(0, target, body);
+        }
+        return false;
+    }
+
     private String untilRead(int box) throws Exception {
         HttpResponse<String> answer = call(box, "/get", "");
         while (answer.statusCode() == 503) {
