Output that callers do not read is bounded

A caller that reads slowly made the gateway hold the whole output of a fast target until the write timed out, without a bound on the memory.

Each listener accounts for the bytes that are not written. A caller that reads keeps a response that is larger than the bounds. The closed connection never carries the end of its response. bankturn_queued_output_bytes shows the bytes, bankturn_slow_readers_closed_total and an "interrupted" line each connection closed.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -363,7 +363,7 @@
     /** Returns the cause if this gateway closed the connection, empty if the caller or the network did. */
     private static Optional<FailureCause> breakingCause(DisconnectCause disconnect) {
         return switch (disconnect) {
-            case WRITE_TIMEOUT -> Optional.of(FailureCause.CALLER_STALLED);
+            case WRITE_TIMEOUT, SLOW_READER -> Optional.of(FailureCause.CALLER_STALLED);
             case SHUTDOWN -> Optional.of(FailureCause.SHUTDOWN);
             default -> Optional.empty();
         };
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.HttpListener;
+import org.bankturn.daemon.http.SendQueueLimits;
 import org.bankturn.daemon.http.ServerExchange;
 import org.bankturn.daemon.http.ServerLimits;
 import org.bankturn.daemon.observe.DecisionField;
@@ -138,8 +139,10 @@
                 clock,
                 settings.callerAddress().toSocketAddress(),
                 this::callerLimits,
+                SendQueueLimits.forHeap(Runtime.getRuntime().maxMemory()),
                 this::handle,
                 new InterruptionReporter(dialect, log, metrics));
+        metrics.registerQueuedOutputGauge(callers::queuedOutputBytes);
         this.readiness = HttpListener.create(
                 reactor,
                 clock,
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/InterruptionReporter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/InterruptionReporter.java
@@ -50,6 +50,17 @@
                 .write();
     }
 
+    @Override
+    public void readerTooSlow(long queuedBytes, long totalBytes, long unreadMillis) {
+        metrics.slowReaderClosed();
+        log.line(DecisionKind.INTERRUPTED)
+                .with(DecisionField.EVENT, "slow reader closed")
+                .with(DecisionField.UNSENT_BYTES, queuedBytes)
+                .with(DecisionField.TOTAL_UNSENT_BYTES, totalBytes)
+                .with(DecisionField.SILENT_MS, unreadMillis)
+                .write();
+    }
+
     private DecisionLine line(DecisionKind kind, HttpHead request) {
         DecisionLine line = log.line(kind);
         return request == null
--- a/daemon/src/main/java/org/bankturn/daemon/http/DisconnectCause.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/DisconnectCause.java
@@ -10,6 +10,8 @@
     CONNECTION_FAILED,
     /** The client accepted no data for longer than the idle timeout, so the connection was closed here. */
     WRITE_TIMEOUT,
+    /** The client did not read its response while too much output was queued, so the connection was closed here. */
+    SLOW_READER,
     /** The client did not complete a request in time, so the connection was closed here. */
     REQUEST_TIMEOUT,
     /** The connection was unused for longer than the idle timeout, so it was closed here. */
--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpListener.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
 import org.bankturn.time.Clock;
@@ -25,6 +26,8 @@
     private final InterruptionListener interruptions;
     private final SimpleServer server;
     private final Set<ServerConnection> connections = new HashSet<>();
+    private final SendQueueBudget<ServerConnection> sendQueues;
+    private boolean sendQueueCheckPosted;
     private boolean draining;
 
     /**
@@ -42,16 +45,18 @@
             InetSocketAddress address,
             Supplier<ServerLimits> limits,
             HttpHandler handler) {
-        return create(reactor, clock, address, limits, handler, InterruptionListener.NONE);
+        return create(reactor, clock, address, limits, SendQueueLimits.NONE, handler, InterruptionListener.NONE);
     }
 
     /**
-     * Creates a listener that reports interrupted requests and responses; {@link #listen} starts it.
+     * Creates a listener that bounds queued output and reports interrupted requests and responses; {@link #listen}
+     * starts it.
      *
      * @param reactor the reactor whose thread serves, not null
      * @param clock the clock for timeouts, not null
      * @param address the address to bind to, not null
      * @param limits supplies the current limits on clients, not null
+     * @param sendQueueLimits the bounds on output that clients have not read, not null
      * @param handler handles the requests, not null
      * @param interruptions is notified of what the handler does not learn, not null
      */
@@ -60,9 +65,10 @@
             Clock clock,
             InetSocketAddress address,
             Supplier<ServerLimits> limits,
+            SendQueueLimits sendQueueLimits,
             HttpHandler handler,
             InterruptionListener interruptions) {
-        return new HttpListener(reactor, clock, address, limits, handler, interruptions);
+        return new HttpListener(reactor, clock, address, limits, sendQueueLimits, handler, interruptions);
     }
 
     private HttpListener(
@@ -70,11 +76,13 @@
             Clock clock,
             InetSocketAddress address,
             Supplier<ServerLimits> limits,
+            SendQueueLimits sendQueueLimits,
             HttpHandler handler,
             InterruptionListener interruptions) {
         this.reactor = reactor;
         this.clock = clock;
         this.limits = limits;
+        this.sendQueues = new SendQueueBudget<>(sendQueueLimits);
         this.handler = handler;
         this.interruptions = interruptions;
         this.server = SimpleServer.builder(reactor, this::accept)
@@ -113,6 +121,34 @@
         return draining;
     }
 
+    /** Returns the size of the output that clients have not read, in bytes; may be called on any thread. */
+    public long queuedOutputBytes() {
+        return sendQueues.queuedBytes();
+    }
+
+    /** Records a change of a connection's queued output and schedules a check if a bound is exceeded. */
+    void sendQueueChanged(ServerConnection connection, long change) {
+        sendQueues.changed(connection, change);
+        if (change > 0 && !sendQueueCheckPosted && sendQueues.isExceededBy(connection)) {
+            sendQueueCheckPosted = true;
+            // a connection is not closed while its exchange is writing to it
+            reactor.post(this::closeSlowReaders);
+        }
+    }
+
+    private void closeSlowReaders() {
+        sendQueueCheckPosted = false;
+        long now = clock.millis();
+        Optional<ServerConnection> slow = sendQueues.connectionToClose(now);
+        while (slow.isPresent()) {
+            ServerConnection closing = slow.get();
+            interruptions.readerTooSlow(
+                    closing.queuedBytes(), sendQueues.queuedBytes(), now - closing.unreadSinceMillis());
+            closing.close(DisconnectCause.SLOW_READER);
+            slow = sendQueues.connectionToClose(now);
+        }
+    }
+
     void connectionClosed(ServerConnection connection) {
         connections.remove(connection);
     }
@@ -127,6 +163,7 @@
         reactor.delayBackground(SWEEP_INTERVAL_MILLIS, () -> {
             long now = clock.millis();
             Set.copyOf(connections).forEach(connection -> connection.closeIfTimedOut(now));
+            closeSlowReaders();
             scheduleSweep();
         });
     }
--- a/daemon/src/main/java/org/bankturn/daemon/http/InterruptionListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/InterruptionListener.java
@@ -12,6 +12,9 @@
 
         @Override
         public void responseUndelivered(HttpHead request, long unsentBytes, DisconnectCause cause) {}
+
+        @Override
+        public void readerTooSlow(long queuedBytes, long totalBytes, long unreadMillis) {}
     };
 
     /**
@@ -40,4 +43,13 @@
      * @param cause why the connection ended, not null
      */
     void responseUndelivered(HttpHead request, long unsentBytes, DisconnectCause cause);
+
+    /**
+     * Handles a connection that is about to be closed because too much output is queued.
+     *
+     * @param queuedBytes the output queued for this connection
+     * @param totalBytes the output queued for all connections
+     * @param unreadMillis the time for which its client has read nothing
+     */
+    void readerTooSlow(long queuedBytes, long totalBytes, long unreadMillis);
 }
--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -17,7 +17,7 @@
  *
  * <p>ServerConnection is confined to one thread.
  */
-final class ServerConnection {
+final class ServerConnection implements SendQueueBudget.Holder {
     private static final long MIN_IDLE_MILLIS = 300;
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final int MAX_PIPELINED_BYTES = 64 << 10;
@@ -39,6 +39,10 @@
     private ServerExchange exchange;
     private HttpHead answeredHead;
     private int writeLength;
+
+    /** The size of the output that is not written completely. */
+    private long queuedBytes;
+
     private long idleSinceMillis;
     private long requestStartMillis;
     private long writeStartMillis;
@@ -106,6 +110,9 @@
         closed = true;
         socket.closeEx(new IOException("connection closed locally"));
         notifyClosed(cause);
+        sendQueue.forEach(ByteBuf::recycle);
+        sendQueue.clear();
+        queueChanged(-queuedBytes);
     }
 
     private void notifyClosed(DisconnectCause cause) {
@@ -124,13 +131,23 @@
         HttpHead answered = interrupted != null ? interrupted.head() : answeredHead;
         boolean undelivered = sending || !sendQueue.isEmpty();
         if (answered != null && undelivered && cause != DisconnectCause.RESPONSE_ABORTED) {
-            interruptions.responseUndelivered(answered, unsentBytes(), cause);
+            interruptions.responseUndelivered(answered, queuedBytes, cause);
         }
     }
 
-    private long unsentBytes() {
-        return writeLength
-                + sendQueue.stream().mapToLong(ByteBuf::readRemaining).sum();
+    @Override
+    public long queuedBytes() {
+        return queuedBytes;
+    }
+
+    @Override
+    public long unreadSinceMillis() {
+        return writeStartMillis;
+    }
+
+    private void queueChanged(long change) {
+        queuedBytes += change;
+        listener.sendQueueChanged(this, change);
     }
 
     private void readMore() {
@@ -220,6 +237,7 @@
         if (closed) {
             return;
         }
+        queueChanged(bytes.length);
         for (int start = 0; start < bytes.length; start += MAX_WRITE_BYTES) {
             sendQueue.add(ByteBuf.wrap(bytes, start, Math.min(bytes.length, start + MAX_WRITE_BYTES)));
         }
@@ -267,13 +285,23 @@
                 close(DisconnectCause.CONNECTION_FAILED);
                 return;
             }
+            if (closed) {
+                return;
+            }
             sending = false;
-            writeLength = 0;
+            writeCompleted();
             flush();
         });
     }
 
+    /** Releases the previous write, if there is one. */
+    private void writeCompleted() {
+        queueChanged(-writeLength);
+        writeLength = 0;
+    }
+
     private Promise<Void> writeNext() {
+        writeCompleted();
         ByteBuf next = sendQueue.poll();
         writeLength = next.readRemaining();
         return socket.write(next);
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -120,6 +120,8 @@
     TERM,
     /** The duration of the operation, in milliseconds. */
     TOOK_MS,
+    /** The size of the output that all callers have not read, in bytes. */
+    TOTAL_UNSENT_BYTES,
     /** The number of requests in progress. */
     UNDER_WAY,
     /** The size of the writes to a caller that had not been completed, in bytes. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.bankturn.routing.FailureCause;
 import org.bankturn.routing.HoldReason;
@@ -61,7 +62,6 @@
     /** The label of connections that ended before a complete response was delivered. */
     public static final String RESPONSE_UNDELIVERED = "response undelivered";
 
-    private final PrometheusRegistry registry = new PrometheusRegistry();
     /** The label of documents that cannot be parsed. */
     public static final String DOCUMENT_UNREADABLE = "unreadable";
 
@@ -71,11 +71,13 @@
     /** The label of documents that name a region that no data hall has. */
     public static final String DOCUMENT_UNKNOWN_REGION = "unknown region";
 
+    private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests;
-    private final Counter brokenAnswers;
     private final Counter refusals;
-    private final Counter interruptedCallers;
+    private final Counter brokenAnswers;
     private final Counter documentsRefused;
+    private final Counter interruptedCallers;
+    private final Counter slowReaders;
     private final Counter retries;
     private final Counter targetFailures;
     private final Counter silentConnections;
@@ -105,16 +107,17 @@
 
     private ServingMetrics(DecisionLog log) {
         requests = counter("requests", "Requests by service and outcome.", "service", "outcome");
-        brokenAnswers = counter(
-                "broken_answers", "Responses broken off after their start, by service and cause.", "service", "cause");
         refusals = counter("refusals", "Requests refused without being run, by service and cause.", "service", "cause");
         documentsRefused =
                 counter("documents_refused", "Operators' documents that were not accepted, by cause.", "cause");
+        brokenAnswers = counter(
+                "broken_answers", "Responses broken off after their start, by service and cause.", "service", "cause");
         interruptedCallers = counter(
                 "interrupted_callers",
                 "Callers' connections that ended within a request or before a delivered response, by cause.",
                 "event",
                 "disconnect");
+        slowReaders = counter("slow_readers_closed", "Callers disconnected because too much output was queued.");
         retries = counter("retries", "Requests sent to a further target, by service.", "service");
         targetFailures = counter("target_failures", "Failures seen at targets, by service.", "service");
         silentConnections =
@@ -186,9 +189,6 @@
         heldSeconds.labelValues(outcome.label()).observe((double) heldMillis / MILLIS_PER_SECOND);
     }
 
-    /** Counts a response that was broken off after its start. */
-    public void responseBroken(String service, FailureCause cause) {
-        brokenAnswers.labelValues(service, cause.label()).inc();
     /** Counts a request that was refused without being run. */
     public void requestRefused(String service, FailureCause cause) {
         refusals.labelValues(service, cause.label()).inc();
@@ -199,6 +199,9 @@
         documentsRefused.labelValues(cause).inc();
     }
 
+    /** Counts a response that was broken off after its start. */
+    public void responseBroken(String service, FailureCause cause) {
+        brokenAnswers.labelValues(service, cause.label()).inc();
     }
 
     /** Counts a caller's connection that ended within a request or before a response was delivered. */
@@ -206,6 +209,20 @@
         interruptedCallers.labelValues(event, disconnect).inc();
     }
 
+    /** Counts a caller that was disconnected because it did not read while too much output was queued. */
+    public void slowReaderClosed() {
+        slowReaders.inc();
+    }
+
+    /** Registers a gauge of the output that callers have not read; to be called at most once. */
+    public void registerQueuedOutputGauge(LongSupplier bytes) {
+        GaugeWithCallback.builder()
+                .name("bankturn_queued_output_bytes")
+                .help("Output that callers have not read yet.")
+                .callback(gauge -> gauge.call((double) bytes.getAsLong()))
+                .register(registry);
+    }
+
     /** Records the time to the first event of a stream. */
     public void firstEvent(String service, long millis) {
         firstEventSeconds.labelValues(service).observe((double) millis / MILLIS_PER_SECOND);
