Trials of suspect requests are tested for their regions

Cause: the trial of a condemned request is a path to a target of its own, and no test covered its regions.

--- a/daemon/src/test/java/org/bankturn/daemon/gateway/RegionRoutingTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/RegionRoutingTest.java
@@ -9,9 +9,12 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import org.bankturn.crash.RequestFingerprint;
+import org.bankturn.crash.Suspect;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.publication.PublishedState;
 import org.bankturn.daemon.weights.WeightsRelay;
+import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.Account;
 import org.bankturn.service.AllowedRegions;
@@ -108,6 +111,48 @@
         assertThat(newlyAllowed.heads).hasSize(1);
     }
 
+    /** Guards against the trial of a suspect request being sent outside the regions, which may change while it is granted. */
+    @Test
+    void trial_of_a_condemned_request_reaches_only_targets_in_its_regions() throws Exception {
+        ScriptedTarget local = place(answering("near", ""), "north");
+        ScriptedTarget allowed = place(answering("far", ""), "south");
+        RequestFingerprint fingerprint = RequestFingerprint.of("/x/1", "acme", new byte[0]);
+        List<String> ended = List.of("e1", "e2", "e3");
+        publishRegions(
+                RequestKind.IDEMPOTENT, EAST, AllowedRegions.ANY, List.of(new Suspect(fingerprint, ended, 0, null, 1)));
+        CompletableFuture<String> response = CompletableFuture.supplyAsync(this::callUntilTried);
+        PublicationCommand.TakeTrial trial = awaitTrial();
+        publishRegions(
+                RequestKind.IDEMPOTENT,
+                WEST,
+                AllowedRegions.ANY,
+                List.of(new Suspect(fingerprint, ended, 1, trial.who(), 2)));
+        assertThat(response.join()).startsWith("HTTP/1.1 200").endsWith("far");
+        assertThat(local.heads).isEmpty();
+        assertThat(allowed.heads).hasSize(1);
+    }
+
+    /** Repeats a request that is refused as condemned until a trial of it is answered. */
+    private String callUntilTried() {
+        String response = callUnchecked("a1");
+        while (response.startsWith("HTTP/1.1 429")) {
+            pause();
+            response = callUnchecked("a1");
+        }
+        return response;
+    }
+
+    private PublicationCommand.TakeTrial awaitTrial() {
+        while (true) {
+            for (PublicationCommand command : publicationCommands) {
+                if (command instanceof PublicationCommand.TakeTrial trial) {
+                    return trial;
+                }
+            }
+            pause();
+        }
+    }
+
     // ---- targets
 
     private ScriptedTarget notRunAfter(CountDownLatch received, CountDownLatch changed) throws IOException {
@@ -145,6 +190,11 @@
     // ---- configuration and calls
 
     private void publishRegions(RequestKind kind, AllowedRegions ofRoute, AllowedRegions ofAccount) {
+        publishRegions(kind, ofRoute, ofAccount, List.of());
+    }
+
+    private void publishRegions(
+            RequestKind kind, AllowedRegions ofRoute, AllowedRegions ofAccount, List<Suspect> suspects) {
         // the retry budget depends on the number of gateways, this one included
         sightings.put(
                 "relay-test",
@@ -158,7 +208,7 @@
                 List.of(new Service("chat", "/health", 100, null, null, null, null)),
                 ClientLimits.DEFAULT,
                 List.of(new Account("acme", List.of("k"), 0, ofAccount)));
-        update(new PublishedState(1, configuration, List.of(), sightings, List.of(), confirmed), clock.millis());
+        update(new PublishedState(1, configuration, List.of(), sightings, suspects, confirmed), clock.millis());
     }
 
     private String callUnchecked(String id) {
