--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.HttpListener;
+import org.bankturn.daemon.http.SendQueueLimits;
 import org.bankturn.daemon.http.ServerExchange;
 import org.bankturn.daemon.http.ServerLimits;
 import org.bankturn.daemon.observe.DecisionField;
@@ -125,7 +126,8 @@
         this.connectionTrust = clients.reusePolicy();
         this.connections = new TargetConnectionPool(connectionTrust);
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        this.targets = TargetTable.of(clock, settings.dataHall(), PlacementSettings.DEFAULT, random);
+        this.targets =
+                TargetTable.of(clock, settings.dataHall(), settings.regions(), PlacementSettings.DEFAULT, random);
         this.policy = RequestPolicy.of(clock, targets, settings.retryLimits(), random);
         this.loadPoller = LoadPoller.of(reactor, clock, clients, targets, settings, metrics);
         this.permits =
@@ -138,8 +140,10 @@
                 clock,
                 settings.callerAddress().toSocketAddress(),
                 this::callerLimits,
+                SendQueueLimits.forHeap(Runtime.getRuntime().maxMemory()),
                 this::handle,
                 new InterruptionReporter(dialect, log, metrics));
+        metrics.registerQueuedOutputGauge(callers::queuedOutputBytes);
         this.readiness = HttpListener.create(
                 reactor,
                 clock,
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupSettings.java
@@ -34,7 +34,7 @@
         seeds = List.copyOf(seeds);
     }
 
-    /** Returns the settings of a deployment that names no regions. */
+    /** Creates the settings of a control process that knows no regions. */
     public GroupSettings(
             String process,
             String dataHall,
