Slow start: a few chosen gateways space their requests to a cold target

Targets that have just started fail above a certain rate, but every gateway sent them its full share at once. Up to half of the rate that a cold target bears as gateways are chosen by rendezvous hashing; each spaces its requests, waits an interval after its start, and stops when its view of the published gateways is no longer confirmed. The registry records rises and ends of cold times, not the countdown.

--- a/core/src/main/java/org/bankturn/registry/TargetSighting.java
+++ b/core/src/main/java/org/bankturn/registry/TargetSighting.java
@@ -72,8 +72,16 @@
         return name.equals(other.name) && bornMillis > other.bornMillis;
     }
 
-    /** Returns true if {@code other} is equal to this sighting, apart from name, start time and sequence. */
-    public boolean hasSameStateAs(TargetSighting other) {
+    /**
+     * Returns true if a newer sighting need not be recorded after this one: it is equal apart from name, start time and
+     * sequence, and its cold time only counted down.
+     */
+    public boolean hasSameStateAs(TargetSighting newer) {
+        boolean becameWarm = coldMillis > 0 && newer.coldMillis == 0;
+        return hasSameRegistrationAs(newer) && newer.coldMillis <= coldMillis && !becameWarm;
+    }
+
+    private boolean hasSameRegistrationAs(TargetSighting other) {
         return id.equals(other.id)
                 && service.equals(other.service)
                 && address.equals(other.address)
@@ -83,6 +91,12 @@
                 && heldVersion == other.heldVersion;
     }
 
+    /** Returns a copy of this sighting with another cold time. */
+    TargetSighting withColdMillis(long millis) {
+        return new TargetSighting(
+                id, name, bornMillis, service, address, dataHall, slots, draining, heldVersion, sequence, millis);
+    }
+
     /** Returns a copy of this sighting that is draining. */
     public TargetSighting asDraining() {
         return new TargetSighting(
--- a/core/src/main/java/org/bankturn/routing/FlowControlCache.java
+++ b/core/src/main/java/org/bankturn/routing/FlowControlCache.java
@@ -12,8 +12,13 @@
 final class FlowControlCache {
     private static final int MAX_ENTRIES = 1_024;
 
+    private final SlowStarts slowStarts;
     private final Map<String, TargetFlowControl> byIncarnation = new LinkedHashMap<>();
 
+    FlowControlCache(SlowStarts slowStarts) {
+        this.slowStarts = slowStarts;
+    }
+
     /** Stores the state of an unlisted incarnation if it has constraints; evicts the oldest entries. */
     void put(String incarnation, TargetFlowControl flowControl) {
         if (!flowControl.hasConstraints()) {
@@ -28,6 +33,6 @@
     /** Removes and returns the state of an incarnation, a new one if there is none, not null. */
     TargetFlowControl remove(String incarnation) {
         TargetFlowControl remembered = byIncarnation.remove(incarnation);
-        return remembered == null ? new TargetFlowControl() : remembered;
+        return remembered == null ? new TargetFlowControl(new ColdTarget(slowStarts)) : remembered;
     }
 }
--- a/core/src/main/java/org/bankturn/routing/HoldReason.java
+++ b/core/src/main/java/org/bankturn/routing/HoldReason.java
@@ -8,6 +8,8 @@
     LEAVING,
     /** The target asked this gateway to back off. */
     BACKING_OFF,
+    /** The target started recently, and this gateway may not send to it yet or not again so soon. */
+    COLD,
     /** The target limits its rate and this gateway holds no permit. */
     RATE_LIMITED;
 
--- a/core/src/main/java/org/bankturn/routing/TargetFlowControl.java
+++ b/core/src/main/java/org/bankturn/routing/TargetFlowControl.java
@@ -5,7 +5,8 @@
 import java.util.Set;
 
 /**
- * The flow control state of one target incarnation: its rate limit, back-off, shutdown and the permit held for it.
+ * The flow control state of one target incarnation: its rate limit, back-off, shutdown, slow start and the permit held
+ * for it.
  *
  * <p>A rate limit lasts while responses report it; a response without one ends it only if its request was sent after
  * the limit was last reported, because responses on different connections may overtake each other. While a limit is in
@@ -21,6 +22,7 @@
 
     private static final long NEVER = Long.MIN_VALUE / 2;
 
+    private final ColdTarget cold;
     private RateLimit limit = RateLimit.none(NEVER);
     private long backOffUntilMillis = NEVER;
     private boolean leaving;
@@ -29,8 +31,22 @@
     private boolean permitPending;
     private long nextPermitRequestMillis = NEVER;
 
+    /** Creates the state of a target that never counts as cold. */
+    TargetFlowControl() {
+        this(new ColdTarget(new SlowStarts(() -> 0)));
+    }
+
+    TargetFlowControl(ColdTarget cold) {
+        this.cold = cold;
+    }
+
     // ---- queries
 
+    /** Returns the state of the target's slow start, not null. */
+    ColdTarget cold() {
+        return cold;
+    }
+
     /** Returns the rate limit, not null. */
     RateLimit limit() {
         return limit;
@@ -44,6 +60,9 @@
         if (nowMillis < backOffUntilMillis) {
             return Optional.of(HoldReason.BACKING_OFF);
         }
+        if (cold.untilReleaseMillis(nowMillis) > 0) {
+            return Optional.of(HoldReason.COLD);
+        }
         return limit.inForce() && !hasPermit(nowMillis) ? Optional.of(HoldReason.RATE_LIMITED) : Optional.empty();
     }
 
@@ -52,8 +71,8 @@
         if (leaving) {
             return Long.MAX_VALUE;
         }
-        long backOff = Math.max(0, backOffUntilMillis - nowMillis);
-        return limit.inForce() ? Math.max(backOff, untilPermitMillis(nowMillis)) : backOff;
+        long until = Math.max(Math.max(0, backOffUntilMillis - nowMillis), cold.untilReleaseMillis(nowMillis));
+        return limit.inForce() ? Math.max(until, untilPermitMillis(nowMillis)) : until;
     }
 
     /** Returns the time until the held permit becomes valid, 0 if none is held. */
@@ -70,12 +89,13 @@
 
     /** Returns true if there are constraints that may still be in force. */
     boolean hasConstraints() {
-        return leaving || limit.inForce() || backOffUntilMillis > NEVER;
+        return leaving || limit.inForce() || backOffUntilMillis > NEVER || cold.wasCold();
     }
 
     /** Returns true if a permit should be requested. */
     boolean needsPermit(long nowMillis) {
-        boolean acceptsRequests = !leaving && nowMillis >= backOffUntilMillis;
+        boolean acceptsRequests =
+                !leaving && nowMillis >= backOffUntilMillis && cold.untilReleaseMillis(nowMillis) == 0;
         return acceptsRequests
                 && limit.inForce()
                 && !permitPending
@@ -85,7 +105,8 @@
 
     /** Returns true if a permit may become available within a time: one is held for later or pending. */
     boolean mayGetPermitWithin(long millis, long nowMillis) {
-        boolean acceptsRequests = !leaving && nowMillis >= backOffUntilMillis;
+        boolean acceptsRequests =
+                !leaving && nowMillis >= backOffUntilMillis && cold.untilReleaseMillis(nowMillis) == 0;
         boolean isHeld = nowMillis < permitUntilMillis && permitFromMillis <= nowMillis + millis;
         return acceptsRequests && limit.inForce() && (isHeld || permitPending || needsPermit(nowMillis));
     }
@@ -149,6 +170,7 @@
         Optional<HoldReason> reason = heldBack(nowMillis);
         if (reason.isEmpty()) {
             permitUntilMillis = NEVER;
+            cold.requestSent(nowMillis);
         }
         return reason;
     }
--- a/core/src/main/java/org/bankturn/routing/TargetState.java
+++ b/core/src/main/java/org/bankturn/routing/TargetState.java
@@ -37,6 +37,9 @@
     /** The weight of a new observation in the latency ratio. */
     private static final double SMOOTHING = 0.2;
 
+    /** The failures after which a target that responds again may have been restarted; one can be due to a connection. */
+    private static final int FAILURES_OF_RESTART = 2;
+
     /** The upper bound on an observation, which limits the effect of outliers. */
     private static final double MAX_LATENCY_RATIO = 10;
 
@@ -60,6 +63,7 @@
     TargetState(TargetSighting sighting, TargetFlowControl flowControl) {
         this.sighting = sighting;
         this.flowControl = flowControl;
+        flowControl.cold().registered(sighting);
     }
 
     // ---- queries
@@ -239,6 +243,7 @@
 
     void update(TargetSighting newer) {
         sighting = newer;
+        flowControl.cold().registered(newer);
     }
 
     /** Records the version that served a response. */
@@ -327,6 +332,9 @@
     }
 
     private void recordSuccess(double ratio) {
+        if (consecutiveFailures >= FAILURES_OF_RESTART) {
+            flowControl.cold().assumeCold(ColdCause.RETURNED);
+        }
         consecutiveFailures = 0;
         avoidedUntilMillis = 0;
         latencyRatio += SMOOTHING * (Math.min(MAX_LATENCY_RATIO, ratio) - latencyRatio);
--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -46,7 +46,8 @@
     private final CandidateSelector selector;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, List<TargetState>> byService = new HashMap<>();
-    private final FlowControlCache flowControlCache = new FlowControlCache();
+    private final SlowStarts slowStarts;
+    private final FlowControlCache flowControlCache;
     private final UnansweredPolls unansweredPolls;
     private Set<String> watched = Set.of();
     private List<TargetState> watchedStates = List.of();
@@ -70,6 +71,8 @@
         this.dataHall = dataHall;
         this.settings = settings;
         this.selector = new CandidateSelector(clock, settings, random);
+        this.slowStarts = new SlowStarts(clock);
+        this.flowControlCache = new FlowControlCache(slowStarts);
         this.unansweredPolls = UnansweredPolls.none(clock);
     }
 
@@ -98,6 +101,18 @@
         return removed;
     }
 
+    /** Returns what is known for all cold targets, not null. */
+    public SlowStarts slowStarts() {
+        return slowStarts;
+    }
+
+    /** Treats the targets of a data hall as cold from now on, for the time that their service states. */
+    public void treatAsCold(String coldHall) {
+        targets.values().stream()
+                .filter(state -> state.sighting().dataHall().equals(coldHall))
+                .forEach(state -> state.flowControl().cold().assumeCold(ColdCause.RELEASED));
+    }
+
     /** Sets the engines that the gateway polls; others are used only if none of these is available. */
     public void setWatched(Set<String> ids) {
         watched = Set.copyOf(ids);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -31,12 +32,14 @@
 import org.bankturn.publication.NamedWeights;
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.routing.ColdCause;
 import org.bankturn.routing.ConnectionReusePolicy;
 import org.bankturn.routing.NextStep;
 import org.bankturn.routing.PlacementSettings;
 import org.bankturn.routing.RequestPolicy;
 import org.bankturn.routing.RetryAfter;
 import org.bankturn.routing.ShutdownSchedule;
+import org.bankturn.routing.SlowStarts;
 import org.bankturn.routing.TargetState;
 import org.bankturn.routing.TargetTable;
 import org.bankturn.service.Account;
@@ -130,6 +133,7 @@
         this.permits =
                 PermitExchange.of(settings.nodeAddress(), reactor, clock, clients, targets, random, log, metrics);
         metrics.registerHeldBackGauge(targets::heldBackCounts);
+        targets.slowStarts().setListener(this::recordColdTarget);
         this.crashDetector = CrashDetector.of(
                 settings.process(), reactor, clock, log, metrics, connections, controlGroup, this::stopCondemned);
         this.callers = HttpListener.create(
@@ -172,12 +176,39 @@
         }
         published = newer;
         policy.update(newer.configuration(), publishedGatewayCount());
+        updateSlowStarts(newer);
         connections.closeAll(targets.update(newer.targets().values()));
         loadPoller.update(newer, gatewaysInDataHall());
         permits.update(addresses(gateways()));
         crashDetector.update(newer.suspects(), newer.targets().values());
     }
 
+    /** Records that the last published state was current at a time. */
+    public void publicationConfirmed(long atMillis) {
+        targets.slowStarts().gatewaysConfirmed(atMillis);
+    }
+
+    /** Applies the slow starts of the services and the published gateways, before the targets that are judged by them. */
+    private void updateSlowStarts(PublishedState newer) {
+        SlowStarts slowStarts = targets.slowStarts();
+        slowStarts.setServices(
+                newer.configuration() == null ? Map.of() : newer.configuration().services());
+        slowStarts.setGateways(
+                settings.nodeAddress().toString(),
+                gateways()
+                        .collect(Collectors.toMap(
+                                TargetSighting::address, TargetSighting::dataHall, (one, other) -> other)));
+    }
+
+    private void recordColdTarget(TargetSighting target, ColdCause cause, long forMillis) {
+        metrics.targetNoticeChanged(cause.label());
+        log.line(DecisionKind.NOTICE)
+                .with(DecisionField.EVENT, cause.label())
+                .with(DecisionField.TARGET, target.id())
+                .with(DecisionField.COLD_MS, forMillis)
+                .write();
+    }
+
     /** Stops the requests in flight that have become condemned, before they crash their targets. */
     private void stopCondemned() {
         List.copyOf(inFlight).stream().filter(crashDetector::isCondemned).forEach(ForwardedRequest::stopCondemned);
--- a/daemon/src/main/java/org/bankturn/daemon/group/TargetCallHandler.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/TargetCallHandler.java
@@ -9,7 +9,9 @@
 import org.bankturn.codec.DeflateCodec;
 import org.bankturn.daemon.weights.WeightsRelay;
 import org.bankturn.publication.PublicationCommand;
+import org.bankturn.registry.ColdTimes;
 import org.bankturn.registry.Evidence;
+import org.bankturn.registry.TargetRecord;
 import org.bankturn.registry.TargetRegistry;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.DocumentFormat;
@@ -29,6 +31,7 @@
     private final DocumentFormat format;
     private final BooleanSupplier isFresh;
     private final Function<PublicationCommand, Promise<ControlAnswer>> change;
+    private final ColdTimes coldTimes = ColdTimes.empty();
     private Map<String, Service> services = Map.of();
     private long parsedVersion;
 
@@ -77,15 +80,35 @@
             return Promise.of(new ControlAnswer.Unavailable("no contact to a majority"));
         }
         watch.recordHeartbeat(sighting.id());
-        return ReactorPromises.of(reactor, member.query(state -> registrationStatus(state.registry(), sighting)))
-                .then(status -> switch (status) {
-                    case LEFT -> Promise.of(new ControlAnswer.Accepted());
-                    case RELAY -> record(sighting, Evidence.ARRIVAL);
-                    case UNDISPUTED -> record(sighting, Evidence.UNDISPUTED);
-                    case DISPUTED -> recordIfOwner(sighting);
+        return ReactorPromises.of(reactor, member.query(state -> Registration.of(state.registry(), sighting)))
+                .then(registration -> {
+                    TargetSighting toRecord = coldTimes.toRecord(sighting, registration.sighting());
+                    return record(toRecord, registration.status()).whenComplete((answer, failure) -> {
+                        if (!(answer instanceof ControlAnswer.Accepted)) {
+                            coldTimes.forget(sighting.id());
+                        }
+                    });
                 });
     }
 
+    private Promise<ControlAnswer> record(TargetSighting sighting, RegistrationStatus status) {
+        return switch (status) {
+            case LEFT -> Promise.of(new ControlAnswer.Accepted());
+            case RELAY -> record(sighting, Evidence.ARRIVAL);
+            case UNDISPUTED -> record(sighting, Evidence.UNDISPUTED);
+            case DISPUTED -> recordIfOwner(sighting);
+        };
+    }
+
+    /** What is registered of the incarnation that sent a heartbeat; the sighting is null if it is not registered. */
+    private record Registration(RegistrationStatus status, TargetSighting sighting) {
+        private static Registration of(TargetRegistry registry, TargetSighting heartbeat) {
+            return new Registration(
+                    registrationStatus(registry, heartbeat),
+                    registry.find(heartbeat.id()).map(TargetRecord::sighting).orElse(null));
+        }
+    }
+
     /** The registration status of the incarnation that sent a heartbeat. */
     private enum RegistrationStatus {
         LEFT,
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -26,6 +26,8 @@
     CALL,
     /** The check or condition that decided. */
     CAUSE,
+    /** The time for which a target counts as cold, in milliseconds. */
+    COLD_MS,
     /** True if the publication was confirmed by a control process in contact with a majority. */
     CONFIRMED,
     /** The time allowed for the request, in milliseconds. */
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationFollower.java
@@ -175,6 +175,7 @@
         }
         failed.clear();
         confirmedMillis = sentMillis;
+        listener.confirmed(sentMillis);
         freshMillis = clock.millis();
         preferOwnHall();
         poll();
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublicationListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublicationListener.java
@@ -1,6 +1,6 @@
 package org.bankturn.daemon.publication;
 
-/** Receives each change of the published state and its first confirmation. */
+/** Receives each change of the published state and its confirmations. */
 @FunctionalInterface
 public interface PublicationListener {
     /**
@@ -11,4 +11,11 @@
      *     far in the past if unknown, as at the first change
      */
     void published(PublishedState newer, long changedSinceMillis);
+
+    /**
+     * Handles the confirmation by a control process with contact to a majority that the last published state is current.
+     *
+     * @param atMillis a time, by the clock of this process, at which it was current
+     */
+    default void confirmed(long atMillis) {}
 }
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -19,6 +19,8 @@
 import org.bankturn.daemon.publication.Announcer;
 import org.bankturn.daemon.publication.ChangeSubmitter;
 import org.bankturn.daemon.publication.PublicationFollower;
+import org.bankturn.daemon.publication.PublicationListener;
+import org.bankturn.daemon.publication.PublishedState;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.weights.WeightsAgent;
 import org.bankturn.daemon.weights.WeightsDependencies;
@@ -119,11 +121,18 @@
     private void startGateway() throws IOException {
         NodeClients clients = nodeClients();
         WeightsRelay relay = startRelay(clients);
-        PublicationFollower follower =
-                PublicationFollower.of(followerDependencies(clients), (published, changedSinceMillis) -> {
-                    gateway.update(published, changedSinceMillis);
-                    relay.update(published);
-                });
+        PublicationFollower follower = PublicationFollower.of(followerDependencies(clients), new PublicationListener() {
+            @Override
+            public void published(PublishedState newer, long changedSinceMillis) {
+                gateway.update(newer, changedSinceMillis);
+                relay.update(newer);
+            }
+
+            @Override
+            public void confirmed(long atMillis) {
+                gateway.publicationConfirmed(atMillis);
+            }
+        });
         ChangeSubmitter submitter = ChangeSubmitter.of(reactor, clients, follower::controlProcess, log);
         gateway = Gateway.of(
                 gatewaySettings(), dialects.requests(), reactor, clients, submitter::submit, clock, log, metrics);
