Slow start: specification with three seeded faults, tests of several gateways, faster replay

The specification covers restarts, a join and late views; TLC first found that a gateway that joins and restarts forgets to wait for the one it displaces, which the tolerance of targets covers.

--- a/core/src/test/java/org/bankturn/routing/SlowStartReplay.java
+++ b/core/src/test/java/org/bankturn/routing/SlowStartReplay.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
-import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -70,6 +70,10 @@
     private long now;
     private long order;
     private int messages;
+
+    /** The published gateways for even and for odd ones, null after a change. */
+    private List<Map<String, String>> published;
+
     private TargetSighting target;
     private long coldUntilMillis;
 
@@ -126,12 +130,12 @@
 
         /** Learns the published state as it was before the lag of this gateway. */
         private void learn() {
-            Map<String, String> published = publishedFor(this);
+            Map<String, String> learnedGateways = publishedFor(this);
             TargetSighting learned = target;
             after(lagMillis + random.nextInt(50), () -> {
                 if (up && !isCut()) {
-                    known = published;
-                    slowStarts.setGateways(name, published);
+                    known = learnedGateways;
+                    slowStarts.setGateways(name, learnedGateways);
                     slowStarts.gatewaysConfirmed(now - lagMillis - 50);
                     learnTarget(learned);
                 }
@@ -241,14 +245,22 @@
     }
 
     private Map<String, String> publishedFor(Gateway asking) {
-        Map<String, String> published = new TreeMap<>();
-        for (Gateway each : gateways) {
-            boolean stranger = fault == Fault.STRANGERS && each.number % 2 != asking.number % 2;
-            if (each.listed && !stranger) {
-                published.put(each.name, each.hall());
-            }
+        if (published == null) {
+            published = List.of(publishedTo(gateways.get(0)), publishedTo(gateways.get(1)));
         }
-        return published;
+        return published.get(asking.number % 2);
+    }
+
+    private Map<String, String> publishedTo(Gateway asking) {
+        return gateways.stream()
+                .filter(each -> each.listed)
+                .filter(each -> fault != Fault.STRANGERS || each.number % 2 == asking.number % 2)
+                .collect(Collectors.toUnmodifiableMap(each -> each.name, Gateway::hall));
+    }
+
+    private void setListed(Gateway gateway, boolean listed) {
+        gateway.listed = listed;
+        published = null;
     }
 
     private void after(long millis, Runnable action) {
@@ -295,9 +307,9 @@
     private void prepareFault() {
         if (fault == Fault.JOINS) {
             for (Gateway each : gateways) {
-                each.listed = each.number % 2 == 0;
+                setListed(each, each.number % 2 == 0);
                 each.lagMillis = random.nextInt(2_000);
-                after(random.nextInt((int) COLD_MILLIS), () -> each.listed = true);
+                after(random.nextInt((int) COLD_MILLIS), () -> setListed(each, true));
                 if (!each.listed) {
                     each.start();
                 }
@@ -308,10 +320,10 @@
             for (Gateway each : gateways) {
                 if (random.nextInt(2) == 0) {
                     after(cutMillis, () -> each.cutFromMillis = now);
-                    after(cutMillis + DROPPED_AFTER_MILLIS, () -> each.listed = false);
+                    after(cutMillis + DROPPED_AFTER_MILLIS, () -> setListed(each, false));
                     after(cutMillis + 10_000, () -> {
                         each.cutFromMillis = Long.MAX_VALUE;
-                        each.listed = true;
+                        setListed(each, true);
                     });
                 }
             }
--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -34,7 +34,8 @@
                 "Lease",
                 "Lease.unchecking",
                 "Ledger",
-                "Permits"
+                "Permits",
+                "SlowStart"
             })
     void specification_satisfies_its_invariants(String configuration) throws Exception {
         assertThat(check(configuration)).contains("No error has been found");
@@ -60,7 +61,10 @@
                 "Ledger.fault-claim",
                 "Ledger.fault-proof",
                 "Permits.fault-start",
-                "Permits.fault-ahead"
+                "Permits.fault-ahead",
+                "SlowStart.fault-start",
+                "SlowStart.fault-join",
+                "SlowStart.fault-view"
             })
     void model_checker_detects_seeded_fault(String configuration) throws Exception {
         assertThat(check(configuration)).containsPattern("Invariant \\w+ is violated");
