Sightings of warm targets are stored as in earlier builds; tests of cold times on the wire

The cold time added a field to every stored sighting, so that five round trips of messages of an earlier build failed.

--- a/core/src/main/java/org/bankturn/registry/TargetSighting.java
+++ b/core/src/main/java/org/bankturn/registry/TargetSighting.java
@@ -1,5 +1,7 @@
 package org.bankturn.registry;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
+
 /**
  * The content of a target's heartbeat.
  *
@@ -26,7 +28,8 @@
         boolean draining,
         int heldVersion,
         long sequence,
-        long coldMillis) {
+        // omitted when 0, so that sightings of warm targets are stored as in earlier builds
+        @JsonInclude(JsonInclude.Include.NON_DEFAULT) long coldMillis) {
     private static final String START_TIME_SEPARATOR = "@";
 
     /** Uses the incarnation as the name of sightings that an earlier version stored without names. */
--- a/daemon/src/test/java/org/bankturn/daemon/wire/SerializationCompatibilityTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/SerializationCompatibilityTest.java
@@ -13,12 +13,15 @@
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.publication.PublicationState;
 import org.bankturn.publication.PublicationUpdate;
+import org.bankturn.registry.Evidence;
+import org.bankturn.registry.TargetSighting;
 import org.bankturn.state.ReplicatedState;
 import org.bankturn.state.command.Command;
 import org.bankturn.state.command.CommandResult;
 import org.bankturn.state.query.ShowReply;
 import org.bankturn.state.query.StatusReply;
 import org.bankturn.storage.RaftStorage;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -56,6 +59,32 @@
         }
     }
 
+    /** Guards against gateways that take cold targets for warm because the field is lost on the way. */
+    @Test
+    void the_cold_time_of_a_target_survives_a_round_trip() {
+        MessagePackCodec codec = MessagePackCodec.instance();
+        TargetSighting cold = new TargetSighting("t", "t", 0, "chat", "10.0.0.1:80", "north", 4, false, 1, 7, 3_000);
+        assertThat(codec.decode(codec.encode(cold), TargetSighting.class)).isEqualTo(cold);
+        PublicationCommand command = new PublicationCommand.RecordTarget(cold, Evidence.UNDISPUTED);
+        assertThat(codec.decode(codec.encode(command), PublicationCommand.class))
+                .isEqualTo(command);
+    }
+
+    /** Stored logs and snapshots of earlier builds have no cold time. */
+    @Test
+    void a_target_that_an_earlier_build_stored_is_warm() throws IOException {
+        MessagePackCodec codec = MessagePackCodec.instance();
+        List<PublicationCommand.RecordTarget> records =
+                codec.decode(read("publication"), Samples.class).messages().stream()
+                        .map(message -> codec.decode(message, PublicationCommand.class))
+                        .filter(PublicationCommand.RecordTarget.class::isInstance)
+                        .map(PublicationCommand.RecordTarget.class::cast)
+                        .toList();
+        assertThat(records).isNotEmpty();
+        assertThat(records)
+                .allSatisfy(each -> assertThat(each.sighting().coldMillis()).isZero());
+    }
+
     private static byte[] read(String file) throws IOException {
         try (InputStream stream =
                 SerializationCompatibilityTest.class.getResourceAsStream("/earlier-format/" + file + ".msgpack")) {
