Merge branch 'slowstart'

# Conflicts: # core/src/main/java/org/bankturn/routing/TargetTable.java # core/src/test/java/org/bankturn/specs/SpecificationTest.java # daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java # docs/GLOSSARY.md # docs/PROMISES.md

--- a/core/src/main/java/org/bankturn/routing/TargetTable.java
+++ b/core/src/main/java/org/bankturn/routing/TargetTable.java
@@ -47,7 +47,8 @@
     private final CandidateSelector selector;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, List<TargetState>> byService = new HashMap<>();
-    private final FlowControlCache flowControlCache = new FlowControlCache();
+    private final SlowStarts slowStarts;
+    private final FlowControlCache flowControlCache;
     private final UnansweredPolls unansweredPolls;
     private Set<String> watched = Set.of();
     private List<TargetState> watchedStates = List.of();
@@ -85,6 +86,8 @@
         this.eligibility = eligibility;
         this.settings = settings;
         this.selector = new CandidateSelector(clock, settings, random);
+        this.slowStarts = new SlowStarts(clock);
+        this.flowControlCache = new FlowControlCache(slowStarts);
         this.unansweredPolls = UnansweredPolls.none(clock);
     }
 
@@ -114,13 +117,13 @@
         return removed;
     }
 
-    /** Sets the data halls whose targets get no requests. */
+    /** Sets the data halls whose targets get no requests; the targets of released ones are cold. */
     public void setEvacuatedHalls(Set<String> halls) {
         Set<String> released = new HashSet<>(evacuatedHalls);
         released.removeAll(halls);
         evacuatedHalls = Set.copyOf(halls);
         markEvacuated();
-        released.forEach(this::evacuationEnded);
+        released.forEach(this::treatAsCold);
     }
 
     private void markEvacuated() {
@@ -129,11 +132,6 @@
                         evacuatedHalls.contains(state.sighting().dataHall())));
     }
 
-    /** Called for each data hall whose targets get requests again. */
-    private void evacuationEnded(String hall) {
-        // targets return as they left; a limit for cold targets of the hall would start here
-    }
-
     /** Returns the number of the gateway's own requests in flight at targets of a data hall. */
     public int inFlightInHall(String hall) {
         return targets.values().stream()
@@ -142,6 +140,18 @@
                 .sum();
     }
 
+    /** Returns what is known for all cold targets, not null. */
+    public SlowStarts slowStarts() {
+        return slowStarts;
+    }
+
+    /** Treats the targets of a data hall as cold from now on, for the time that their service states. */
+    public void treatAsCold(String coldHall) {
+        targets.values().stream()
+                .filter(state -> state.sighting().dataHall().equals(coldHall))
+                .forEach(state -> state.flowControl().cold().assumeCold(ColdCause.RELEASED));
+    }
+
     /** Sets the engines that the gateway polls; others are used only if none of these is available. */
     public void setWatched(Set<String> ids) {
         watched = Set.copyOf(ids);
--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -35,7 +35,8 @@
                 "Lease.unchecking",
                 "Ledger",
                 "Permits",
-                "Evacuation"
+                "Evacuation",
+                "SlowStart"
             })
     void specification_satisfies_its_invariants(String configuration) throws Exception {
         assertThat(check(configuration)).contains("No error has been found");
@@ -64,7 +65,10 @@
                 "Permits.fault-ahead",
                 "Evacuation.fault-compare",
                 "Evacuation.fault-renew",
-                "Evacuation.fault-local"
+                "Evacuation.fault-local",
+                "SlowStart.fault-start",
+                "SlowStart.fault-join",
+                "SlowStart.fault-view"
             })
     void model_checker_detects_seeded_fault(String configuration) throws Exception {
         assertThat(check(configuration)).containsPattern("Invariant \\w+ is violated");
