Move admission out of RequestPolicy

RequestPolicy decided both where a request is sent and whether it is admitted, which hid the order of the admission rules. RequestAdmission now owns the start delay limit, the size fairness, the priority of first attempts, the detection of caller retries and the correction of predictions.

--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.bankturn.service.AllowedRegions;
-import org.bankturn.service.Route;
 import org.bankturn.service.Service;
 import org.bankturn.service.ServingConfiguration;
 import org.bankturn.time.Clock;
@@ -58,13 +57,8 @@
     private final RetryLimits retryLimits;
     private final UniformRandomProvider random;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
-    private final Map<String, PredictionCorrection> corrections = new HashMap<>();
-    private final Map<String, Integer> highestPriority = new HashMap<>();
     private final Map<String, VersionDeadlines> versionDeadlines = new HashMap<>();
-    private final Map<String, FirstAttemptPriority> firstAttempts = new HashMap<>();
-    private final Map<String, SizeFairness> sizeFairness = new HashMap<>();
-    private final CallerRetryDetector callerRetries;
-    private ServingConfiguration configuration;
+    private final RequestAdmission admission;
 
     /** The maximum number of gateways seen; gateways that seem gone may have spent their part or still spend it. */
     private int maxGateways = UNKNOWN_GATEWAYS;
@@ -87,7 +81,7 @@
         this.targets = targets;
         this.retryLimits = retryLimits;
         this.random = random;
-        this.callerRetries = CallerRetryDetector.of(clock);
+        this.admission = RequestAdmission.of(clock, random);
     }
 
     // ---- updates
@@ -100,8 +94,7 @@
      * @throws IllegalArgumentException if there are fewer than one
      */
     public void update(ServingConfiguration newest, OptionalInt gatewayCount) {
-        configuration = newest;
-        highestPriority.clear();
+        admission.update(newest);
         gatewayCount.ifPresent(this::gatewayCountSeen);
         if (newest != null) {
             // budgets start to accrue when a service becomes known
@@ -110,9 +103,6 @@
                     .forEach(service -> retryBudget(service)
                             .setReservedShare(
                                     newest.hasResumableStreams(service.name()) ? RESERVED_FOR_RESUMPTIONS : 0));
-            sizeFairness
-                    .keySet()
-                    .retainAll(newest.routes().stream().map(Route::name).toList());
         }
     }
 
@@ -145,7 +135,7 @@
 
     /** Returns the prediction correction of a service, not null. */
     public PredictionCorrection correction(Service service) {
-        return corrections.computeIfAbsent(service.name(), key -> PredictionCorrection.none());
+        return admission.correction(service);
     }
 
     /**
@@ -173,9 +163,7 @@
     /** Registers a new request, which earns part of a retry. */
     public void requestArrived(RequestProgress request) {
         retryBudget(request.service()).recordRequest();
-        if (callerRetries.isRetry(request.route().name(), request.deadlineMillis() - clock.millis())) {
-            request.markCallerRetry();
-        }
+        admission.requestArrived(request);
     }
 
     /** Returns the next step for a request that is not at a target, not null. */
@@ -230,7 +218,7 @@
             if (!hasAttemptLeft(request)) {
                 return giveUp(FailureCause.ATTEMPTS, ATTEMPTS_USED_UP);
             }
-            firstAttempts(request.service()).reset();
+            admission.noTargetAvailable(request.service());
             return rejectWithoutTarget(request);
         }
         if (candidate.get().target().isBrieflyUnavailable(clock.millis())) {
@@ -239,17 +227,10 @@
                 return wait.get();
             }
         }
-        boolean tooLate = request.sends() == 0 && startsTooLate(request, candidate.get());
-        if (request.sends() == 0 && !request.isCallerRetry()) {
-            firstAttempts(request.service()).recordDecision(tooLate);
-        }
-        if (tooLate) {
-            correction(request.service()).requestRejected();
-            return new NextStep.GiveUp(
-                    FailureCause.LATE_START,
-                    "would begin after " + Math.round(candidate.get().predictedMillis()) + " ms, "
-                            + candidate.get().roundTripMillis() + " ms of it on the way",
-                    RetryAfter.forBusyEngines(request.service().engine(), random));
+        Optional<NextStep.GiveUp> rejection =
+                request.sends() == 0 ? admission.rejection(request, candidate.get()) : Optional.empty();
+        if (rejection.isPresent()) {
+            return rejection.get();
         }
         if (request.sends() > 0 && !takeRetry(request)) {
             return awaitTarget(request).orElseGet(() -> giveUp(FailureCause.RETRY_BUDGET, "retry budget used up"));
@@ -405,63 +386,12 @@
                 AllowedRegions.ANY);
     }
 
-    /**
-     * Returns true if the selected target would start the request so late that it is rejected.
-     *
-     * <p>A large request of an underserved size is admitted if one of mean size would be; the others make room for it.
-     */
-    private boolean startsTooLate(RequestProgress request, Candidate candidate) {
-        Service service = request.service();
-        if (service.engine() == null) {
-            return false;
-        }
-        Route route = request.route();
-        double expected = correction(service).applyTo(candidate.predictedMillis());
-        double latest = AdmissionPolicy.maxStartDelayMillis(
-                route.objectiveMillis(), route.priority(), highestPriority(service));
-        if (request.isCallerRetry()) {
-            return expected > latest * firstAttempts(service).retryLimitFactor();
-        }
-        SizeFairness fairness = sizeFairness.computeIfAbsent(route.name(), key -> SizeFairness.none());
-        boolean tooLate;
-        if (fairness.isUnderserved(request.promptTokens())) {
-            tooLate = expected - largePromptMillis(request, candidate, fairness) > latest;
-        } else {
-            tooLate = expected > latest * (fairness.isAnyUnderserved() ? AdmissionPolicy.SHARE_BESIDE_UNDERSERVED : 1);
-        }
-        fairness.recordDecision(request.promptTokens(), !tooLate);
-        return tooLate;
-    }
-
-    /** Returns the part of the predicted delay that is due to a prompt being longer than the mean of its route. */
-    private static double largePromptMillis(RequestProgress request, Candidate candidate, SizeFairness fairness) {
-        double tokens = fairness.tokensAboveMean(request.promptTokens());
-        return FirstEventEstimate.of(request.service().engine()).promptMillis(tokens)
-                * Math.max(1, candidate.target().latencyRatio());
-    }
-
-    private FirstAttemptPriority firstAttempts(Service service) {
-        return firstAttempts.computeIfAbsent(service.name(), key -> FirstAttemptPriority.none(clock));
-    }
-
     private VersionDeadlines versionDeadlines(Service service) {
         return service.weights() == null
                 ? VersionDeadlines.none()
                 : versionDeadlines.computeIfAbsent(service.weights().model(), key -> VersionDeadlines.none());
     }
 
-    /** Returns the highest priority among the routes of a service. */
-    private int highestPriority(Service service) {
-        return highestPriority.computeIfAbsent(
-                service.name(),
-                name -> configuration.routes().stream()
-                        .filter(route -> route.services().stream()
-                                .anyMatch(weighted -> weighted.service().equals(name)))
-                        .mapToInt(Route::priority)
-                        .min()
-                        .orElse(0));
-    }
-
     private RetryBudget retryBudget(Service service) {
         return retryBudgets.computeIfAbsent(
                 service.name(),
