Reject less urgent requests of a service first

The admission limit was a share of each route's own objective, so a class with a longer objective and shorter prompts was admitted before more urgent ones.

The limit now follows from the strictest objective of the more urgent routes, and falls with the share of recently rejected first attempts of more urgent requests (UrgencyPressure). The priority of the client account decides over that of the route. Predictions are corrected for each priority, since engines take urgent requests first. The cause less_urgent and the counter refused_requests tell operators which rule refused a request.

--- a/core/src/main/java/org/bankturn/routing/FailureCause.java
+++ b/core/src/main/java/org/bankturn/routing/FailureCause.java
@@ -16,6 +16,8 @@
     NO_TARGET,
     /** Every target would start too late for the objective of the route. */
     LATE_START,
+    /** The capacity that would serve the request in time is left to more urgent requests of the service. */
+    LESS_URGENT,
     /** The target may have executed the request, which must not be repeated. */
     NOT_REPEATABLE,
     /** Too many targets crashed while they processed the request. */
--- a/core/src/main/java/org/bankturn/routing/RequestAdmission.java
+++ b/core/src/main/java/org/bankturn/routing/RequestAdmission.java
@@ -1,6 +1,7 @@
 package org.bankturn.routing;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -18,13 +19,17 @@
 final class RequestAdmission {
     private final Clock clock;
     private final UniformRandomProvider random;
-    private final Map<String, PredictionCorrection> corrections = new HashMap<>();
-    private final Map<String, Integer> highestPriority = new HashMap<>();
+    private final Map<ServicePriority, PredictionCorrection> corrections = new HashMap<>();
+    private final Map<String, List<Route>> routesByService = new HashMap<>();
+    private final Map<String, UrgencyPressure> pressures = new HashMap<>();
     private final Map<String, FirstAttemptPriority> firstAttempts = new HashMap<>();
     private final Map<String, SizeFairness> sizeFairness = new HashMap<>();
     private final CallerRetryDetector callerRetries;
     private ServingConfiguration configuration;
 
+    /** The requests of one priority to one service. */
+    private record ServicePriority(String service, int priority) {}
+
     /** Returns an admission without a configuration and without observations, not null. */
     static RequestAdmission of(Clock clock, UniformRandomProvider random) {
         return new RequestAdmission(clock, random);
@@ -45,7 +50,7 @@
      */
     void update(ServingConfiguration newest) {
         configuration = newest;
-        highestPriority.clear();
+        routesByService.clear();
         if (newest != null) {
             sizeFairness
                     .keySet()
@@ -63,29 +68,49 @@
     /** Records that a service had no target for a request, so that rejections say nothing about its load. */
     void noTargetAvailable(Service service) {
         firstAttempts(service).reset();
+        pressure(service).reset();
     }
 
-    /** Returns the prediction correction of a service, not null. */
-    PredictionCorrection correction(Service service) {
-        return corrections.computeIfAbsent(service.name(), key -> PredictionCorrection.none());
+    /** Returns the prediction correction for requests like the given one, not null. */
+    PredictionCorrection correction(RequestProgress request) {
+        // engines take urgent requests first, so the delays of other requests say nothing about theirs
+        return corrections.computeIfAbsent(
+                new ServicePriority(request.service().name(), request.priority()), key -> PredictionCorrection.none());
     }
 
     // ---- decisions
 
     /** Returns the rejection of a request, empty if the target may start it. The decision is recorded. */
     Optional<NextStep.GiveUp> rejection(RequestProgress request, Candidate candidate) {
+        if (request.service().engine() == null) {
+            return Optional.empty();
+        }
         boolean tooLate = startsTooLate(request, candidate);
         if (!request.isCallerRetry()) {
             firstAttempts(request.service()).recordDecision(tooLate);
+            pressure(request.service()).recordDecision(request.priority(), tooLate);
         }
         if (!tooLate) {
             return Optional.empty();
         }
-        correction(request.service()).requestRejected();
+        correction(request).requestRejected();
         String reason = "would begin after " + Math.round(candidate.predictedMillis()) + " ms, "
                 + candidate.roundTripMillis() + " ms of it on the way";
         long retryAfter = RetryAfter.forBusyEngines(request.service().engine(), random);
-        return Optional.of(new NextStep.GiveUp(FailureCause.LATE_START, reason, retryAfter));
+        return Optional.of(
+                isOnlyLessUrgent(request, candidate)
+                        ? new NextStep.GiveUp(
+                                FailureCause.LESS_URGENT,
+                                reason + "; makes room as priority " + request.priority(),
+                                retryAfter)
+                        : new NextStep.GiveUp(FailureCause.LATE_START, reason, retryAfter));
+    }
+
+    /** Returns true if a rejected request would have been admitted, had it been among the most urgent. */
+    private boolean isOnlyLessUrgent(RequestProgress request, Candidate candidate) {
+        return !request.isCallerRetry()
+                && expectedMillis(request, candidate)
+                        <= AdmissionPolicy.maxStartDelayMillis(request.route().objectiveMillis(), 0, 0);
     }
 
     /**
@@ -94,18 +119,12 @@
      * <p>A large request of an underserved size is admitted if one of mean size would be; the others make room for it.
      */
     private boolean startsTooLate(RequestProgress request, Candidate candidate) {
-        Service service = request.service();
-        if (service.engine() == null) {
-            return false;
-        }
-        Route route = request.route();
-        double expected = correction(service).applyTo(candidate.predictedMillis());
-        double latest = AdmissionPolicy.maxStartDelayMillis(
-                route.objectiveMillis(), route.priority(), highestPriority(service));
+        double expected = expectedMillis(request, candidate);
+        double latest = maxStartDelayMillis(request);
         if (request.isCallerRetry()) {
-            return expected > latest * firstAttempts(service).retryLimitFactor();
+            return expected > latest * firstAttempts(request.service()).retryLimitFactor();
         }
-        SizeFairness fairness = sizeFairness.computeIfAbsent(route.name(), key -> SizeFairness.none());
+        SizeFairness fairness = sizeFairness.computeIfAbsent(request.route().name(), key -> SizeFairness.none());
         boolean tooLate;
         if (fairness.isUnderserved(request.promptTokens())) {
             tooLate = expected - largePromptMillis(request, candidate, fairness) > latest;
@@ -116,6 +135,27 @@
         return tooLate;
     }
 
+    private double expectedMillis(RequestProgress request, Candidate candidate) {
+        return correction(request).applyTo(candidate.predictedMillis());
+    }
+
+    /**
+     * Returns the maximum start delay of a request.
+     *
+     * <p>It is derived from the strictest objective of the more urgent routes, so that a long objective does not give
+     * a less urgent request the capacity that they need.
+     */
+    private double maxStartDelayMillis(RequestProgress request) {
+        List<Route> routes = routes(request.service());
+        int highest = routes.stream().mapToInt(RequestAdmission::priority).min().orElse(0);
+        long objective = routes.stream()
+                .filter(route -> priority(route) < request.priority())
+                .mapToLong(Route::objectiveMillis)
+                .reduce(request.route().objectiveMillis(), Math::min);
+        return AdmissionPolicy.maxStartDelayMillis(objective, request.priority(), highest)
+                * pressure(request.service()).limitFactor(request.priority());
+    }
+
     /** Returns the part of the predicted delay that is due to a prompt being longer than the mean of its route. */
     private static double largePromptMillis(RequestProgress request, Candidate candidate, SizeFairness fairness) {
         double tokens = fairness.tokensAboveMean(request.promptTokens());
@@ -127,15 +167,21 @@
         return firstAttempts.computeIfAbsent(service.name(), key -> FirstAttemptPriority.none(clock));
     }
 
-    /** Returns the highest priority among the routes of a service. */
-    private int highestPriority(Service service) {
-        return highestPriority.computeIfAbsent(
+    private UrgencyPressure pressure(Service service) {
+        return pressures.computeIfAbsent(service.name(), key -> UrgencyPressure.none(clock));
+    }
+
+    private static int priority(Route route) {
+        return RequestProgress.clampedPriority(route.priority());
+    }
+
+    /** Returns the routes that a service serves, not null. */
+    private List<Route> routes(Service service) {
+        return routesByService.computeIfAbsent(
                 service.name(),
                 name -> configuration.routes().stream()
                         .filter(route -> route.services().stream()
                                 .anyMatch(weighted -> weighted.service().equals(name)))
-                        .mapToInt(Route::priority)
-                        .min()
-                        .orElse(0));
+                        .toList());
     }
 }
--- a/core/src/main/java/org/bankturn/routing/RequestPolicy.java
+++ b/core/src/main/java/org/bankturn/routing/RequestPolicy.java
@@ -133,9 +133,9 @@
         return target.heldVersion() < minVersion(service);
     }
 
-    /** Returns the prediction correction of a service, not null. */
-    public PredictionCorrection correction(Service service) {
-        return admission.correction(service);
+    /** Returns the prediction correction for requests like the given one, not null. */
+    public PredictionCorrection correction(RequestProgress request) {
+        return admission.correction(request);
     }
 
     /**
--- a/core/src/main/java/org/bankturn/routing/RequestProgress.java
+++ b/core/src/main/java/org/bankturn/routing/RequestProgress.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import org.bankturn.service.Account;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
 
@@ -13,7 +14,11 @@
  * target that received it reported that it did not execute it. RequestProgress is mutable and not thread-safe.
  */
 public final class RequestProgress {
+    /** The least urgent priority. */
+    static final int LOWEST_PRIORITY = 9;
+
     private final Route route;
+    private final Account account;
     private final Service service;
     private final int promptTokens;
     private final long deadlineMillis;
@@ -44,11 +49,26 @@
      * @param deadlineMillis the deadline for its final response
      */
     public static RequestProgress of(Route route, Service service, int promptTokens, long deadlineMillis) {
-        return new RequestProgress(route, service, promptTokens, deadlineMillis);
+        return of(route, null, service, promptTokens, deadlineMillis);
     }
 
-    private RequestProgress(Route route, Service service, int promptTokens, long deadlineMillis) {
+    /**
+     * Returns the progress of a request that was not sent yet, not null.
+     *
+     * @param route its route, not null
+     * @param account its client account, null if it is anonymous
+     * @param service the service that serves it, not null
+     * @param promptTokens the size of its prompt, 0 if it has none
+     * @param deadlineMillis the deadline for its final response
+     */
+    public static RequestProgress of(
+            Route route, Account account, Service service, int promptTokens, long deadlineMillis) {
+        return new RequestProgress(route, account, service, promptTokens, deadlineMillis);
+    }
+
+    private RequestProgress(Route route, Account account, Service service, int promptTokens, long deadlineMillis) {
         this.route = route;
+        this.account = account;
         this.service = service;
         this.promptTokens = promptTokens;
         this.deadlineMillis = deadlineMillis;
@@ -61,6 +81,17 @@
         return route;
     }
 
+    /** Returns the priority of its account if that has one, otherwise of its route; from 0, the most urgent, to 9. */
+    public int priority() {
+        int priority = account != null && account.priority() >= 0 ? account.priority() : route.priority();
+        return clampedPriority(priority);
+    }
+
+    /** Returns a priority within 0 to 9. */
+    static int clampedPriority(int priority) {
+        return Math.max(0, Math.min(LOWEST_PRIORITY, priority));
+    }
+
     /** Returns the service that serves it, not null. */
     public Service service() {
         return service;
--- a/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
+++ b/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.Stream;
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.registry.TargetSighting;
+import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
 import org.bankturn.service.EngineModel;
 import org.bankturn.service.RequestKind;
@@ -39,6 +40,17 @@
             List.of(new WeightedService("chat", 1)),
             2,
             true);
+    private static final Route PATIENT_ROUTE = new Route(
+            "p",
+            "h",
+            "/p/",
+            RequestKind.RESUMABLE_STREAM,
+            6_000,
+            1_200,
+            2,
+            List.of(new WeightedService("chat", 1)),
+            2,
+            true);
     private static final EngineLoad HALF_FULL = new EngineLoad(4, 0, 0, 0, 1, false);
     private static final int GATEWAYS = 10;
 
@@ -182,6 +194,67 @@
         assertThat(sent).isGreaterThanOrEqualTo(10);
     }
 
+    /** Guards against a long objective that gives a less urgent request the capacity of a more urgent one. */
+    @Test
+    void less_urgent_request_with_a_longer_objective_is_rejected_first() {
+        publishUrgentAndPatientRoutes();
+        busyForBoth();
+        NextStep step = decide(request(PATIENT_ROUTE, null));
+        assertThat(step).isInstanceOfSatisfying(NextStep.GiveUp.class, giveUp -> {
+            assertThat(giveUp.cause()).isEqualTo(FailureCause.LESS_URGENT);
+            assertThat(giveUp.reason()).contains("priority 2");
+            assertThat(giveUp.retryAfterMillis()).isPositive();
+        });
+        busyForBoth();
+        assertThat(decide(request(ROUTE, null))).isInstanceOf(NextStep.Send.class);
+    }
+
+    /** Guards against an admission that ranks a request by its route although its account has a priority. */
+    @Test
+    void priority_of_the_account_decides_over_that_of_the_route() {
+        publishUrgentAndPatientRoutes();
+        busyForBoth();
+        assertThat(decide(request(PATIENT_ROUTE, new Account("a", List.of(), 0))))
+                .isInstanceOf(NextStep.Send.class);
+        busyForBoth();
+        assertThat(decide(request(ROUTE, new Account("b", List.of(), 9)))).isInstanceOf(NextStep.GiveUp.class);
+        busyForBoth();
+        assertThat(decide(request(ROUTE, new Account("c", List.of(), -1)))).isInstanceOf(NextStep.Send.class);
+    }
+
+    /** Guards against more urgent requests that are rejected because less urgent ones waited long at engines. */
+    @Test
+    void delays_of_less_urgent_requests_do_not_count_for_more_urgent_ones() {
+        publishUrgentAndPatientRoutes();
+        for (int late = 0; late < 50; late++) {
+            policy.correction(request(PATIENT_ROUTE, null)).observed(100, 1_000);
+        }
+        halfFull("one");
+        assertThat(decide(request(PATIENT_ROUTE, null))).isInstanceOf(NextStep.GiveUp.class);
+        halfFull("one");
+        assertThat(decide(request(ROUTE, null))).isInstanceOf(NextStep.Send.class);
+    }
+
+    private void publishUrgentAndPatientRoutes() {
+        policy.update(
+                ServingConfiguration.of(
+                        2, List.of(ROUTE, PATIENT_ROUTE), List.of(SERVICE), ClientLimits.DEFAULT, List.of()),
+                OptionalInt.of(GATEWAYS));
+    }
+
+    /** Reports a load at which a request begins late in the objective of ROUTE, but within it. */
+    private void busyForBoth() {
+        EngineLoad busy = new EngineLoad(8, 0, 0, 0, 1.2, false);
+        targets.loadReported("one", busy, 0, 2);
+        targets.loadReported("two", busy, 0, 2);
+    }
+
+    private RequestProgress request(Route route, Account account) {
+        RequestProgress request = RequestProgress.of(route, account, SERVICE, 1_000, clock.millis() + 6_000);
+        policy.requestArrived(request);
+        return request;
+    }
+
     private NextStep decide(RequestProgress request) {
         NextStep step = policy.next(request);
         while (step instanceof NextStep.PollLoad) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -240,7 +240,7 @@
             gateway.metrics().firstEvent(request.service().name(), now() - exchange.receivedMillis());
             firstEventMillis = now() - startedMillis;
             double predicted = choice.predictedMillis();
-            gateway.policy().correction(request.service()).observed(predicted, (double) firstEventMillis);
+            gateway.policy().correction(request.progress()).observed(predicted, (double) firstEventMillis);
             gateway.metrics().firstEventPredicted(request.service().name(), predicted, firstEventMillis);
             target.firstEventReceived(predicted, firstEventMillis);
         }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -31,7 +31,6 @@
  */
 final class ForwardedRequest {
     private static final byte[] EMPTY_BODY = new byte[0];
-    private static final int LOWEST_URGENCY = 9;
 
     /** Status of condemned requests; unlike a 5xx status, it does not indicate an unhealthy service. */
     private static final int TOO_MANY_REQUESTS = 429;
@@ -70,7 +69,7 @@
         this.endMillis = exchange.receivedMillis() + timeoutMillis;
         Service service =
                 gateway.service(route.selectService(metadata.id().hashCode())).orElseThrow();
-        this.progress = RequestProgress.of(route, service, metadata.promptTokens(), endMillis);
+        this.progress = RequestProgress.of(route, account, service, metadata.promptTokens(), endMillis);
     }
 
     void start() {
@@ -283,6 +282,9 @@
 
     private void recordOutcome(RequestOutcome outcome, int status, FailureCause cause, String reason) {
         recordEnd(outcome);
+        if (outcome == RequestOutcome.REFUSED) {
+            gateway.metrics().requestRefused(service().name(), cause);
+        }
         DecisionKind kind = outcome == RequestOutcome.REFUSED ? DecisionKind.REFUSED : DecisionKind.FAILED;
         DecisionLine line = outcomeLine(kind, status, reason).with(DecisionField.CAUSE, cause.label());
         if (progress.sends() > 0) {
@@ -411,8 +413,7 @@
     }
 
     int urgency() {
-        int rank = account != null && account.priority() >= 0 ? account.priority() : route.priority();
-        return Math.max(0, Math.min(LOWEST_URGENCY, rank));
+        return progress.priority();
     }
 
     /** Returns the progress of the request, not null. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -63,6 +63,7 @@
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter requests;
+    private final Counter refusedRequests;
     private final Counter brokenAnswers;
     private final Counter interruptedCallers;
     private final Counter retries;
@@ -94,6 +95,8 @@
 
     private ServingMetrics(DecisionLog log) {
         requests = counter("requests", "Requests by service and outcome.", "service", "outcome");
+        refusedRequests =
+                counter("refused_requests", "Requests refused as not run, by service and cause.", "service", "cause");
         brokenAnswers = counter(
                 "broken_answers", "Responses broken off after their start, by service and cause.", "service", "cause");
         interruptedCallers = counter(
@@ -172,6 +175,11 @@
         heldSeconds.labelValues(outcome.label()).observe((double) heldMillis / MILLIS_PER_SECOND);
     }
 
+    /** Counts a request that was refused as not run. */
+    public void requestRefused(String service, FailureCause cause) {
+        refusedRequests.labelValues(service, cause.label()).inc();
+    }
+
     /** Counts a response that was broken off after its start. */
     public void responseBroken(String service, FailureCause cause) {
         brokenAnswers.labelValues(service, cause.label()).inc();
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +65,15 @@
         assertThat(call("POST", "a1", "x")).startsWith("HTTP/1.1 503").contains("Come-Back: ");
     }
 
+    /** Guards against refusals whose cause an operator finds in no counter. */
+    @Test
+    void a_refusal_is_counted_by_its_cause() throws Exception {
+        publish(RequestKind.UNSAFE, 2, refusing(), refusing());
+        call("POST", "a1", "x");
+        assertThat(new String(metrics.metricsText(), StandardCharsets.UTF_8))
+                .contains("bankturn_refused_requests_total{cause=\"attempts\",service=\"chat\"} 1.0");
+    }
+
     @Test
     void a_refusal_after_a_reset_does_not_count_as_not_run() throws Exception {
         ScriptedTarget one = new ScriptedTarget((number, id, socket) -> {
--- a/standins/src/main/java/org/bankturn/bench/ReplayLoadBench.java
+++ b/standins/src/main/java/org/bankturn/bench/ReplayLoadBench.java
@@ -11,9 +11,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.function.Function;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
+import org.bankturn.replay.GroupOutcome;
 import org.bankturn.replay.LoadPattern;
 import org.bankturn.replay.LoadPatternReader;
 import org.bankturn.replay.LoadReplay;
@@ -81,12 +85,27 @@
                 .put("rejections", mean(results, ReplayResult::rejections))
                 .put("takenAway", mean(results, ReplayResult::interrupted))
                 .put("questions", mean(results, ReplayResult::loadPolls))
-                .put("busyShare", mean(results, ReplayResult::busyShare));
+                .put("busyShare", mean(results, ReplayResult::busyShare))
+                .put("weightedCredit", mean(results, ReplayResult::weightedCredit));
         ArrayNode kinds = line.putArray("servedBySize");
         pattern.kinds().stream()
                 .map(LoadPattern.Kind::name)
                 .sorted()
                 .forEach(kind -> served(kinds.addObject(), kind, results));
+        groups(line.putArray("byKind"), results, ReplayResult::byKind);
+        groups(line.putArray("byAccount"), results, ReplayResult::byAccount);
+    }
+
+    private static void groups(
+            ArrayNode lines, List<ReplayResult> results, Function<ReplayResult, List<GroupOutcome>> groups) {
+        results.stream()
+                .flatMap(result -> groups.apply(result).stream())
+                .collect(Collectors.groupingBy(GroupOutcome::name, TreeMap::new, Collectors.toList()))
+                .forEach((name, outcomes) -> lines.addObject()
+                        .put("name", name)
+                        .put("creditShare", mean(outcomes, GroupOutcome::creditShare))
+                        .put("rejectedShare", mean(outcomes, GroupOutcome::rejectedShare))
+                        .put("servedShare", mean(outcomes, GroupOutcome::servedShare)));
     }
 
     private static void served(ObjectNode line, String kind, List<ReplayResult> results) {
--- a/standins/src/main/java/org/bankturn/replay/LoadPattern.java
+++ b/standins/src/main/java/org/bankturn/replay/LoadPattern.java
@@ -17,6 +17,8 @@
  * @param load the request rate over time, not null
  * @param kinds the mix of requests, not null
  * @param events the injected events, not null
+ * @param accounts the client accounts, empty if all callers are anonymous, not null
+ * @param surges the periods in which some of the demand is higher, not null
  * @param callersRetryFailures true if a caller retries a failed request once, immediately
  */
 public record LoadPattern(
@@ -31,7 +33,12 @@
         List<Step> load,
         List<Kind> kinds,
         List<Event> events,
+        List<Account> accounts,
+        List<Surge> surges,
         boolean callersRetryFailures) {
+    /** The account of callers without one. */
+    static final Account ANONYMOUS = new Account("", 1, -1);
+
     private static final double PERCENT = 100;
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -40,6 +47,8 @@
         load = List.copyOf(load);
         kinds = List.copyOf(kinds);
         events = List.copyOf(events);
+        accounts = List.copyOf(accounts);
+        surges = List.copyOf(surges);
     }
 
     /**
@@ -73,6 +82,8 @@
      * @param promptSpread the coefficient of variation of log-normal prompt lengths, 0 for exponential ones
      * @param maxPromptTokens the longest prompt
      * @param maxAnswerTokens the longest answer
+     * @param credit the credit for an answer in time
+     * @param lateCredit the credit for a late answer
      */
     public record Kind(
             String name,
@@ -85,7 +96,38 @@
             int priority,
             double promptSpread,
             int maxPromptTokens,
-            int maxAnswerTokens) {}
+            int maxAnswerTokens,
+            double credit,
+            double lateCredit) {}
+
+    /**
+     * A client account, which sends all kinds of requests.
+     *
+     * @param name the name, not null
+     * @param share the relative weight among all accounts
+     * @param priority the priority of its requests, 0 is highest; -1 to use the priority of the kind
+     */
+    public record Account(String name, int share, int priority) {}
+
+    /**
+     * A period in which some of the demand is higher.
+     *
+     * @param kind the kind of request, empty for all, not null
+     * @param account the account, empty for all, not null
+     * @param atMillis the start time, from the start of the replay
+     * @param forMillis the duration
+     * @param percent the rate, in percent of the rate outside the period
+     */
+    public record Surge(String kind, String account, long atMillis, long forMillis, int percent) {
+        private boolean isActive(double millis) {
+            return millis >= atMillis && millis < atMillis + forMillis;
+        }
+
+        private boolean applies(Kind ofKind, Account ofAccount) {
+            return (kind.isEmpty() || kind.equals(ofKind.name()))
+                    && (account.isEmpty() || account.equals(ofAccount.name()));
+        }
+    }
 
     /**
      * An injected event.
@@ -122,7 +164,44 @@
                 percent = step.percent();
             }
         }
-        return capacityPerSecond() * percent / PERCENT;
+        return capacityPerSecond() * percent / PERCENT * surgeFactor(atMillis);
+    }
+
+    /** Returns the weight of the requests of a kind and an account at the given time. */
+    double weight(Kind kind, Account account, double atMillis) {
+        double weight = (double) kind.share() * account.share();
+        for (Surge surge : surges) {
+            if (surge.isActive(atMillis) && surge.applies(kind, account)) {
+                weight *= surge.percent() / PERCENT;
+            }
+        }
+        return weight;
+    }
+
+    /** Returns the accounts, or one for all anonymous callers, not null. */
+    List<Account> accountsOrAnonymous() {
+        return accounts.isEmpty() ? List.of(ANONYMOUS) : accounts;
+    }
+
+    /** Returns true if requests differ in urgency or by account, so that admission needs the routes. */
+    boolean hasCompetingCallers() {
+        return !accounts.isEmpty()
+                || kinds.stream().mapToInt(Kind::priority).distinct().count() > 1;
+    }
+
+    private double surgeFactor(double atMillis) {
+        if (surges.stream().noneMatch(surge -> surge.isActive(atMillis))) {
+            return 1;
+        }
+        return totalWeight(atMillis) / totalWeight(Double.NEGATIVE_INFINITY);
+    }
+
+    private double totalWeight(double atMillis) {
+        return kinds.stream()
+                .mapToDouble(kind -> accountsOrAnonymous().stream()
+                        .mapToDouble(account -> weight(kind, account, atMillis))
+                        .sum())
+                .sum();
     }
 
     private double mean(java.util.function.ToIntFunction<Kind> size) {
--- a/standins/src/main/java/org/bankturn/replay/LoadPatternReader.java
+++ b/standins/src/main/java/org/bankturn/replay/LoadPatternReader.java
@@ -23,6 +23,8 @@
     private static final long MAX_MILLIS = 3_600_000;
     private static final double MICROS_PER_MILLI = 1_000;
     private static final double PERCENT = 100;
+    private static final long DEFAULT_CREDIT_PERCENT = 100;
+    private static final long DEFAULT_LATE_CREDIT_PERCENT = 25;
 
     /** The default length of the longest prompt and of the longest answer, as a multiple of the mean. */
     private static final int MAX_SIZE_MEANS = 4;
@@ -75,6 +77,8 @@
                 list(fields, "load", LoadPatternReader::step),
                 list(fields, "kinds", LoadPatternReader::kind),
                 fields.has("events") ? list(fields, "events", LoadPatternReader::event) : List.of(),
+                fields.has("accounts") ? list(fields, "accounts", LoadPatternReader::account) : List.of(),
+                fields.has("surges") ? list(fields, "surges", LoadPatternReader::surge) : List.of(),
                 fields.flag("callersRetryFailures", false));
     }
 
@@ -116,7 +120,23 @@
                 integer(fields, "priority", 0, MAX_HALLS),
                 fields.number("promptSpreadPercent", 0, MAX_PERCENT, 0) / PERCENT,
                 (int) fields.number("maxPromptTokens", 1, MAX_TOKENS, MAX_SIZE_MEANS * (long) promptTokens),
-                (int) fields.number("maxAnswerTokens", 1, MAX_TOKENS, MAX_SIZE_MEANS * (long) answerTokens));
+                (int) fields.number("maxAnswerTokens", 1, MAX_TOKENS, MAX_SIZE_MEANS * (long) answerTokens),
+                fields.number("creditPercent", 0, MAX_PERCENT, DEFAULT_CREDIT_PERCENT) / PERCENT,
+                fields.number("lateCreditPercent", 0, MAX_PERCENT, DEFAULT_LATE_CREDIT_PERCENT) / PERCENT);
+    }
+
+    private static LoadPattern.Account account(Fields fields) {
+        return new LoadPattern.Account(fields.text("name"), integer(fields, "share", 1, MAX_TOKENS), (int)
+                fields.number("priority", 0, MAX_HALLS, -1));
+    }
+
+    private static LoadPattern.Surge surge(Fields fields) {
+        return new LoadPattern.Surge(
+                fields.text("kind", ""),
+                fields.text("account", ""),
+                fields.number("atMillis", 0, MAX_MILLIS),
+                fields.number("forMillis", 0, MAX_MILLIS),
+                integer(fields, "percent", 0, MAX_PERCENT));
     }
 
     private static LoadPattern.Event event(Fields fields) {
--- a/standins/src/main/java/org/bankturn/replay/ReplayResult.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayResult.java
@@ -21,6 +21,8 @@
  * @param engineCrashes the number of engine crashes caused by the crashing request
  * @param falselyCondemned how often a harmless request was rejected as a crashing one
  * @param servedBySize the shares served by size, for each kind of request, not null
+ * @param byKind the outcomes of each kind of request, not null
+ * @param byAccount the outcomes of each account's requests, not null
  */
 public record ReplayResult(
         int requests,
@@ -38,16 +40,42 @@
         double busyShare,
         int engineCrashes,
         int falselyCondemned,
-        List<ServedBySize> servedBySize) {
+        List<ServedBySize> servedBySize,
+        List<GroupOutcome> byKind,
+        List<GroupOutcome> byAccount) {
     /** The credit of a late answer, relative to one in time. */
     static final double LATE_CREDIT = 0.25;
 
     /** The penalty for a request that failed after a retry. */
-    private static final double FAILED_RETRY_PENALTY = 0.3;
+    static final double FAILED_RETRY_PENALTY = 0.3;
 
     /** Copies the shares. */
     public ReplayResult {
         servedBySize = List.copyOf(servedBySize);
+        byKind = List.copyOf(byKind);
+        byAccount = List.copyOf(byAccount);
+    }
+
+    /** Returns the outcome of a kind of request, not null. */
+    public GroupOutcome kind(String name) {
+        return byKind.stream()
+                .filter(each -> each.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns the outcome of an account's requests, not null. */
+    public GroupOutcome account(String name) {
+        return byAccount.stream()
+                .filter(each -> each.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns the earned share of the credit that all requests could earn, each with the credit of its kind. */
+    public double weightedCredit() {
+        double earned = byKind.stream().mapToDouble(GroupOutcome::earned).sum();
+        return earned / byKind.stream().mapToDouble(GroupOutcome::possible).sum();
     }
 
     /** Returns the earned credit less the penalty for failed retries. */
--- a/standins/src/main/java/org/bankturn/replay/ReplaySimulation.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplaySimulation.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,9 +18,11 @@
 import org.bankturn.routing.EngineLoad;
 import org.bankturn.routing.PlacementSettings;
 import org.bankturn.service.ClientLimits;
+import org.bankturn.service.RequestKind;
 import org.bankturn.service.Route;
 import org.bankturn.service.Service;
 import org.bankturn.service.ServingConfiguration;
+import org.bankturn.service.WeightedService;
 
 /**
  * A discrete-event simulation of the engines, gateways and callers of all data halls.
@@ -51,6 +54,7 @@
     private final ReplayStatistics statistics = new ReplayStatistics();
     private final UniformRandomProvider random;
     private final Service service;
+    private final Map<String, Route> routes = new LinkedHashMap<>();
     private final Map<String, ReplayedEngine> engines = new HashMap<>();
     private final List<ReplayedEngine> present = new ArrayList<>();
     private final Map<String, LoadSample> samples = new HashMap<>();
@@ -72,6 +76,7 @@
         this.settings = settings;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         this.service = new Service(SERVICE, "/", 100, pattern.engine().model(), null, null, null);
+        pattern.kinds().forEach(kind -> routes.put(kind.name(), routeOf(kind)));
         for (int hall = 0; hall < pattern.halls(); hall++) {
             String dataHall = "hall-" + hall;
             for (int number = 0; number < pattern.enginesPerHall(); number++) {
@@ -107,7 +112,28 @@
     }
 
     ServingConfiguration configuration() {
-        return ServingConfiguration.of(1, List.<Route>of(), List.of(service), ClientLimits.DEFAULT, List.of());
+        // patterns of one urgency are compared with figures of replays without routes
+        List<Route> known = pattern.hasCompetingCallers() ? List.copyOf(routes.values()) : List.of();
+        return ServingConfiguration.of(1, known, List.of(service), ClientLimits.DEFAULT, List.of());
+    }
+
+    /** Returns the route of a kind of request, not null. */
+    Route route(LoadPattern.Kind kind) {
+        return routes.get(kind.name());
+    }
+
+    private static Route routeOf(LoadPattern.Kind kind) {
+        return new Route(
+                kind.name(),
+                "h",
+                "/" + kind.name() + "/",
+                RequestKind.RESUMABLE_STREAM,
+                kind.deadlineMillis(),
+                kind.objectiveMillis(),
+                kind.priority(),
+                List.of(new WeightedService(SERVICE, 1)),
+                2,
+                true);
     }
 
     ReplayedEngine engine(String id) {
@@ -237,7 +263,13 @@
         ReplayedGateway gateway = randomGateway("hall-" + random.nextInt(pattern.halls()));
         LoadPattern.Kind kind = pattern.kinds().get(0);
         gateway.handle(new ReplayedCall(
-                this, kind, gateway.dataHall(), kind.promptTokens(), kind.answerTokens(), CRASHING_REQUEST));
+                this,
+                kind,
+                LoadPattern.ANONYMOUS,
+                gateway.dataHall(),
+                kind.promptTokens(),
+                kind.answerTokens(),
+                CRASHING_REQUEST));
         time.schedule((double) event.overMillis(), () -> repeatCrashingRequest(event, untilMillis));
     }
 
@@ -268,20 +300,45 @@
     }
 
     private void call(ReplayedGateway own) {
+        if (pattern.accounts().isEmpty() && pattern.surges().isEmpty()) {
+            call(own, drawKind(), LoadPattern.ANONYMOUS);
+            return;
+        }
+        List<Runnable> choices = new ArrayList<>();
+        List<Double> weights = new ArrayList<>();
+        for (LoadPattern.Kind kind : pattern.kinds()) {
+            for (LoadPattern.Account account : pattern.accountsOrAnonymous()) {
+                choices.add(() -> call(own, kind, account));
+                weights.add(pattern.weight(kind, account, time.now()));
+            }
+        }
+        double draw = random.nextDouble()
+                * weights.stream().mapToDouble(Double::doubleValue).sum();
+        int index = 0;
+        while (index < weights.size() - 1 && draw >= weights.get(index)) {
+            draw -= weights.get(index);
+            index++;
+        }
+        choices.get(index).run();
+    }
+
+    private LoadPattern.Kind drawKind() {
         int shares = pattern.kinds().stream().mapToInt(LoadPattern.Kind::share).sum();
         int draw = random.nextInt(shares);
-        LoadPattern.Kind drawn = null;
         for (LoadPattern.Kind kind : pattern.kinds()) {
             draw -= kind.share();
             if (draw < 0) {
-                drawn = kind;
-                break;
+                return kind;
             }
         }
+        throw new IllegalStateException("no kind of request has a share");
+    }
+
+    private void call(ReplayedGateway own, LoadPattern.Kind kind, LoadPattern.Account account) {
         statistics.requestCreated();
         RequestFingerprint fingerprint = new RequestFingerprint(0, calls++);
-        own.handle(
-                new ReplayedCall(this, drawn, own.dataHall(), promptTokens(drawn), answerTokens(drawn), fingerprint));
+        own.handle(new ReplayedCall(
+                this, kind, account, own.dataHall(), promptTokens(kind), answerTokens(kind), fingerprint));
     }
 
     private int promptTokens(LoadPattern.Kind kind) {
--- a/standins/src/main/java/org/bankturn/replay/ReplayStatistics.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayStatistics.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
@@ -17,6 +18,8 @@
     private final Histogram firstEvents = new Histogram(DIGITS);
     private final TreeMap<Integer, int[]> bySecond = new TreeMap<>();
     private final TreeMap<String, List<ServedBySize.Outcome>> outcomes = new TreeMap<>();
+    private final TreeMap<String, GroupOutcome> byKind = new TreeMap<>();
+    private final TreeMap<String, GroupOutcome> byAccount = new TreeMap<>();
     private int requests;
     private int inTime;
     private int late;
@@ -54,6 +57,19 @@
         recordOutcome(call, false, 0);
     }
 
+    /** Records the end of a call with the credit that it earns in its kind. */
+    void callEnded(ReplayedCall call, boolean wasRejected, boolean served, double credit) {
+        String kind = call.kind().name();
+        String account = call.account().name();
+        double possible = call.kind().credit();
+        byKind.put(kind, group(byKind, kind).with(wasRejected, served, credit, possible));
+        byAccount.put(account, group(byAccount, account).with(wasRejected, served, credit, possible));
+    }
+
+    private static GroupOutcome group(Map<String, GroupOutcome> groups, String name) {
+        return groups.computeIfAbsent(name, GroupOutcome::none);
+    }
+
     private void recordOutcome(ReplayedCall call, boolean served, double credit) {
         outcomes.computeIfAbsent(call.kind().name(), key -> new ArrayList<>())
                 .add(new ServedBySize.Outcome(call.promptTokens(), call.answerTokens(), served, credit));
@@ -114,7 +130,9 @@
                 falselyCondemned,
                 outcomes.entrySet().stream()
                         .map(entry -> ServedBySize.of(entry.getKey(), entry.getValue()))
-                        .toList());
+                        .toList(),
+                List.copyOf(byKind.values()),
+                List.copyOf(byAccount.values()));
     }
 
     private double share(int count) {
--- a/standins/src/main/java/org/bankturn/replay/ReplayedCall.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayedCall.java
@@ -13,20 +13,27 @@
 
     private final ReplaySimulation simulation;
     private final LoadPattern.Kind kind;
+    private final LoadPattern.Account account;
     private final String dataHall;
     private final int promptTokens;
     private final int answerTokens;
     private final double createdMillis;
     private boolean retried;
+
+    /** The time of the retry of a rejected request, negative if it was not rejected. */
+    private double retryMillis = -1;
+
     private boolean finished;
     private double firstEventMillis = -1;
     private double lastEventMillis;
     private boolean pauseExceeded;
+    private boolean rejectedAgain;
     private final RequestFingerprint fingerprint;
 
     ReplayedCall(
             ReplaySimulation simulation,
             LoadPattern.Kind kind,
+            LoadPattern.Account account,
             String dataHall,
             int promptTokens,
             int answerTokens,
@@ -34,6 +41,7 @@
         this.fingerprint = fingerprint;
         this.simulation = simulation;
         this.kind = kind;
+        this.account = account;
         this.dataHall = dataHall;
         this.promptTokens = promptTokens;
         this.answerTokens = answerTokens;
@@ -44,6 +52,10 @@
         return kind;
     }
 
+    LoadPattern.Account account() {
+        return account;
+    }
+
     int promptTokens() {
         return promptTokens;
     }
@@ -97,6 +109,16 @@
         }
         double tookMillis = firstEventMillis - createdMillis;
         simulation.statistics().answered(this, tookMillis <= kind.objectiveMillis() && !pauseExceeded, tookMillis);
+        simulation.statistics().callEnded(this, retryMillis >= 0, true, answerCredit());
+    }
+
+    /** Returns the credit of an answer; one in time after a rejection earns the mean of both credits. */
+    private double answerCredit() {
+        double startMillis = retryMillis >= 0 ? retryMillis : createdMillis;
+        if (pauseExceeded || firstEventMillis - startMillis > kind.objectiveMillis()) {
+            return kind.lateCredit();
+        }
+        return retryMillis >= 0 ? (kind.credit() + kind.lateCredit()) / 2 : kind.credit();
     }
 
     /** Handles a request that was not run and may be retried. */
@@ -106,15 +128,16 @@
         }
         double left = expiryMillis() - simulation.time().now();
         if (retried || left <= 0) {
+            rejectedAgain = retryMillis >= 0;
             failed();
             return;
         }
         retried = true;
+        double delay = Math.min(retryAfterMillis, left * MAX_RETRY_DELAY_SHARE);
+        retryMillis = simulation.time().now() + delay;
         simulation
                 .time()
-                .schedule(
-                        Math.min(retryAfterMillis, left * MAX_RETRY_DELAY_SHARE),
-                        () -> simulation.randomGateway(dataHall).handle(this));
+                .schedule(delay, () -> simulation.randomGateway(dataHall).handle(this));
     }
 
     void failed() {
@@ -131,6 +154,8 @@
         finished = true;
         if (!crashesEngine()) {
             simulation.statistics().lost(this, retried);
+            double credit = rejectedAgain ? -ReplayResult.FAILED_RETRY_PENALTY * kind.credit() : 0;
+            simulation.statistics().callEnded(this, retryMillis >= 0, false, credit);
         }
     }
 }
--- a/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
@@ -19,9 +19,7 @@
 import org.bankturn.routing.RetryLimits;
 import org.bankturn.routing.TargetTable;
 import org.bankturn.routing.WatchPlan;
-import org.bankturn.service.RequestKind;
-import org.bankturn.service.Route;
-import org.bankturn.service.WeightedService;
+import org.bankturn.service.Account;
 
 /**
  * A simulated gateway that uses the daemon's routing classes; its connections take virtual time only.
@@ -151,20 +149,12 @@
     // ---- requests
 
     void handle(ReplayedCall call) {
-        LoadPattern.Kind kind = call.kind();
-        Route route = new Route(
-                kind.name(),
-                "h",
-                "/",
-                RequestKind.RESUMABLE_STREAM,
-                kind.deadlineMillis(),
-                kind.objectiveMillis(),
-                kind.priority(),
-                List.of(new WeightedService(ReplaySimulation.SERVICE, 1)),
-                2,
-                true);
-        RequestProgress progress =
-                RequestProgress.of(route, simulation.service(), call.promptTokens(), (long) call.expiryMillis());
+        RequestProgress progress = RequestProgress.of(
+                simulation.route(call.kind()),
+                account(call.account()),
+                simulation.service(),
+                call.promptTokens(),
+                (long) call.expiryMillis());
         if (suspects.isCondemned(call.fingerprint())) {
             recordCondemned(call);
             call.rejected((double) RetryAfter.CONDEMNED_MILLIS);
@@ -176,6 +166,12 @@
         forwarded.sendToNext();
     }
 
+    private static Account account(LoadPattern.Account account) {
+        return account.equals(LoadPattern.ANONYMOUS)
+                ? null
+                : new Account(account.name(), List.of(), account.priority());
+    }
+
     private void recordCondemned(ReplayedCall call) {
         if (!call.crashesEngine()) {
             simulation.statistics().falselyCondemned();
@@ -256,7 +252,7 @@
             this.engine = simulation.engine(candidate.target().sighting().id());
             this.latency = simulation.latencyMillis(dataHall, engine.dataHall());
             this.task = EngineTask.of(
-                    request.progress.route().priority(),
+                    request.progress.priority(),
                     request.progress.promptTokens() + request.forwardedTokens,
                     request.call.answerTokens() - request.forwardedTokens,
                     request.call.crashesEngine(),
@@ -326,7 +322,7 @@
                 promptPending = false;
                 candidate.target().promptRead(request.progress.promptTokens());
                 long took = (long) (time.now() - startMillis);
-                policy.correction(request.progress.service()).observed(candidate.predictedMillis(), (double) took);
+                policy.correction(request.progress).observed(candidate.predictedMillis(), (double) took);
                 candidate.target().firstEventReceived(candidate.predictedMillis(), took);
             }
             request.forwardedTokens += tokens;
--- a/standins/src/test/java/org/bankturn/replay/LoadReplayTest.java
+++ b/standins/src/test/java/org/bankturn/replay/LoadReplayTest.java
@@ -162,6 +162,41 @@
         }
     }
 
+    /** Guards against a shortage that costs more urgent requests a larger share of their credit than less urgent ones. */
+    @Test
+    void more_urgent_requests_earn_no_smaller_share_of_their_credit_under_a_shortage() throws IOException {
+        for (String name : List.of("urgency-burst", "account-surge", "burst-and-surge", "burst-surge-lost")) {
+            for (long seed = 1; seed <= 3; seed++) {
+                ReplayResult result = replay(name, PlacementRule.PRESENT, seed);
+                double urgent = result.kind("quote-draft").creditShare();
+                double next = result.kind("policy-summary").creditShare();
+                double last = result.kind("renewal-notice").creditShare();
+                assertThat(urgent)
+                        .as("%s, seed %d", name, seed)
+                        .isGreaterThan(0.87)
+                        .isGreaterThanOrEqualTo(next);
+                assertThat(next).as("%s, seed %d", name, seed).isGreaterThanOrEqualTo(last);
+            }
+        }
+    }
+
+    /** Guards against an order of urgency that is paid for with idle engines or with the credit of all requests. */
+    @Test
+    void the_order_of_urgency_earns_more_credit_in_all() throws IOException {
+        assertThat(meanWeightedCredit("urgency-burst")).isGreaterThan(0.91);
+        assertThat(meanWeightedCredit("account-surge")).isGreaterThan(0.80);
+        assertThat(meanWeightedCredit("burst-and-surge")).isGreaterThan(0.72);
+        assertThat(meanWeightedCredit("burst-surge-lost")).isGreaterThan(0.63);
+    }
+
+    private static double meanWeightedCredit(String name) throws IOException {
+        double credit = 0;
+        for (long seed = 1; seed <= 3; seed++) {
+            credit += replay(name, PlacementRule.PRESENT, seed).weightedCredit() / 3;
+        }
+        return credit;
+    }
+
     private static ReplayResult replay(String name, PlacementRule rule) throws IOException {
         return replay(name, rule, SEED);
     }
