Limit client accounts above their share first when capacity is short

AccountShares keeps the recently admitted work of each account at a gateway. An account with more than four times the mean of the others gets a lower start delay limit, down to 0.6; nothing is rejected for it while engines start requests soon. It applies only to services whose routes differ in priority. The cause account_share names such refusals.

--- a/core/src/main/java/org/bankturn/routing/FailureCause.java
+++ b/core/src/main/java/org/bankturn/routing/FailureCause.java
@@ -18,6 +18,8 @@
     LATE_START,
     /** The capacity that would serve the request in time is left to more urgent requests of the service. */
     LESS_URGENT,
+    /** The client account has used more than its share of the service, and capacity is short. */
+    ACCOUNT_SHARE,
     /** The target may have executed the request, which must not be repeated. */
     NOT_REPEATABLE,
     /** Too many targets crashed while they processed the request. */
--- a/core/src/main/java/org/bankturn/routing/RequestAdmission.java
+++ b/core/src/main/java/org/bankturn/routing/RequestAdmission.java
@@ -22,6 +22,7 @@
     private final Map<ServicePriority, PredictionCorrection> corrections = new HashMap<>();
     private final Map<String, List<Route>> routesByService = new HashMap<>();
     private final Map<String, UrgencyPressure> pressures = new HashMap<>();
+    private final Map<String, AccountShares> accountShares = new HashMap<>();
     private final Map<String, FirstAttemptPriority> firstAttempts = new HashMap<>();
     private final Map<String, SizeFairness> sizeFairness = new HashMap<>();
     private final CallerRetryDetector callerRetries;
@@ -85,7 +86,16 @@
         if (request.service().engine() == null) {
             return Optional.empty();
         }
-        boolean tooLate = startsTooLate(request, candidate);
+        double shareFactor = accountShareFactor(request);
+        double latest = maxStartDelayMillis(request);
+        boolean tooLate = startsTooLate(request, candidate, latest * shareFactor);
+        if (!tooLate) {
+            accountShares(request.service())
+                    .admitted(
+                            request.accountName(),
+                            request.promptTokens(),
+                            request.service().engine().usualAnswerTokens());
+        }
         if (!request.isCallerRetry()) {
             firstAttempts(request.service()).recordDecision(tooLate);
             pressure(request.service()).recordDecision(request.priority(), tooLate);
@@ -97,20 +107,20 @@
         String reason = "would begin after " + Math.round(candidate.predictedMillis()) + " ms, "
                 + candidate.roundTripMillis() + " ms of it on the way";
         long retryAfter = RetryAfter.forBusyEngines(request.service().engine(), random);
-        return Optional.of(
-                isOnlyLessUrgent(request, candidate)
-                        ? new NextStep.GiveUp(
-                                FailureCause.LESS_URGENT,
-                                reason + "; makes room as priority " + request.priority(),
-                                retryAfter)
-                        : new NextStep.GiveUp(FailureCause.LATE_START, reason, retryAfter));
-    }
-
-    /** Returns true if a rejected request would have been admitted, had it been among the most urgent. */
-    private boolean isOnlyLessUrgent(RequestProgress request, Candidate candidate) {
-        return !request.isCallerRetry()
-                && expectedMillis(request, candidate)
-                        <= AdmissionPolicy.maxStartDelayMillis(request.route().objectiveMillis(), 0, 0);
+        if (request.isCallerRetry()) {
+            return Optional.of(new NextStep.GiveUp(FailureCause.LATE_START, reason, retryAfter));
+        }
+        double expected = expectedMillis(request, candidate);
+        if (shareFactor < 1 && expected <= latest) {
+            reason += "; account is above its share";
+            return Optional.of(new NextStep.GiveUp(FailureCause.ACCOUNT_SHARE, reason, retryAfter));
+        }
+        // the limit of the most urgent requests, with the same objective
+        if (expected <= AdmissionPolicy.maxStartDelayMillis(request.route().objectiveMillis(), 0, 0)) {
+            reason += "; makes room as priority " + request.priority();
+            return Optional.of(new NextStep.GiveUp(FailureCause.LESS_URGENT, reason, retryAfter));
+        }
+        return Optional.of(new NextStep.GiveUp(FailureCause.LATE_START, reason, retryAfter));
     }
 
     /**
@@ -118,9 +128,8 @@
      *
      * <p>A large request of an underserved size is admitted if one of mean size would be; the others make room for it.
      */
-    private boolean startsTooLate(RequestProgress request, Candidate candidate) {
+    private boolean startsTooLate(RequestProgress request, Candidate candidate, double latest) {
         double expected = expectedMillis(request, candidate);
-        double latest = maxStartDelayMillis(request);
         if (request.isCallerRetry()) {
             return expected > latest * firstAttempts(request.service()).retryLimitFactor();
         }
@@ -171,6 +180,20 @@
         return pressures.computeIfAbsent(service.name(), key -> UrgencyPressure.none(clock));
     }
 
+    private AccountShares accountShares(Service service) {
+        return accountShares.computeIfAbsent(service.name(), key -> AccountShares.none(clock));
+    }
+
+    /** Returns the limit factor of the request's account, 1 in a service whose requests all have one priority. */
+    private double accountShareFactor(RequestProgress request) {
+        boolean ordered = routes(request.service()).stream()
+                        .mapToInt(RequestAdmission::priority)
+                        .distinct()
+                        .count()
+                > 1;
+        return ordered ? accountShares(request.service()).limitFactor(request.accountName()) : 1;
+    }
+
     private static int priority(Route route) {
         return RequestProgress.clampedPriority(route.priority());
     }
--- a/core/src/main/java/org/bankturn/routing/RequestProgress.java
+++ b/core/src/main/java/org/bankturn/routing/RequestProgress.java
@@ -81,6 +81,11 @@
         return route;
     }
 
+    /** Returns the name of its client account, empty if it is anonymous, not null. */
+    String accountName() {
+        return account == null ? "" : account.name();
+    }
+
     /** Returns the priority of its account if that has one, otherwise of its route; from 0, the most urgent, to 9. */
     public int priority() {
         int priority = account != null && account.priority() >= 0 ? account.priority() : route.priority();
--- a/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
+++ b/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
@@ -235,6 +235,38 @@
         assertThat(decide(request(ROUTE, null))).isInstanceOf(NextStep.Send.class);
     }
 
+    /** Guards against a surge of one account that is rejected no sooner than the others' requests. */
+    @Test
+    void account_above_its_share_is_rejected_first() {
+        publishUrgentAndPatientRoutes();
+        Account large = new Account("large", List.of(), -1);
+        Account small = new Account("small", List.of(), -1);
+        admitManyOf(large, small);
+        busyForBoth();
+        assertThat(decide(request(ROUTE, large)))
+                .isInstanceOfSatisfying(
+                        NextStep.GiveUp.class,
+                        giveUp -> assertThat(giveUp.cause()).isEqualTo(FailureCause.ACCOUNT_SHARE));
+        busyForBoth();
+        assertThat(decide(request(ROUTE, small))).isInstanceOf(NextStep.Send.class);
+    }
+
+    /** Guards against shares that change how a service with one priority is served. */
+    @Test
+    void account_shares_do_not_apply_where_all_routes_have_one_priority() {
+        Account large = new Account("large", List.of(), -1);
+        admitManyOf(large, new Account("small", List.of(), -1));
+        busyForBoth();
+        assertThat(decide(request(ROUTE, large))).isInstanceOf(NextStep.Send.class);
+    }
+
+    private void admitManyOf(Account large, Account small) {
+        for (int sent = 0; sent < 40; sent++) {
+            halfFull("one");
+            assertThat(decide(request(ROUTE, sent == 0 ? small : large))).isInstanceOf(NextStep.Send.class);
+        }
+    }
+
     private void publishUrgentAndPatientRoutes() {
         policy.update(
                 ServingConfiguration.of(
--- a/standins/src/test/java/org/bankturn/replay/LoadReplayTest.java
+++ b/standins/src/test/java/org/bankturn/replay/LoadReplayTest.java
@@ -189,6 +189,31 @@
         assertThat(meanWeightedCredit("burst-surge-lost")).isGreaterThan(0.63);
     }
 
+    /** Guards against a surge of one account that costs the others as much as itself, and against shutting it out. */
+    @Test
+    void a_surge_of_one_account_affects_that_account_first() throws IOException {
+        for (String name : List.of("account-surge", "burst-and-surge", "burst-surge-lost")) {
+            ReplayResult result = replay(name, PlacementRule.PRESENT);
+            double surging = result.account("account-2").creditShare();
+            double others = result.byAccount().stream()
+                    .filter(account -> !account.name().equals("account-2"))
+                    .mapToDouble(GroupOutcome::creditShare)
+                    .average()
+                    .orElseThrow();
+            assertThat(others).as(name).isGreaterThan(surging + 0.2);
+            int requests = 0;
+            int unserved = 0;
+            for (GroupOutcome account : result.byAccount()) {
+                requests += account.requests();
+                unserved += account.unserved();
+            }
+            double servedOfAll = 1 - (double) unserved / requests;
+            assertThat(result.byAccount())
+                    .as(name)
+                    .allSatisfy(account -> assertThat(account.servedShare()).isGreaterThan(servedOfAll / 4));
+        }
+    }
+
     private static double meanWeightedCredit(String name) throws IOException {
         double credit = 0;
         for (long seed = 1; seed <= 3; seed++) {
