--- a/core/src/main/java/org/bankturn/routing/RequestProgress.java
+++ b/core/src/main/java/org/bankturn/routing/RequestProgress.java
@@ -15,6 +15,9 @@
  * target that received it reported that it did not execute it. RequestProgress is mutable and not thread-safe.
  */
 public final class RequestProgress {
+    /** The least urgent priority. */
+    static final int LOWEST_PRIORITY = 9;
+
     private final Route route;
     private final Account account;
     private final Service service;
@@ -47,7 +50,7 @@
      * Returns the progress of a request that was not sent yet, not null.
      *
      * @param route its route, not null
-     * @param account the client account that sent it, null if it is anonymous
+     * @param account its client account, null if it is anonymous
      * @param service the service that serves it, not null
      * @param promptTokens the size of its prompt, 0 if it has none
      * @param deadlineMillis the deadline for its final response
@@ -77,6 +80,22 @@
         return Optional.ofNullable(account);
     }
 
+    /** Returns the name of its client account, empty if it is anonymous, not null. */
+    String accountName() {
+        return account == null ? "" : account.name();
+    }
+
+    /** Returns the priority of its account if that has one, otherwise of its route; from 0, the most urgent, to 9. */
+    public int priority() {
+        int priority = account != null && account.priority() >= 0 ? account.priority() : route.priority();
+        return clampedPriority(priority);
+    }
+
+    /** Returns a priority within 0 to 9. */
+    static int clampedPriority(int priority) {
+        return Math.max(0, Math.min(LOWEST_PRIORITY, priority));
+    }
+
     /** Returns the service that serves it, not null. */
     public Service service() {
         return service;
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -31,7 +31,6 @@
  */
 final class ForwardedRequest {
     private static final byte[] EMPTY_BODY = new byte[0];
-    private static final int LOWEST_URGENCY = 9;
 
     /** Status of condemned requests; unlike a 5xx status, it does not indicate an unhealthy service. */
     private static final int TOO_MANY_REQUESTS = 429;
@@ -414,8 +413,7 @@
     }
 
     int urgency() {
-        int rank = account != null && account.priority() >= 0 ? account.priority() : route.priority();
-        return Math.max(0, Math.min(LOWEST_URGENCY, rank));
+        return progress.priority();
     }
 
     /** Returns the progress of the request, not null. */
