Crash detection: a crash counts only against the condemned request among those in flight

While most engines crash one after the other, one harmless request reaches three crashed targets, and the others that were in flight at the same targets followed it. A target's crash now counts only against the condemned request that was in flight there; the others need three further crashes. A crashing request beside a harmless condemned one is therefore condemned after three more.

The published table is derived from the log, so control processes of both builds may differ in it until all are updated; formats are unchanged.

--- a/core/src/main/java/org/bankturn/crash/KnownSuspects.java
+++ b/core/src/main/java/org/bankturn/crash/KnownSuspects.java
@@ -48,6 +48,9 @@
     public Set<String> endedTargetsOf(RequestFingerprint request) {
         Set<String> targets = new LinkedHashSet<>(published.endedTargetsOf(request));
         targets.addAll(observed.endedTargetsOf(request));
+        if (!published.isCondemned(request)) {
+            targets.removeIf(published::isAttributed);
+        }
         return targets;
     }
 
--- a/core/src/main/java/org/bankturn/crash/Suspect.java
+++ b/core/src/main/java/org/bankturn/crash/Suspect.java
@@ -51,6 +51,13 @@
         return new Suspect(fingerprint, more, trials, trialBy, index);
     }
 
+    /** Returns a copy without the given crashed targets, not null. */
+    Suspect withoutEndedTargets(List<String> targets, long index) {
+        List<String> remaining =
+                endedTargets.stream().filter(each -> !targets.contains(each)).toList();
+        return new Suspect(fingerprint, remaining, trials, trialBy, index);
+    }
+
     /** Returns true if the trial with a number, starting at 1, may be taken. */
     boolean isTrialAvailable(int number) {
         return isCondemned() && number == trials + 1 && number <= MAX_TRIALS;
--- a/core/src/main/java/org/bankturn/crash/SuspectTable.java
+++ b/core/src/main/java/org/bankturn/crash/SuspectTable.java
@@ -1,6 +1,7 @@
 package org.bankturn.crash;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,7 +12,9 @@
  * The requests during which targets crashed.
  *
  * <p>Each incarnation counts once per request, however many gateways report its crash. A request that completes is
- * cleared, since it did not cause the crash. Cleared requests stay in the table, so that updates to followers include
+ * cleared, since it did not cause the crash. A crash during a condemned request counts only against that request:
+ * when many targets crash for another reason, one condemned request would otherwise be followed by most of those that
+ * were in flight beside it. Cleared requests stay in the table, so that updates to followers include
  * them.
  *
  * <p>The table is bounded. Requests with the fewest crashed targets are evicted first, the least recently changed ones
@@ -72,6 +75,11 @@
         return known == null ? List.of() : known.endedTargets();
     }
 
+    /** Returns true if a request must not be sent to any target. */
+    boolean isCondemned(RequestFingerprint fingerprint) {
+        return known(fingerprint).isCondemned();
+    }
+
     /** Returns true if the table has no entries. */
     public boolean isEmpty() {
         return suspects.isEmpty();
@@ -79,7 +87,13 @@
 
     /** Returns true if recording the crash of a target would change the entry for a request. */
     public boolean wouldRecordCrash(RequestFingerprint fingerprint, String target) {
-        return known(fingerprint).wouldChange(target);
+        return known(fingerprint).wouldChange(target) && !isAttributed(target);
+    }
+
+    /** Returns true if a condemned request accounts for the crash of a target. */
+    boolean isAttributed(String target) {
+        return suspects.values().stream()
+                .anyMatch(each -> each.isCondemned() && each.endedTargets().contains(target));
     }
 
     // ---- updates
@@ -92,9 +106,22 @@
      * @param target the incarnation that crashed, not null
      */
     public void recordCrash(long index, RequestFingerprint fingerprint, String target) {
-        Suspect known = known(fingerprint);
-        if (known.wouldChange(target)) {
-            put(known.withEndedTarget(target, index));
+        if (!wouldRecordCrash(fingerprint, target)) {
+            return;
+        }
+        Suspect changed = known(fingerprint).withEndedTarget(target, index);
+        put(changed);
+        if (changed.isCondemned()) {
+            attributeTo(changed);
+        }
+    }
+
+    /** Stops counting the crashes during a condemned request against the other requests that were in flight there. */
+    private void attributeTo(Suspect condemned) {
+        for (Suspect other : content()) {
+            if (!other.isCondemned() && !Collections.disjoint(other.endedTargets(), condemned.endedTargets())) {
+                put(other.withoutEndedTargets(condemned.endedTargets(), condemned.changedIndex()));
+            }
         }
     }
 
--- a/core/src/test/java/org/bankturn/crash/SuspectTableTest.java
+++ b/core/src/test/java/org/bankturn/crash/SuspectTableTest.java
@@ -30,6 +30,27 @@
         });
     }
 
+    /** Guards against harmless requests that are condemned one after the other by the same crashed targets. */
+    @Test
+    void a_crash_counts_only_against_the_condemned_request_among_those_in_flight() {
+        table.recordCrash(1, HARMLESS, "t1");
+        table.recordCrash(2, HARMLESS, "other");
+        List.of("t1", "t2", "t3").forEach(target -> table.recordCrash(3, CRASHING, target));
+        table.recordCrash(4, HARMLESS, "t2");
+        table.recordCrash(5, HARMLESS, "t3");
+        assertThat(table.endedTargetsOf(HARMLESS)).containsExactly("other");
+        assertThat(table.wouldRecordCrash(HARMLESS, "t3")).isFalse();
+        assertThat(table.changedSince(2)).extracting(Suspect::fingerprint).containsExactly(CRASHING, HARMLESS);
+    }
+
+    /** Guards against a crashing request that is never condemned because a harmless one was condemned before it. */
+    @Test
+    void a_request_beside_a_condemned_one_is_condemned_by_three_further_crashes() {
+        List.of("t1", "t2", "t3").forEach(target -> table.recordCrash(1, HARMLESS, target));
+        List.of("t1", "t2", "t3", "t4", "t5", "t6").forEach(target -> table.recordCrash(2, CRASHING, target));
+        assertThat(table.endedTargetsOf(CRASHING)).containsExactly("t4", "t5", "t6");
+    }
+
     @Test
     void a_completed_request_is_cleared_and_reported_as_changed() {
         table.recordCrash(1, HARMLESS, "t1");
