--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -137,6 +137,7 @@
                 PermitExchange.of(settings.nodeAddress(), reactor, clock, clients, targets, random, log, metrics);
         metrics.registerHeldBackGauge(targets::heldBackCounts);
         targets.slowStarts().setListener(this::recordColdTarget);
+        metrics.registerSlowEnginesGauge(targets::slowEngines);
         this.crashDetector = CrashDetector.of(
                 settings.process(), reactor, clock, log, metrics, connections, controlGroup, this::stopCondemned);
         this.callers = HttpListener.create(
--- a/standins/src/main/java/org/bankturn/replay/LoadPattern.java
+++ b/standins/src/main/java/org/bankturn/replay/LoadPattern.java
@@ -20,6 +20,7 @@
  * @param accounts the client accounts, empty if all callers are anonymous, not null
  * @param surges the periods in which some of the demand is higher, not null
  * @param callersRetryFailures true if a caller retries a failed request once, immediately
+ * @param loadReportDelayMillis how much older the load in a report is than the report says
  */
 public record LoadPattern(
         String name,
@@ -35,7 +36,8 @@
         List<Event> events,
         List<Account> accounts,
         List<Surge> surges,
-        boolean callersRetryFailures) {
+        boolean callersRetryFailures,
+        long loadReportDelayMillis) {
     /** The account of callers without one. */
     static final Account ANONYMOUS = new Account("", 1, -1);
 
@@ -137,10 +139,10 @@
      * @param percent the percentage of engines that are affected
      * @param forMillis the duration for each engine
      * @param overMillis the time over which the affected engines are staggered
-     * @param factor the slowdown factor, for SLOW
+     * @param factor the slowdown factor, for SLOW and SLOW_PERIODS
      */
     public record Event(
-            ReplayEventType type, long atMillis, int percent, long forMillis, long overMillis, int factor) {}
+            ReplayEventType type, long atMillis, int percent, long forMillis, long overMillis, double factor) {}
 
     /** Returns the capacity of the initial engines, in requests per second. */
     public double capacityPerSecond() {
