Admission: learn how short the timeouts of first attempts are

Cause: a request counted as the retry of a rejected caller if its timeout was below 0.97 of the longest of its route.

Ruled out: the prediction correction (a decay with time changes little in the replay), a floor for the limit of retries.

Change: while nothing is rejected there are no retries, so the timeouts seen then are those of first attempts.

--- a/core/src/main/java/org/bankturn/routing/RequestAdmission.java
+++ b/core/src/main/java/org/bankturn/routing/RequestAdmission.java
@@ -61,7 +61,8 @@
 
     /** Records a new request and marks it if its caller was rejected before. */
     void requestArrived(RequestProgress request) {
-        if (callerRetries.isRetry(request.route().name(), request.deadlineMillis() - clock.millis())) {
+        boolean hasAdmission = request.service().engine() != null;
+        if (hasAdmission && callerRetries.isRetry(request.route().name(), request.deadlineMillis() - clock.millis())) {
             request.markCallerRetry();
         }
     }
@@ -70,6 +71,7 @@
     void noTargetAvailable(Service service) {
         firstAttempts(service).reset();
         pressure(service).reset();
+        callerRetries.requestRejected();
     }
 
     /** Returns the prediction correction for requests like the given one, not null. */
@@ -104,6 +106,7 @@
             return Optional.empty();
         }
         correction(request).requestRejected();
+        callerRetries.requestRejected();
         String reason = "would begin after " + Math.round(candidate.predictedMillis()) + " ms, "
                 + candidate.roundTripMillis() + " ms of it on the way";
         long retryAfter = RetryAfter.forBusyEngines(request.service().engine(), random);
