--- a/core/src/main/java/org/bankturn/service/Service.java
+++ b/core/src/main/java/org/bankturn/service/Service.java
@@ -11,7 +11,6 @@
  * @param originAddress the host:port from which weights are fetched, null unless the service is an origin
  * @param originHall the data hall of the origin, null unless the service is an origin
  * @param slowStart how its targets start, not null
- * @param originBytesPerSecond the bandwidth of the origin, 0 if unknown or if the service is not an origin
  */
 public record Service(
         String name,
@@ -21,8 +20,7 @@
         WeightsLayout weights,
         String originAddress,
         String originHall,
-        SlowStart slowStart,
-        long originBytesPerSecond) {
+        SlowStart slowStart) {
     /** Creates a service whose targets bear their full load at once. */
     public Service(
             String name,
@@ -32,20 +30,7 @@
             WeightsLayout weights,
             String originAddress,
             String originHall) {
-        this(name, healthPath, maximumConnections, engine, weights, originAddress, originHall, SlowStart.NONE, 0);
-    }
-
-    /** Creates a service that is not an origin of known bandwidth. */
-    public Service(
-            String name,
-            String healthPath,
-            int maximumConnections,
-            EngineModel engine,
-            WeightsLayout weights,
-            String originAddress,
-            String originHall,
-            SlowStart slowStart) {
-        this(name, healthPath, maximumConnections, engine, weights, originAddress, originHall, slowStart, 0);
+        this(name, healthPath, maximumConnections, engine, weights, originAddress, originHall, SlowStart.NONE);
     }
 
     /** Returns true if this service is an origin of model weights. */
--- a/daemon/src/main/java/org/bankturn/daemon/weights/CopyContext.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/CopyContext.java
@@ -42,9 +42,6 @@
     /** Returns the limit of concurrent calls from this box to the origin. */
     int maxOriginCalls();
 
-    /** Returns the bandwidth of the origin, 0 if it is unknown. */
-    long originBytesPerSecond();
-
     /** Calls the origin of weights; fails unless the status is success. */
     Promise<PooledHttpClient.Response> callOrigin(HttpHead head);
 
--- a/daemon/src/main/java/org/bankturn/daemon/weights/FetchScheduler.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/FetchScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.bankturn.weights.VersionPriority;
 
 /**
  * Prioritizes the versions that one process fetches concurrently, for its links and for the origin.
@@ -42,7 +43,7 @@
             return false;
         }
         return one.version() < other.version()
-                ? one.isFinishedBefore(other.startMillis())
-                : !other.isFinishedBefore(one.startMillis());
+                ? VersionPriority.shouldFinishOlder(one.fetchedShare())
+                : !VersionPriority.shouldFinishOlder(other.fetchedShare());
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/ProcessCopyContext.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/ProcessCopyContext.java
@@ -138,11 +138,6 @@
         return Math.max(1, Math.min(MAX_ORIGIN_CALLS, share));
     }
 
-    @Override
-    public long originBytesPerSecond() {
-        return participant.peers().origin().map(Service::originBytesPerSecond).orElse(0L);
-    }
-
     @Override
     public Promise<PooledHttpClient.Response> callOrigin(HttpHead head) {
         Optional<Service> origin = participant.peers().origin();
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -20,6 +20,7 @@
 import org.bankturn.service.WeightsLayout;
 import org.bankturn.weights.ChangeMethod;
 import org.bankturn.weights.PieceRouting;
+import org.bankturn.weights.VersionPriority;
 
 /**
  * Copies one version of a model's weights to this box and stages it at the engine.
@@ -63,7 +64,7 @@
         this.layout = layout;
         this.version = version;
         this.startMillis = context.clock().millis();
-        this.fetcher = new PieceFetcher(context, layout, version, this, scheduler);
+        this.fetcher = new PieceFetcher(context, layout.model(), version, this, scheduler);
     }
 
     int version() {
@@ -75,10 +76,9 @@
         return manifest != null && staged == pieces.length;
     }
 
-    /** Returns true if this version is so far advanced that a newer one, which starts now, should wait for it. */
+    /** Returns true if enough pieces are available that a newer version should wait for this one. */
     boolean hasSubstantialProgress() {
-        return manifest != null
-                && fetcher.isFinishedBefore(context.clock().millis(), (double) availablePieces() / pieces.length);
+        return manifest != null && VersionPriority.shouldFinishOlder((double) availablePieces() / pieces.length);
     }
 
     private int availablePieces() {
