Admission: shares by account apply only while capacity is short

Change: an account's factor applies only while a tenth of first attempts is rejected, and a rejection for a share does not count as one. The margin of the retry detection grows from 0.01 to 0.025 of the longest timeout, so that timeouts spread evenly over a sixth are hardly ever mistaken. account_above_its_share_is_rejected_first now has a shortage first, since a share must leave no slot idle; a second test checks that without one the account is admitted.

--- a/core/src/main/java/org/bankturn/routing/CallerRetryDetector.java
+++ b/core/src/main/java/org/bankturn/routing/CallerRetryDetector.java
@@ -17,8 +17,11 @@
     /** The share of the longest timeout above which a request is never a retry. */
     private static final double FULL_TIMEOUT_SHARE = 0.97;
 
-    /** The difference from the shortest usual timeout of first attempts below which a request counts as a retry. */
-    private static final double MARGIN_SHARE = 0.01;
+    /**
+     * How much shorter than nine tenths of the first attempts a retry is, as a share of the longest timeout; timeouts that are
+     * spread evenly over a sixth are then hardly ever mistaken.
+     */
+    private static final double MARGIN_SHARE = 0.025;
 
     /** The time after a rejection until no retry of its caller is expected; callers wait a third of their timeout at most. */
     private static final long RETRY_PERIOD_MILLIS = 5_000;
--- a/core/src/main/java/org/bankturn/routing/FirstAttemptPriority.java
+++ b/core/src/main/java/org/bankturn/routing/FirstAttemptPriority.java
@@ -55,6 +55,11 @@
         shortageStartMillis = NEVER;
     }
 
+    /** Returns true if a notable share of first attempts is rejected. */
+    boolean isShort() {
+        return shortageStartMillis != NEVER;
+    }
+
     /** Returns the factor, 0 to 1, by which the admission limit for caller retries is reduced. */
     double retryLimitFactor() {
         boolean persistent =
--- a/core/src/main/java/org/bankturn/routing/RequestAdmission.java
+++ b/core/src/main/java/org/bankturn/routing/RequestAdmission.java
@@ -98,7 +98,10 @@
                             request.promptTokens(),
                             request.service().engine().usualAnswerTokens());
         }
-        if (!request.isCallerRetry()) {
+        double expected = expectedMillis(request, candidate);
+        boolean aboveShare = tooLate && shareFactor < 1 && expected <= latest;
+        // a rejection for an account's share does not show that capacity is short
+        if (!request.isCallerRetry() && !aboveShare) {
             firstAttempts(request.service()).recordDecision(tooLate);
             pressure(request.service()).recordDecision(request.priority(), tooLate);
         }
@@ -113,8 +116,7 @@
         if (request.isCallerRetry()) {
             return Optional.of(new NextStep.GiveUp(FailureCause.LATE_START, reason, retryAfter));
         }
-        double expected = expectedMillis(request, candidate);
-        if (shareFactor < 1 && expected <= latest) {
+        if (aboveShare) {
             reason += "; account is above its share";
             return Optional.of(new NextStep.GiveUp(FailureCause.ACCOUNT_SHARE, reason, retryAfter));
         }
@@ -187,8 +189,14 @@
         return accountShares.computeIfAbsent(service.name(), key -> AccountShares.none(clock));
     }
 
-    /** Returns the limit factor of the request's account, 1 in a service whose requests all have one priority. */
+    /**
+     * Returns the limit factor of the request's account: 1 in a service whose requests all have one priority, and while
+     * capacity is not short, so that no slot stays idle for a share.
+     */
     private double accountShareFactor(RequestProgress request) {
+        if (!firstAttempts(request.service()).isShort()) {
+            return 1;
+        }
         boolean ordered = routes(request.service()).stream()
                         .mapToInt(RequestAdmission::priority)
                         .distinct()
--- a/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
+++ b/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
@@ -242,6 +242,7 @@
         Account large = new Account("large", List.of(), -1);
         Account small = new Account("small", List.of(), -1);
         admitManyOf(large, small);
+        rejectOneOf(small);
         busyForBoth();
         assertThat(decide(request(ROUTE, large)))
                 .isInstanceOfSatisfying(
@@ -251,6 +252,22 @@
         assertThat(decide(request(ROUTE, small))).isInstanceOf(NextStep.Send.class);
     }
 
+    /** Guards against slots that stay idle for the sake of a share while nothing else needs them. */
+    @Test
+    void account_above_its_share_is_admitted_while_capacity_is_not_short() {
+        publishUrgentAndPatientRoutes();
+        Account large = new Account("large", List.of(), -1);
+        admitManyOf(large, new Account("small", List.of(), -1));
+        busyForBoth();
+        assertThat(decide(request(ROUTE, large))).isInstanceOf(NextStep.Send.class);
+    }
+
+    private void rejectOneOf(Account account) {
+        full("one");
+        full("two");
+        assertThat(decide(request(ROUTE, account))).isInstanceOf(NextStep.GiveUp.class);
+    }
+
     /** Guards against shares that change how a service with one priority is served. */
     @Test
     void account_shares_do_not_apply_where_all_routes_have_one_priority() {
