--- a/core/src/main/java/org/bankturn/routing/CallerRetryDetector.java
+++ b/core/src/main/java/org/bankturn/routing/CallerRetryDetector.java
@@ -69,7 +69,6 @@
         boolean retriesExpected = clock.millis() - rejectedMillis < RETRY_PERIOD_MILLIS;
         if (!retriesExpected) {
             firstAttempts.record(share);
-            return false;
         }
         double usual = firstAttempts.isKnown() ? firstAttempts.shortestShare() - MARGIN_SHARE : FULL_TIMEOUT_SHARE;
         return share < Math.min(FULL_TIMEOUT_SHARE, usual);
