Weights: the log of a start order tells whether it may still be executed

Change: EngineStarter takes the verification and the order out of WeightsAgent and WeightsCopy. Its line has the outcome, the engine's revision (read from its report), the restaged pieces and both durations; bankturn_start_orders_total counts by outcome. What is sent and when is as before. A report without a revision is malformed now, as one without a load is.

WeightsCopyTest calls the new class in two places, with the same assertions.

--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -100,6 +100,10 @@
     REMAINING_MS,
     /** The request identifier assigned by the caller. */
     REQUEST,
+    /** The number of pieces that were corrupt and were staged again. */
+    RESTAGED,
+    /** The number of orders that an engine has begun since it started, as last reported. */
+    REVISION,
     /** The role of the process. */
     ROLE,
     /** The route of the request. */
@@ -130,6 +134,8 @@
     UNDER_WAY,
     /** The size of the writes to a caller that had not been completed, in bytes. */
     UNSENT_BYTES,
+    /** How long it took to read the staged pieces back, in milliseconds. */
+    VERIFICATION_MS,
     /** The version of the document or of the weights. */
     VERSION,
     /** The time spent waiting, in milliseconds. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -92,6 +92,7 @@
     private final Gauge blockedRequests;
     private final Counter pieceBytes;
     private final Counter piecesRejected;
+    private final Counter startOrders;
     private final Histogram heldSeconds;
     private final Histogram firstEventSeconds;
     private final Histogram firstEventRatio;
@@ -137,6 +138,7 @@
         blockedRequests =
                 gauge("condemned_requests", "Requests that are sent to no target because targets ended under them.");
         pieceBytes = counter("piece_bytes", "Bytes of good pieces of weights, by source.", "source");
+        startOrders = counter("start_orders", "Orders to the engine to load staged weights, by outcome.", "outcome");
         piecesRejected = counter("pieces_rejected", "Pieces missing or spoilt, by source.", "source");
         heldSeconds = histogram("held_seconds", "Time a request was held, by outcome.", "outcome");
         firstEventSeconds = histogram("first_event_seconds", "Time to a stream's first event, by service.", "service");
@@ -332,6 +334,11 @@
         piecesRejected.labelValues(source).inc();
     }
 
+    /** Counts an attempt to have the engine load staged weights; {@code outcome} is its label. */
+    public void startOrder(String outcome) {
+        startOrders.labelValues(outcome).inc();
+    }
+
     /** Records the duration of a call from an operator or target. */
     public void controlCall(String call, String answer, long millis) {
         controlSeconds.labelValues(call, answer).observe((double) millis / MILLIS_PER_SECOND);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/HttpStatusException.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/HttpStatusException.java
@@ -6,7 +6,14 @@
 final class HttpStatusException extends IOException {
     private static final long serialVersionUID = 1L;
 
+    private final int status;
+
     HttpStatusException(int status) {
         super("unexpected HTTP status " + status);
+        this.status = status;
+    }
+
+    int status() {
+        return status;
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -42,6 +42,7 @@
     private final WeightsSettings settings;
     private final ProcessCopyContext context;
     private final PieceSender sender;
+    private final EngineStarter starter;
     private final FetchScheduler scheduler = new FetchScheduler();
     private PublishedState published = PublishedState.EMPTY;
     private WeightsCopy copy;
@@ -72,6 +73,7 @@
     private WeightsAgent(WeightsSettings settings, WeightsDependencies dependencies) {
         this.settings = settings;
         this.context = new ProcessCopyContext(dependencies, new EngineParticipant());
+        this.starter = new EngineStarter(context);
         this.sender = new PieceSender(dependencies.reactor(), dependencies.clock(), settings.linkBytesPerSecond());
     }
 
@@ -147,6 +149,7 @@
 
     private void handleReport(EngineReport report) {
         lastReport = report;
+        starter.observe(report);
         reportMillis = context.clock().millis();
         int wanted = Math.max(1, publishedVersion);
         if (report.heldVersion() >= wanted) {
@@ -220,15 +223,7 @@
     }
 
     private void orderStart(WeightsCopy started) {
-        ChangeMethod method = changeMethod();
-        started.verifyAndStart(method).whenComplete((answer, failure) -> {
-            context.log()
-                    .line(DecisionKind.WEIGHTS)
-                    .with(DecisionField.EVENT, failure == null ? "start ordered" : "start failed")
-                    .with(DecisionField.VERSION, started.version())
-                    .with(DecisionField.METHOD, method)
-                    .with(DecisionField.ERROR, failure == null ? "" : failure.getMessage())
-                    .write();
+        starter.start(started, changeMethod()).whenComplete((ignored, failure) -> {
             long pause = failure == null ? REORDER_START_MILLIS : FAILED_START_RETRY_MILLIS;
             context.reactor().delayBackground(pause, () -> starting = false);
         });
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -14,11 +14,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import org.bankturn.daemon.http.PooledHttpClient;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.service.WeightsLayout;
-import org.bankturn.weights.ChangeMethod;
 import org.bankturn.weights.PieceRouting;
 import org.bankturn.weights.VersionPriority;
 
@@ -71,6 +69,11 @@
         return version;
     }
 
+    /** Returns the name of the model, not null. */
+    String model() {
+        return layout.model();
+    }
+
     /** Returns true if every piece was verified and staged. */
     boolean isComplete() {
         return manifest != null && staged == pieces.length;
@@ -300,22 +303,23 @@
                 .toVoid();
     }
 
-    // ---- verification and start
+    // ---- verification
 
-    /** Reads every staged piece back, restages corrupt ones, then orders the engine to load the weights. */
-    Promise<PooledHttpClient.Response> verifyAndStart(ChangeMethod method) {
-        return verify(0)
-                .then(() -> context.callEngine(
-                        context.dialect().order(), context.dialect().startOrder(layout.model(), version, method)));
+    /** Reads every staged piece back and restages corrupt ones; returns how many were restaged. */
+    Promise<Integer> verify() {
+        return verifyFrom(0, 0);
     }
 
-    private Promise<Void> verify(int piece) {
+    private Promise<Integer> verifyFrom(int piece, int restaged) {
         if (piece == pieces.length) {
-            return Promise.complete();
+            return Promise.of(restaged);
         }
         return readBackMatches(piece)
-                .then(valid -> valid ? Promise.complete() : stagePiece(piece).then(() -> requireMatch(piece)))
-                .then(() -> verify(piece + 1));
+                .then(valid -> valid
+                        ? verifyFrom(piece + 1, restaged)
+                        : stagePiece(piece)
+                                .then(() -> requireMatch(piece))
+                                .then(() -> verifyFrom(piece + 1, restaged + 1)));
     }
 
     private Promise<Void> requireMatch(int piece) {
--- a/daemon/src/test/java/org/bankturn/daemon/weights/CountingDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/CountingDialect.java
@@ -19,7 +19,7 @@
     @Override
     public Optional<EngineReport> report(byte[] body) {
         int active = Integer.parseInt(new String(body, StandardCharsets.UTF_8));
-        return Optional.of(new EngineReport("m", 1, false, new EngineLoad(active, 0, 0, 0, 1, false)));
+        return Optional.of(new EngineReport("m", 1, false, 0, new EngineLoad(active, 0, 0, 0, 1, false)));
     }
 
     @Override
--- a/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
@@ -34,6 +34,7 @@
     boolean relay;
     final Map<String, Integer> awaitCounts = new HashMap<>();
     WeightsCopy copy;
+    final EngineStarter starter = new EngineStarter(this);
     private final Eventloop reactor;
     private final ScriptedOrigin origin;
     private final Map<String, ScriptedBox> boxes;
--- a/daemon/src/test/java/org/bankturn/daemon/weights/WeightsCopyTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/WeightsCopyTest.java
@@ -169,7 +169,7 @@
         box.corruptOnce.add(3);
         copyToAll();
         assertThat(box.staged.get(3)).isNotEqualTo(origin.piece(3));
-        run(() -> box.copy.verifyAndStart(ChangeMethod.AFTER_ANSWERS).toVoid());
+        run(() -> box.starter.start(box.copy, ChangeMethod.AFTER_ANSWERS));
         assertThat(box.staged.get(3)).isEqualTo(origin.piece(3));
         assertThat(box.orders).containsExactly("start " + PlainWeightsDialect.VERSION + " AFTER_ANSWERS");
     }
@@ -180,8 +180,7 @@
         ScriptedBox box = boxes.get("north-1");
         box.alwaysCorrupt.add(3);
         copyToAll();
-        assertThatThrownBy(() -> run(() ->
-                        box.copy.verifyAndStart(ChangeMethod.AFTER_ANSWERS).toVoid()))
+        assertThatThrownBy(() -> run(() -> box.starter.start(box.copy, ChangeMethod.AFTER_ANSWERS)))
                 .hasMessageContaining("piece 3 is still corrupt after restaging");
         assertThat(box.orders).isEmpty();
     }
