Weights: a start order is executed in the state it was given for, or not at all

Cause: a start order named a version and nothing of the engine's state.

Ruled out: two copies of one process writing at once (no start was ordered in between), old read-backs (30 to 50 ms), an engine that started anew (it had run on).

Change: an order names the revision that the engine reported before the read-back (expected_rev), so it is rejected once any other order has been begun. An order without an answer is remembered (UnansweredStart): until it can no longer take effect no other version is staged, and it is the order that is sent again, for the same revision. Sending it again settles it, since at most one order for a revision is begun.

Why it works: what is staged can only differ from what an order means after a later order was begun or the engine has started anew; in both cases the revision differs.

--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -102,7 +102,7 @@
     REQUEST,
     /** The number of pieces that were corrupt and were staged again. */
     RESTAGED,
-    /** The number of orders that an engine has begun since it started, as last reported. */
+    /** The number of orders that an engine has begun since it started, as an order to it expects. */
     REVISION,
     /** The role of the process. */
     ROLE,
--- a/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
@@ -5,14 +5,20 @@
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.weights.ChangeMethod;
+import org.bankturn.weights.StartOrder;
+import org.bankturn.weights.UnansweredStart;
 
 /**
  * Orders the engine on the same box to load the weights that a copy has staged.
  *
+ * <p>Each order names the revision that the engine reported before the staged weights were verified. An order that was given
+ * up and is executed late is then rejected, since it would load whatever is staged by that time.
+ *
  * <p>This class is confined to its reactor's thread.
  */
 final class EngineStarter {
     private final CopyContext context;
+    private final UnansweredStart unanswered = UnansweredStart.none();
     private long revision;
 
     EngineStarter(CopyContext context) {
@@ -22,37 +28,54 @@
     /** Updates the state from a report of the engine. */
     void observe(EngineReport report) {
         revision = report.revision();
+        unanswered.observe(revision, report.heldVersion());
+    }
+
+    /** Returns true if pieces of a version may be staged. */
+    boolean allowsStaging(int version) {
+        return unanswered.allowsStaging(version);
     }
 
     /** Verifies the staged weights and orders the engine to load them; fails unless the engine accepts the order. */
     Promise<Void> start(WeightsCopy copy, ChangeMethod method) {
-        return new Attempt(copy, method).run();
+        StartOrder order =
+                unanswered.order().orElseGet(() -> new StartOrder(copy.model(), copy.version(), method, revision));
+        return new Attempt(copy, order).run();
     }
 
     /** One attempt to start a copy, with what its log line says. */
     private final class Attempt {
         private final WeightsCopy copy;
-        private final ChangeMethod method;
+        private final StartOrder order;
         private final long verificationMillis = context.clock().millis();
         private long orderMillis;
         private int restaged;
         private OrderOutcome outcome = OrderOutcome.NOT_SENT;
 
-        Attempt(WeightsCopy copy, ChangeMethod method) {
+        Attempt(WeightsCopy copy, StartOrder order) {
             this.copy = copy;
-            this.method = method;
+            this.order = order;
         }
 
         Promise<Void> run() {
-            return copy.verify().then(this::order).toVoid().whenComplete((ignored, failure) -> log(failure));
+            return copy.verify().then(this::send).toVoid().whenComplete((ignored, failure) -> log(failure));
         }
 
-        private Promise<PooledHttpClient.Response> order(int restagedPieces) {
+        private Promise<PooledHttpClient.Response> send(int restagedPieces) {
             restaged = restagedPieces;
             orderMillis = context.clock().millis();
-            byte[] order = context.dialect().startOrder(copy.model(), copy.version(), method);
-            return context.callEngine(context.dialect().order(), order)
-                    .whenComplete((answer, failure) -> outcome = OrderOutcome.of(failure));
+            return context.callEngine(
+                            context.dialect().order(), context.dialect().startOrder(order))
+                    .whenComplete((answer, failure) -> ended(OrderOutcome.of(failure)));
+        }
+
+        private void ended(OrderOutcome reached) {
+            outcome = reached;
+            if (outcome == OrderOutcome.UNANSWERED) {
+                unanswered.record(order);
+            } else if (outcome == OrderOutcome.ACCEPTED) {
+                unanswered.settle();
+            }
         }
 
         private void log(Exception failure) {
@@ -62,10 +85,10 @@
             context.log()
                     .line(DecisionKind.WEIGHTS)
                     .with(DecisionField.EVENT, failure == null ? "start ordered" : "start failed")
-                    .with(DecisionField.VERSION, copy.version())
-                    .with(DecisionField.METHOD, method)
+                    .with(DecisionField.VERSION, order.version())
+                    .with(DecisionField.METHOD, order.method())
                     .with(DecisionField.OUTCOME, outcome)
-                    .with(DecisionField.REVISION, revision)
+                    .with(DecisionField.REVISION, order.expectedRevision())
                     .with(DecisionField.RESTAGED, restaged)
                     .with(DecisionField.VERIFICATION_MS, (sent ? orderMillis : now) - verificationMillis)
                     .with(DecisionField.TOOK_MS, sent ? now - orderMillis : 0)
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -167,7 +167,9 @@
             return;
         }
         boolean finishCurrent = copy != null
-                && (report.busy() || (copy.hasSubstantialProgress() && report.heldVersion() < copy.version()));
+                && (report.busy()
+                        || !starter.allowsStaging(wanted)
+                        || (copy.hasSubstantialProgress() && report.heldVersion() < copy.version()));
         if (nextCopy == null || nextCopy.version() < wanted) {
             cancel(nextCopy);
             nextCopy = startCopy(wanted);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsDialect.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsDialect.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 import org.bankturn.daemon.http.HttpHead;
-import org.bankturn.weights.ChangeMethod;
+import org.bankturn.weights.StartOrder;
 
 /** The request targets and message formats of engines and weights origins. */
 public interface WeightsDialect {
@@ -21,8 +21,8 @@
     /** Returns the request that sends an order to an engine. */
     HttpHead order();
 
-    /** Returns the body of the order to load the staged weights. */
-    byte[] startOrder(String model, int version, ChangeMethod method);
+    /** Returns the body of an order to load the staged weights. */
+    byte[] startOrder(StartOrder order);
 
     /** Returns the request for a manifest at the origin; version 0 selects the newest. */
     HttpHead manifest(String model, int version);
--- a/daemon/src/test/java/org/bankturn/daemon/weights/CountingDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/CountingDialect.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.routing.EngineLoad;
-import org.bankturn.weights.ChangeMethod;
+import org.bankturn.weights.StartOrder;
 
 /** A dialect whose reports consist of the number of active requests and imply that version 1 is loaded. */
 final class CountingDialect implements WeightsDialect {
@@ -38,8 +38,8 @@
     }
 
     @Override
-    public byte[] startOrder(String model, int version, ChangeMethod method) {
-        return plain.startOrder(model, version, method);
+    public byte[] startOrder(StartOrder order) {
+        return plain.startOrder(order);
     }
 
     @Override
--- a/daemon/src/test/java/org/bankturn/daemon/weights/PlainWeightsDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/PlainWeightsDialect.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.bankturn.daemon.http.HttpHead;
-import org.bankturn.weights.ChangeMethod;
+import org.bankturn.weights.StartOrder;
 
 /** A dialect for tests: the request target names the operation, a manifest lists one digest per line. */
 public final class PlainWeightsDialect implements WeightsDialect {
@@ -37,8 +37,8 @@
     }
 
     @Override
-    public byte[] startOrder(String model, int version, ChangeMethod method) {
-        return ("start " + version + " " + method).getBytes(StandardCharsets.UTF_8);
+    public byte[] startOrder(StartOrder order) {
+        return ("start " + order.version() + " " + order.method()).getBytes(StandardCharsets.UTF_8);
     }
 
     @Override
