Weights: a start order is executed by the engine that was verified, or by none

What callers would see: answers made with missing or wrong pieces, from an engine that was replaced while its predecessor's pieces were read back.

Cause: the read-backs and the order only share an address. A new engine there has revision 0, as its predecessor may have, and nothing staged; it loaded all pieces missing.

Change: an order names the incarnation published at the engine's address (Bankturn-Expect-Instance). An engine that is another one rejects it with 421 and names itself; the next order is for that one, after a new read-back, and an unanswered order for the former one is settled. An incarnation that is not known is not named, as before.

FetchSchedulerTest builds its failure from a head instead of a status, nothing else in it changed.

--- a/core/src/test/java/org/bankturn/weights/UnansweredStartTest.java
+++ b/core/src/test/java/org/bankturn/weights/UnansweredStartTest.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Test;
 
 class UnansweredStartTest {
-    private static final StartOrder ORDER = new StartOrder("m", 2, ChangeMethod.AT_ONCE, 5);
+    private static final StartOrder ORDER = new StartOrder("m", 2, ChangeMethod.AT_ONCE, "i-1", 5);
 
     private final UnansweredStart unanswered = UnansweredStart.none();
 
--- a/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
@@ -11,14 +11,20 @@
 /**
  * Orders the engine on the same box to load the weights that a copy has staged.
  *
- * <p>Each order names the revision that the engine reported before the staged weights were verified. An order that was given
- * up and is executed late is then rejected, since it would load whatever is staged by that time.
+ * <p>Each order names the engine's incarnation and the revision that the engine reported before the staged weights were
+ * verified. An order that was given up and is executed late is then rejected, since it would load whatever is staged by that
+ * time; so is one that reaches an engine that was replaced, since what was verified is not staged there.
  *
  * <p>This class is confined to its reactor's thread.
  */
 final class EngineStarter {
     private final CopyContext context;
     private final UnansweredStart unanswered = UnansweredStart.none();
+    private String publishedInstance = "";
+
+    /** The incarnation that orders are for, empty if it is not known. */
+    private String instance = "";
+
     private long revision;
 
     EngineStarter(CopyContext context) {
@@ -31,6 +37,14 @@
         unanswered.observe(revision, report.heldVersion());
     }
 
+    /** Notes which incarnation is published at the engine's address; a change replaces what the engine said itself. */
+    void publishedInstance(String published) {
+        if (!published.equals(publishedInstance)) {
+            publishedInstance = published;
+            instance = published;
+        }
+    }
+
     /** Returns true if pieces of a version may be staged. */
     boolean allowsStaging(int version) {
         return unanswered.allowsStaging(version);
@@ -38,8 +52,9 @@
 
     /** Verifies the staged weights and orders the engine to load them; fails unless the engine accepts the order. */
     Promise<Void> start(WeightsCopy copy, ChangeMethod method) {
-        StartOrder order =
-                unanswered.order().orElseGet(() -> new StartOrder(copy.model(), copy.version(), method, revision));
+        StartOrder order = unanswered
+                .order()
+                .orElseGet(() -> new StartOrder(copy.model(), copy.version(), method, instance, revision));
         return new Attempt(copy, order).run();
     }
 
@@ -65,16 +80,20 @@
             restaged = restagedPieces;
             orderMillis = context.clock().millis();
             return context.callEngine(
-                            context.dialect().order(), context.dialect().startOrder(order))
-                    .whenComplete((answer, failure) -> ended(OrderOutcome.of(failure)));
+                            context.dialect().order(order), context.dialect().startOrder(order))
+                    .whenComplete((answer, failure) -> ended(failure));
         }
 
-        private void ended(OrderOutcome reached) {
-            outcome = reached;
+        private void ended(Exception failure) {
+            outcome = OrderOutcome.of(failure);
             if (outcome == OrderOutcome.UNANSWERED) {
                 unanswered.record(order);
             } else if (outcome == OrderOutcome.ACCEPTED) {
                 unanswered.settle();
+            } else if (failure instanceof HttpStatusException rejection
+                    && context.dialect().isOtherInstance(rejection.head())) {
+                instance = context.dialect().instance(rejection.head()).orElse("");
+                unanswered.settle();
             }
         }
 
@@ -88,6 +107,7 @@
                     .with(DecisionField.VERSION, order.version())
                     .with(DecisionField.METHOD, order.method())
                     .with(DecisionField.OUTCOME, outcome)
+                    .with(DecisionField.TARGET, order.expectedInstance())
                     .with(DecisionField.REVISION, order.expectedRevision())
                     .with(DecisionField.RESTAGED, restaged)
                     .with(DecisionField.VERIFICATION_MS, (sent ? orderMillis : now) - verificationMillis)
--- a/daemon/src/main/java/org/bankturn/daemon/weights/HttpStatusException.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/HttpStatusException.java
@@ -1,19 +1,21 @@
 package org.bankturn.daemon.weights;
 
 import java.io.IOException;
+import org.bankturn.daemon.http.HttpHead;
 
 /** Signals that a call was answered with a status other than success. */
 final class HttpStatusException extends IOException {
     private static final long serialVersionUID = 1L;
 
-    private final int status;
+    private final transient HttpHead head;
 
-    HttpStatusException(int status) {
-        super("unexpected HTTP status " + status);
-        this.status = status;
+    HttpStatusException(HttpHead head) {
+        super("unexpected HTTP status " + head.status());
+        this.head = head;
     }
 
-    int status() {
-        return status;
+    /** Returns the head of the answer, not null. */
+    HttpHead head() {
+        return head;
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/weights/ProcessCopyContext.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/ProcessCopyContext.java
@@ -150,9 +150,8 @@
     }
 
     private static Promise<PooledHttpClient.Response> requireSuccess(Promise<PooledHttpClient.Response> call) {
-        return call.then(answer -> answer.isSuccess()
-                ? Promise.of(answer)
-                : Promise.ofException(new HttpStatusException(answer.head().status())));
+        return call.then(answer ->
+                answer.isSuccess() ? Promise.of(answer) : Promise.ofException(new HttpStatusException(answer.head())));
     }
 
     @Override
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -225,6 +225,7 @@
     }
 
     private void orderStart(WeightsCopy started) {
+        peers().targetAt(settings.engineAddress()).ifPresent(target -> starter.publishedInstance(target.name()));
         starter.start(started, changeMethod()).whenComplete((ignored, failure) -> {
             long pause = failure == null ? REORDER_START_MILLIS : FAILED_START_RETRY_MILLIS;
             context.reactor().delayBackground(pause, () -> starting = false);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsDialect.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsDialect.java
@@ -19,7 +19,13 @@
     HttpHead readBack(String model, int piece);
 
     /** Returns the request that sends an order to an engine. */
-    HttpHead order();
+    HttpHead order(StartOrder order);
+
+    /** Returns true if a rejection says that another incarnation than the expected one is at the address. */
+    boolean isOtherInstance(HttpHead rejection);
+
+    /** Returns the incarnation that a rejection names as the one at the address, empty if it names none. */
+    Optional<String> instance(HttpHead rejection);
 
     /** Returns the body of an order to load the staged weights. */
     byte[] startOrder(StartOrder order);
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsPeers.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsPeers.java
@@ -45,6 +45,14 @@
                 .toList();
     }
 
+    /** Returns the target that is published at an address, empty unless there is exactly one. */
+    Optional<TargetSighting> targetAt(Address address) {
+        List<TargetSighting> found = published.targets().values().stream()
+                .filter(target -> target.address().equals(address.toString()))
+                .toList();
+        return found.size() == 1 ? Optional.of(found.get(0)) : Optional.empty();
+    }
+
     private WeightsPeer holder(TargetSighting target) {
         Address box = new Address(Address.parse(target.address()).host(), nodePort);
         return new WeightsPeer(box.toString(), target.dataHall(), target.heldVersion());
--- a/daemon/src/test/java/org/bankturn/daemon/weights/CountingDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/CountingDialect.java
@@ -33,8 +33,18 @@
     }
 
     @Override
-    public HttpHead order() {
-        return plain.order();
+    public HttpHead order(StartOrder order) {
+        return plain.order(order);
+    }
+
+    @Override
+    public boolean isOtherInstance(HttpHead rejection) {
+        return plain.isOtherInstance(rejection);
+    }
+
+    @Override
+    public Optional<String> instance(HttpHead rejection) {
+        return plain.instance(rejection);
     }
 
     @Override
--- a/daemon/src/test/java/org/bankturn/daemon/weights/FetchSchedulerTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/FetchSchedulerTest.java
@@ -65,7 +65,7 @@
         answer(PIECES / 2);
         fetch(3);
         for (int refused = 0; refused < 5; refused++) {
-            pendingCalls.poll().setException(new HttpStatusException(410));
+            pendingCalls.poll().setException(new HttpStatusException(HttpHead.response(410, List.of())));
         }
         assertThat(requested).contains("3/0");
     }
--- a/daemon/src/test/java/org/bankturn/daemon/weights/PlainWeightsDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/PlainWeightsDialect.java
@@ -32,10 +32,20 @@
     }
 
     @Override
-    public HttpHead order() {
+    public HttpHead order(StartOrder order) {
         return call("order");
     }
 
+    @Override
+    public boolean isOtherInstance(HttpHead rejection) {
+        return false;
+    }
+
+    @Override
+    public Optional<String> instance(HttpHead rejection) {
+        return Optional.empty();
+    }
+
     @Override
     public byte[] startOrder(StartOrder order) {
         return ("start " + order.version() + " " + order.method()).getBytes(StandardCharsets.UTF_8);
