Weights: failing tests of starts whose verification no longer holds

EngineStarterTest shows four more places of the same kind on this code, all four failed: read-backs that are 2.4 s old when the order is sent, a copy that was replaced before or during its verification and that overwrites pieces of the newer version, and an order while a piece is still on its way to the engine.

--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/EngineStarterTest.java
@@ -0,0 +1,98 @@
+package org.bankturn.daemon.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.bankturn.weights.ChangeMethod;
+import org.bankturn.weights.WeightsPeer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests when a copy that is whole may be started at its engine. */
+@Timeout(60)
+class EngineStarterTest {
+    private static final int PIECES = 24;
+    private static final byte[] NEWER_PIECE = {9};
+
+    private final Eventloop reactor =
+            Eventloop.builder().withThreadName("starter-test").build();
+    private final Map<String, ScriptedBox> boxes = new LinkedHashMap<>();
+    private ScriptedBox box;
+
+    @BeforeEach
+    void copyWeights() {
+        reactor.keepAlive(true);
+        new Thread(reactor, "starter-test").start();
+        box = new ScriptedBox(reactor, new ScriptedOrigin(PIECES), boxes, new WeightsPeer("north-1", "north", 0));
+        run(() -> {
+            SettablePromise<Void> whole = new SettablePromise<>();
+            box.startCopy(PIECES);
+            box.copy.onComplete(() -> whole.set(null));
+            box.copy.allowStaging();
+            return whole;
+        });
+    }
+
+    @AfterEach
+    void stopReactor() {
+        reactor.keepAlive(false);
+        reactor.breakEventloop();
+    }
+
+    @Test
+    void weights_are_verified_again_when_their_verification_took_too_long() {
+        box.readBackMillis = 100;
+        assertThatThrownBy(this::start).hasMessageContaining("verified too long ago");
+        assertThat(box.orders).isEmpty();
+        box.readBackMillis = 0;
+        start();
+        assertThat(box.orders).hasSize(1);
+    }
+
+    @Test
+    void replaced_copy_neither_restages_its_pieces_nor_orders_a_start() {
+        box.staged.put(3, NEWER_PIECE);
+        box.copy.cancel();
+        assertThatThrownBy(this::start).hasMessageContaining("was replaced");
+        assertThat(box.staged.get(3)).isEqualTo(NEWER_PIECE);
+        assertThat(box.orders).isEmpty();
+    }
+
+    @Test
+    void copy_replaced_during_verification_orders_no_start() {
+        box.onReadBack = piece -> {
+            if (piece == PIECES / 2) {
+                box.copy.cancel();
+            }
+        };
+        assertThatThrownBy(this::start).hasMessageContaining("was replaced");
+        assertThat(box.orders).isEmpty();
+    }
+
+    @Test
+    void start_waits_for_pieces_on_their_way_to_the_engine() {
+        box.commandsInFlight = 1;
+        assertThatThrownBy(this::start).hasMessageContaining("still on their way");
+        assertThat(box.orders).isEmpty();
+        box.commandsInFlight = 0;
+        start();
+        assertThat(box.orders).hasSize(1);
+    }
+
+    private void start() {
+        run(() -> box.starter.start(box.copy, ChangeMethod.AT_ONCE));
+    }
+
+    private void run(Supplier<Promise<Void>> step) {
+        reactor.submit(step::get).orTimeout(20, TimeUnit.SECONDS).join();
+    }
+}
--- a/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntConsumer;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.PooledHttpClient;
 import org.bankturn.daemon.observe.DecisionLog;
@@ -31,6 +32,14 @@
     final Set<Integer> corruptOnce = new HashSet<>();
     final Set<Integer> alwaysCorrupt = new HashSet<>();
     boolean frozen;
+
+    /** How long the engine takes to send a staged piece back, in milliseconds. */
+    long readBackMillis;
+
+    /** Called with the number of each piece that is read back. */
+    IntConsumer onReadBack = piece -> {};
+
+    int commandsInFlight;
     boolean relay;
     final Map<String, Integer> awaitCounts = new HashMap<>();
     WeightsCopy copy;
@@ -38,7 +47,9 @@
     private final Eventloop reactor;
     private final ScriptedOrigin origin;
     private final Map<String, ScriptedBox> boxes;
-    private final Clock clock = Clock.system();
+    private final Clock systemClock = Clock.system();
+    private long skippedMillis;
+    private final Clock clock = () -> systemClock.millis() + skippedMillis;
     private final DecisionLog log = DecisionLog.startTo(OutputStream.nullOutputStream(), "box", clock);
     private final ServingMetrics metrics = ServingMetrics.of(log);
 
@@ -117,6 +128,8 @@
         if (head.second().startsWith("put/")) {
             put(ScriptedOrigin.numberOf(head), body);
         } else if (head.second().startsWith("get/")) {
+            skippedMillis += readBackMillis;
+            onReadBack.accept(ScriptedOrigin.numberOf(head));
             answer = staged.get(ScriptedOrigin.numberOf(head));
         } else {
             orders.add(new String(body, StandardCharsets.UTF_8));
