Weights: a replaced copy neither restages its pieces nor orders a start

Cause: a start is planned up to seconds ahead and its verification never asked whether the copy still counts. A copy that had been replaced restaged its own pieces over those of the newer version and ordered a start from them (by reading; not seen in a play).

Change: the verification fails once the copy is cancelled, before it reads, restages or ends.

Test: replaced_copy_neither_restages_its_pieces_nor_orders_a_start and copy_replaced_during_verification_orders_no_start failed before, pass now; WeightsCopyTest passes.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -305,21 +305,29 @@
 
     // ---- verification
 
-    /** Reads every staged piece back and restages corrupt ones; returns how many were restaged. */
+    /**
+     * Reads every staged piece back and restages corrupt ones; returns how many were restaged. Fails once the copy is
+     * cancelled, since the staged pieces are those of another version from then on.
+     */
     Promise<Integer> verify() {
         return verifyFrom(0, 0);
     }
 
     private Promise<Integer> verifyFrom(int piece, int restaged) {
+        if (cancelled) {
+            return Promise.ofException(new IOException("the copy of version " + version + " was replaced"));
+        }
         if (piece == pieces.length) {
             return Promise.of(restaged);
         }
-        return readBackMatches(piece)
-                .then(valid -> valid
-                        ? verifyFrom(piece + 1, restaged)
-                        : stagePiece(piece)
-                                .then(() -> requireMatch(piece))
-                                .then(() -> verifyFrom(piece + 1, restaged + 1)));
+        return readBackMatches(piece).then(valid -> valid ? verifyFrom(piece + 1, restaged) : restage(piece, restaged));
+    }
+
+    private Promise<Integer> restage(int piece, int restaged) {
+        if (cancelled) {
+            return verifyFrom(piece, restaged);
+        }
+        return stagePiece(piece).then(() -> requireMatch(piece)).then(() -> verifyFrom(piece + 1, restaged + 1));
     }
 
     private Promise<Void> requireMatch(int piece) {
