Weights: an order to start follows its first read-back within a second

Cause: pieces are read back one after another and nothing bounded the age of the first read-back when the order was sent: each call may take 1.5 s, and a suspension between two steps any time.

Change: an order is not sent when its verification took over 1 s; the weights are verified again. Weighed: an engine that answers a read-back in over 10 ms cannot be started any more (96 pieces); reading in parallel would help it, at the price of connections, and was not built.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
@@ -1,6 +1,7 @@
 package org.bankturn.daemon.weights;
 
 import io.activej.promise.Promise;
+import java.io.IOException;
 import org.bankturn.daemon.http.PooledHttpClient;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
@@ -18,6 +19,9 @@
  * <p>This class is confined to its reactor's thread.
  */
 final class EngineStarter {
+    /** A read-back does not cover a piece that was altered since, so the order follows the first one within this time. */
+    private static final long MAX_VERIFICATION_MILLIS = 1_000;
+
     private final CopyContext context;
     private final UnansweredStart unanswered = UnansweredStart.none();
     private String publishedInstance = "";
@@ -79,6 +83,9 @@
         private Promise<PooledHttpClient.Response> send(int restagedPieces) {
             restaged = restagedPieces;
             orderMillis = context.clock().millis();
+            if (orderMillis - verificationMillis > MAX_VERIFICATION_MILLIS) {
+                return Promise.ofException(new IOException("the staged weights were verified too long ago"));
+            }
             return context.callEngine(
                             context.dialect().order(order), context.dialect().startOrder(order))
                     .whenComplete((answer, failure) -> ended(failure));
