Weights: no start is ordered while commands to the engine are on their way

A piece that was given up after 1.5 s and arrives later is not covered: the platform has no condition on staging. The read-backs directly before the order keep that window at the length of one verification.

Test: start_waits_for_pieces_on_their_way_to_the_engine failed before, passes now.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/CopyContext.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/CopyContext.java
@@ -36,6 +36,9 @@
     /** Sends a command to the local engine, at most once; fails unless the status is success. */
     Promise<PooledHttpClient.Response> callEngine(HttpHead head, byte[] body);
 
+    /** Returns the number of commands to the local engine that were neither answered nor given up. */
+    int commandsInFlight();
+
     /** Sends a read-only request to the local engine; fails unless the status is success. */
     Promise<PooledHttpClient.Response> queryEngine(HttpHead head);
 
--- a/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
@@ -77,7 +77,14 @@
         }
 
         Promise<Void> run() {
-            return copy.verify().then(this::send).toVoid().whenComplete((ignored, failure) -> log(failure));
+            return verify().then(this::send).toVoid().whenComplete((ignored, failure) -> log(failure));
+        }
+
+        /** Fails while a piece of another copy may still arrive after its read-back. */
+        private Promise<Integer> verify() {
+            return context.commandsInFlight() == 0
+                    ? copy.verify()
+                    : Promise.ofException(new IOException("commands to the engine are still on their way"));
         }
 
         private Promise<PooledHttpClient.Response> send(int restagedPieces) {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/ProcessCopyContext.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/ProcessCopyContext.java
@@ -32,6 +32,7 @@
     private final Participant participant;
     private final PooledHttpClient calls;
     private PieceRouting routing;
+    private int commandsInFlight;
     private long routingIndex;
     private int routingVersion;
 
@@ -116,7 +117,16 @@
 
     @Override
     public Promise<PooledHttpClient.Response> callEngine(HttpHead head, byte[] body) {
-        return withEngine(engine -> calls.call(engine, head, body, ENGINE_TIMEOUT_MILLIS));
+        return withEngine(engine -> {
+            commandsInFlight++;
+            return calls.call(engine, head, body, ENGINE_TIMEOUT_MILLIS)
+                    .whenComplete((answer, failure) -> commandsInFlight--);
+        });
+    }
+
+    @Override
+    public int commandsInFlight() {
+        return commandsInFlight;
     }
 
     @Override
--- a/daemon/src/test/java/org/bankturn/daemon/weights/FetchSchedulerTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/FetchSchedulerTest.java
@@ -172,6 +172,11 @@
             throw new AssertionError("unexpected engine command");
         }
 
+        @Override
+        public int commandsInFlight() {
+            return 0;
+        }
+
         @Override
         public Promise<PooledHttpClient.Response> queryEngine(HttpHead head) {
             throw new AssertionError("unexpected engine request");
--- a/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
@@ -137,6 +137,11 @@
         return Promise.of(new PooledHttpClient.Response(HttpHead.response(200, List.of()), answer));
     }
 
+    @Override
+    public int commandsInFlight() {
+        return commandsInFlight;
+    }
+
     @Override
     public Promise<PooledHttpClient.Response> queryEngine(HttpHead head) {
         return callEngine(head, new byte[0]);
