Weights: an order given up after a later one was begun is not sent again

Cause: an order in flight was remembered as unanswered when its call ended, also if a report had shown in the meantime that it can no longer take effect. The newer copy would then have been started with the order of the former version, and its own pieces.

Change: an unanswered order is compared with the last report at once, and a start whose unanswered order is of another version than its copy fails.

Test: order_given_up_after_the_engine_had_begun_another_is_not_sent_again failed before, passes now. The second check has no test of its own: the first one keeps it from being reached.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
@@ -30,6 +30,7 @@
     private String instance = "";
 
     private long revision;
+    private int heldVersion;
 
     EngineStarter(CopyContext context) {
         this.context = context;
@@ -38,7 +39,8 @@
     /** Updates the state from a report of the engine. */
     void observe(EngineReport report) {
         revision = report.revision();
-        unanswered.observe(revision, report.heldVersion());
+        heldVersion = report.heldVersion();
+        unanswered.observe(revision, heldVersion);
     }
 
     /** Notes which incarnation is published at the engine's address; a change replaces what the engine said itself. */
@@ -80,11 +82,15 @@
             return verify().then(this::send).toVoid().whenComplete((ignored, failure) -> log(failure));
         }
 
-        /** Fails while a piece of another copy may still arrive after its read-back. */
+        /** Fails while an order or a piece of another copy may still take effect after the read-backs. */
         private Promise<Integer> verify() {
-            return context.commandsInFlight() == 0
-                    ? copy.verify()
-                    : Promise.ofException(new IOException("commands to the engine are still on their way"));
+            if (order.version() != copy.version()) {
+                return Promise.ofException(new IOException("the engine may still execute " + order));
+            }
+            if (context.commandsInFlight() > 0) {
+                return Promise.ofException(new IOException("commands to the engine are still on their way"));
+            }
+            return copy.verify();
         }
 
         private Promise<PooledHttpClient.Response> send(int restagedPieces) {
@@ -102,6 +108,7 @@
             outcome = OrderOutcome.of(failure);
             if (outcome == OrderOutcome.UNANSWERED) {
                 unanswered.record(order);
+                unanswered.observe(revision, heldVersion);
             } else if (outcome == OrderOutcome.ACCEPTED) {
                 unanswered.settle();
             } else if (failure instanceof HttpStatusException rejection
--- a/daemon/src/test/java/org/bankturn/daemon/weights/EngineStarterTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/EngineStarterTest.java
@@ -6,10 +6,13 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import java.io.IOException;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.bankturn.daemon.http.PooledHttpClient;
+import org.bankturn.routing.EngineLoad;
 import org.bankturn.weights.ChangeMethod;
 import org.bankturn.weights.WeightsPeer;
 import org.junit.jupiter.api.AfterEach;
@@ -88,6 +91,44 @@
         assertThat(box.orders).hasSize(1);
     }
 
+    /** Guards against an order of a former version being sent again with the pieces of the newer one. */
+    @Test
+    void order_given_up_after_the_engine_had_begun_another_is_not_sent_again() {
+        SettablePromise<PooledHttpClient.Response> answer = new SettablePromise<>();
+        box.orderAnswer = answer;
+        report(0, 1);
+        run(() -> {
+            Promise<Void> started = box.starter.start(box.copy, ChangeMethod.AT_ONCE);
+            box.starter.observe(engineReport(1, PlainWeightsDialect.VERSION));
+            answer.setException(new IOException("no answer"));
+            return started.then(ignored -> Promise.complete(), failure -> Promise.complete());
+        });
+        assertThat(box.starter.allowsStaging(PlainWeightsDialect.VERSION + 1)).isTrue();
+    }
+
+    @Test
+    void unanswered_order_is_sent_again_and_keeps_other_versions_from_being_staged() {
+        box.orderAnswer = Promise.ofException(new IOException("no answer"));
+        report(4, 1);
+        assertThatThrownBy(this::start).hasMessageContaining("no answer");
+        assertThat(box.starter.allowsStaging(PlainWeightsDialect.VERSION + 1)).isFalse();
+        box.orderAnswer = null;
+        start();
+        assertThat(box.orders).containsExactly("start 2 AT_ONCE", "start 2 AT_ONCE");
+        assertThat(box.starter.allowsStaging(PlainWeightsDialect.VERSION + 1)).isTrue();
+    }
+
+    private void report(long revision, int heldVersion) {
+        run(() -> {
+            box.starter.observe(engineReport(revision, heldVersion));
+            return Promise.complete();
+        });
+    }
+
+    private static EngineReport engineReport(long revision, int heldVersion) {
+        return new EngineReport("m", heldVersion, false, revision, new EngineLoad(0, 0, 0, 0, 1, false));
+    }
+
     private void start() {
         run(() -> box.starter.start(box.copy, ChangeMethod.AT_ONCE));
     }
--- a/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/ScriptedBox.java
@@ -40,6 +40,10 @@
     IntConsumer onReadBack = piece -> {};
 
     int commandsInFlight;
+
+    /** The answer to the next orders, null if they succeed at once. */
+    Promise<PooledHttpClient.Response> orderAnswer;
+
     boolean relay;
     final Map<String, Integer> awaitCounts = new HashMap<>();
     WeightsCopy copy;
@@ -133,6 +137,9 @@
             answer = staged.get(ScriptedOrigin.numberOf(head));
         } else {
             orders.add(new String(body, StandardCharsets.UTF_8));
+            if (orderAnswer != null) {
+                return orderAnswer;
+            }
         }
         return Promise.of(new PooledHttpClient.Response(HttpHead.response(200, List.of()), answer));
     }
