Weights: the revision in a start order is one that the named engine reported

Cause: an order took the incarnation from the publication or a rejection and the revision from the last report, which may have been the former incarnation's. Such an order is rejected at once, but one that is not answered is executed later, when the new engine has reached that revision.

Change: a revision counts for the incarnation that was believed to be there when the report was requested, and a new order waits for a report of the incarnation it names. An order that was not answered is sent again as it was. The publication is noted when it arrives, so that the first start of a process does not wait for another report.

Test: order_to_a_new_incarnation_waits_for_a_report_of_it and report_requested_from_a_former_incarnation_does_not_count failed before, pass now; unanswered_order_is_sent_again_after_its_engine_was_replaced is a guard.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
@@ -29,6 +29,9 @@
     /** The incarnation that orders are for, empty if it is not known. */
     private String instance = "";
 
+    /** The incarnation that the last report was requested from; the revision counts for that one only. */
+    private String reportedInstance = "";
+
     private long revision;
     private int heldVersion;
 
@@ -36,8 +39,19 @@
         this.context = context;
     }
 
-    /** Updates the state from a report of the engine. */
-    void observe(EngineReport report) {
+    /** Returns the incarnation that is believed to be at the engine's address, empty if it is not known. */
+    String instance() {
+        return instance;
+    }
+
+    /**
+     * Updates the state from a report of the engine.
+     *
+     * @param report the report, not null
+     * @param requestedFrom the incarnation that was believed to be at the address when the report was requested, not null
+     */
+    void observe(EngineReport report, String requestedFrom) {
+        reportedInstance = requestedFrom;
         revision = report.revision();
         heldVersion = report.heldVersion();
         unanswered.observe(revision, heldVersion);
@@ -90,6 +104,10 @@
             if (context.commandsInFlight() > 0) {
                 return Promise.ofException(new IOException("commands to the engine are still on their way"));
             }
+            boolean sentBefore = unanswered.order().isPresent();
+            if (!sentBefore && !instance.equals(reportedInstance)) {
+                return Promise.ofException(new IOException("the engine has not reported since it was replaced"));
+            }
             return copy.verify();
         }
 
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -85,6 +85,7 @@
     /** Applies a new publication. */
     public void update(PublishedState newer) {
         published = newer;
+        peers().targetAt(settings.engineAddress()).ifPresent(target -> starter.publishedInstance(target.name()));
         layout().flatMap(each -> newer.weightsOf(each.model())).ifPresent(this::recordVersion);
     }
 
@@ -126,12 +127,14 @@
         if (layout().isEmpty()) {
             return Promise.complete();
         }
+        String requestedFrom = starter.instance();
         return context.queryEngine(context.dialect().report())
                 .then(
                         answer -> {
                             context.dialect()
                                     .report(answer.body())
-                                    .ifPresentOrElse(this::handleReport, this::logMalformedReport);
+                                    .ifPresentOrElse(
+                                            report -> handleReport(report, requestedFrom), this::logMalformedReport);
                             return Promise.complete();
                         },
                         failure -> Promise.complete());
@@ -147,9 +150,9 @@
                 .write();
     }
 
-    private void handleReport(EngineReport report) {
+    private void handleReport(EngineReport report, String requestedFrom) {
         lastReport = report;
-        starter.observe(report);
+        starter.observe(report, requestedFrom);
         reportMillis = context.clock().millis();
         int wanted = Math.max(1, publishedVersion);
         if (report.heldVersion() >= wanted) {
@@ -225,7 +228,6 @@
     }
 
     private void orderStart(WeightsCopy started) {
-        peers().targetAt(settings.engineAddress()).ifPresent(target -> starter.publishedInstance(target.name()));
         starter.start(started, changeMethod()).whenComplete((ignored, failure) -> {
             long pause = failure == null ? REORDER_START_MILLIS : FAILED_START_RETRY_MILLIS;
             context.reactor().delayBackground(pause, () -> starting = false);
--- a/daemon/src/test/java/org/bankturn/daemon/weights/EngineStarterTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/EngineStarterTest.java
@@ -99,7 +99,7 @@
         report(0, 1);
         run(() -> {
             Promise<Void> started = box.starter.start(box.copy, ChangeMethod.AT_ONCE);
-            box.starter.observe(engineReport(1, PlainWeightsDialect.VERSION));
+            box.starter.observe(engineReport(1, PlainWeightsDialect.VERSION), box.starter.instance());
             answer.setException(new IOException("no answer"));
             return started.then(ignored -> Promise.complete(), failure -> Promise.complete());
         });
@@ -118,9 +118,48 @@
         assertThat(box.starter.allowsStaging(PlainWeightsDialect.VERSION + 1)).isTrue();
     }
 
+    /** Guards against an order that its engine would execute later, once it has reached the revision of its predecessor. */
+    @Test
+    void order_to_a_new_incarnation_waits_for_a_report_of_it() {
+        box.starter.publishedInstance("i-1");
+        report(3, 1);
+        box.starter.publishedInstance("i-2");
+        assertThatThrownBy(this::start).hasMessageContaining("has not reported");
+        assertThat(box.orders).isEmpty();
+        report(0, 0);
+        start();
+        assertThat(box.orders).hasSize(1);
+    }
+
+    @Test
+    void report_requested_from_a_former_incarnation_does_not_count() {
+        box.starter.publishedInstance("i-1");
+        String former = box.starter.instance();
+        box.starter.publishedInstance("i-2");
+        run(() -> {
+            box.starter.observe(engineReport(3, 1), former);
+            return Promise.complete();
+        });
+        assertThatThrownBy(this::start).hasMessageContaining("has not reported");
+        assertThat(box.orders).isEmpty();
+    }
+
+    /** An order for a former incarnation is only settled by its rejection if the revision is the same. */
+    @Test
+    void unanswered_order_is_sent_again_after_its_engine_was_replaced() {
+        box.starter.publishedInstance("i-1");
+        report(0, 0);
+        box.orderAnswer = Promise.ofException(new IOException("no answer"));
+        assertThatThrownBy(this::start).hasMessageContaining("no answer");
+        box.starter.publishedInstance("i-2");
+        report(0, 0);
+        assertThatThrownBy(this::start).hasMessageContaining("no answer");
+        assertThat(box.orders).hasSize(2);
+    }
+
     private void report(long revision, int heldVersion) {
         run(() -> {
-            box.starter.observe(engineReport(revision, heldVersion));
+            box.starter.observe(engineReport(revision, heldVersion), box.starter.instance());
             return Promise.complete();
         });
     }
