Specification of start orders to an engine

WeightsStart: an engine executes an order at any later time and loads what is staged then; it may lose power; the agent learns of the new incarnation late. Loaded weights are those that the order names.

Five seeded faults are found: no check of the revision, none of the incarnation, staging another version beside an unanswered order, a revision of another incarnation, and an agent that forgets an unanswered order. Not covered: a piece that is given up and arrives later.

--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -36,7 +36,8 @@
                 "Ledger",
                 "Permits",
                 "Evacuation",
-                "SlowStart"
+                "SlowStart",
+                "WeightsStart"
             })
     void specification_satisfies_its_invariants(String configuration) throws Exception {
         assertThat(check(configuration)).contains("No error has been found");
@@ -68,7 +69,12 @@
                 "Evacuation.fault-local",
                 "SlowStart.fault-start",
                 "SlowStart.fault-join",
-                "SlowStart.fault-view"
+                "SlowStart.fault-view",
+                "WeightsStart.fault-revision",
+                "WeightsStart.fault-instance",
+                "WeightsStart.fault-staging",
+                "WeightsStart.fault-report",
+                "WeightsStart.fault-forget"
             })
     void model_checker_detects_seeded_fault(String configuration) throws Exception {
         assertThat(check(configuration)).containsPattern("Invariant \\w+ is violated");
