--- a/core/src/main/java/org/bankturn/weights/UnansweredStart.java
+++ b/core/src/main/java/org/bankturn/weights/UnansweredStart.java
@@ -6,7 +6,7 @@
  * Remembers a start order that an engine has not answered.
  *
  * <p>The engine may execute the order at any later time, with whatever is staged then. So no other version may be staged
- * before the order can no longer take effect: once the engine has begun an order since, has started anew, or holds the
+ * until the order can no longer take effect: once the engine has begun an order since, has started anew, or holds the
  * version already. Sending the order again, for the same revision, brings that about.
  *
  * <p>UnansweredStart is mutable and not thread-safe.
