Weights: an unanswered order is settled by the version it names only

An engine that holds the version of an unanswered order does nothing with it. One that held a newer version at the same revision would load the older one, so only the same version settles it.

--- a/core/src/main/java/org/bankturn/weights/UnansweredStart.java
+++ b/core/src/main/java/org/bankturn/weights/UnansweredStart.java
@@ -33,7 +33,7 @@
 
     /** Updates the state from a report of the engine. */
     public void observe(long revision, int heldVersion) {
-        if (order != null && (revision != order.expectedRevision() || heldVersion >= order.version())) {
+        if (order != null && (revision != order.expectedRevision() || heldVersion == order.version())) {
             settle();
         }
     }
--- a/core/src/test/java/org/bankturn/weights/UnansweredStartTest.java
+++ b/core/src/test/java/org/bankturn/weights/UnansweredStartTest.java
@@ -44,4 +44,11 @@
         unanswered.observe(5, 2);
         assertThat(unanswered.allowsStaging(3)).isTrue();
     }
+
+    @Test
+    void order_for_older_weights_than_those_held_may_still_be_executed() {
+        unanswered.record(ORDER);
+        unanswered.observe(5, 3);
+        assertThat(unanswered.allowsStaging(3)).isFalse();
+    }
 }
--- a/specs/WeightsStart.tla
+++ b/specs/WeightsStart.tla
@@ -56,7 +56,7 @@
     /\ UNCHANGED <<engine, agent, order, unanswered, sent, sends>>
 
 \* The order can no longer take effect, as far as a report tells.
-Settled == engine.revision # order.revision \/ engine.held >= order.version
+Settled == engine.revision # order.revision \/ engine.held = order.version
 
 Report ==
     /\ agent' = [agent EXCEPT !.revision = engine.revision, !.reported = agent.life]
