Weights: an order that was settled in flight does not keep newer weights away

What callers would see: an engine that gets no newer weights until its process is restarted.

Cause: an order was remembered as unanswered when its call ended. If a report had settled it in the meantime and the engine was then replaced, its revision was the expected one again: the order counted as unanswered for good, beside a newer copy that may not be started with it.

Change: an order is remembered when it is sent, so that a report during its flight settles it for good. A rejection takes back its own sending only; earlier ones stay unanswered.

Test: order_settled_in_flight_stays_settled_after_the_engine_was_replaced failed before, passes now.

--- a/core/src/main/java/org/bankturn/weights/UnansweredStart.java
+++ b/core/src/main/java/org/bankturn/weights/UnansweredStart.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 
 /**
- * Remembers a start order that an engine has not answered.
+ * Remembers a start order that was sent to an engine and not answered.
  *
  * <p>The engine may execute the order at any later time, with whatever is staged then. So no other version may be staged
  * until the order can no longer take effect: once the engine has begun an order since, has started anew, or holds the
@@ -14,6 +14,9 @@
 public final class UnansweredStart {
     private StartOrder order;
 
+    /** How often the order was sent without an answer, the sending in flight included. */
+    private int sendings;
+
     /** Returns a state in which every order was answered, not null. */
     public static UnansweredStart none() {
         return new UnansweredStart();
@@ -21,14 +24,24 @@
 
     private UnansweredStart() {}
 
-    /** Records an order without an answer; orders for the same revision are of the same version. */
-    public void record(StartOrder unanswered) {
+    /** Records that an order is sent; while one is unanswered, it is the only one that may be sent. */
+    public void sent(StartOrder unanswered) {
         order = unanswered;
+        sendings++;
+    }
+
+    /** Records that the engine has rejected the last sending; an earlier one may still be executed. */
+    public void rejected() {
+        sendings--;
+        if (sendings <= 0) {
+            settle();
+        }
     }
 
     /** Forgets the order, which can no longer take effect. */
     public void settle() {
         order = null;
+        sendings = 0;
     }
 
     /** Updates the state from a report of the engine. */
--- a/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import java.io.IOException;
+import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.PooledHttpClient;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
@@ -33,7 +34,6 @@
     private String reportedInstance = "";
 
     private long revision;
-    private int heldVersion;
 
     EngineStarter(CopyContext context) {
         this.context = context;
@@ -53,8 +53,7 @@
     void observe(EngineReport report, String requestedFrom) {
         reportedInstance = requestedFrom;
         revision = report.revision();
-        heldVersion = report.heldVersion();
-        unanswered.observe(revision, heldVersion);
+        unanswered.observe(revision, report.heldVersion());
     }
 
     /** Notes which incarnation is published at the engine's address; a change replaces what the engine said itself. */
@@ -117,6 +116,7 @@
             if (orderMillis - verificationMillis > MAX_VERIFICATION_MILLIS) {
                 return Promise.ofException(new IOException("the staged weights were verified too long ago"));
             }
+            unanswered.sent(order);
             return context.callEngine(
                             context.dialect().order(order), context.dialect().startOrder(order))
                     .whenComplete((answer, failure) -> ended(failure));
@@ -124,15 +124,19 @@
 
         private void ended(Exception failure) {
             outcome = OrderOutcome.of(failure);
-            if (outcome == OrderOutcome.UNANSWERED) {
-                unanswered.record(order);
-                unanswered.observe(revision, heldVersion);
-            } else if (outcome == OrderOutcome.ACCEPTED) {
+            if (outcome == OrderOutcome.ACCEPTED) {
                 unanswered.settle();
-            } else if (failure instanceof HttpStatusException rejection
-                    && context.dialect().isOtherInstance(rejection.head())) {
-                instance = context.dialect().instance(rejection.head()).orElse("");
+            } else if (failure instanceof HttpStatusException rejection) {
+                rejected(rejection.head());
+            }
+        }
+
+        private void rejected(HttpHead rejection) {
+            if (context.dialect().isOtherInstance(rejection)) {
+                instance = context.dialect().instance(rejection).orElse("");
                 unanswered.settle();
+            } else {
+                unanswered.rejected();
             }
         }
 
--- a/daemon/src/test/java/org/bankturn/daemon/weights/EngineStarterTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/EngineStarterTest.java
@@ -8,9 +8,11 @@
 import io.activej.promise.SettablePromise;
 import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.PooledHttpClient;
 import org.bankturn.routing.EngineLoad;
 import org.bankturn.weights.ChangeMethod;
@@ -106,6 +108,40 @@
         assertThat(box.starter.allowsStaging(PlainWeightsDialect.VERSION + 1)).isTrue();
     }
 
+    /** Guards against an engine that gets no newer weights, since a settled order counts as unanswered for good. */
+    @Test
+    void order_settled_in_flight_stays_settled_after_the_engine_was_replaced() {
+        SettablePromise<PooledHttpClient.Response> answer = new SettablePromise<>();
+        box.orderAnswer = answer;
+        report(0, 1);
+        run(() -> {
+            Promise<Void> started = box.starter.start(box.copy, ChangeMethod.AT_ONCE);
+            box.starter.observe(engineReport(1, PlainWeightsDialect.VERSION), box.starter.instance());
+            box.starter.observe(engineReport(0, 0), box.starter.instance());
+            answer.setException(new IOException("no answer"));
+            return started.then(ignored -> Promise.complete(), failure -> Promise.complete());
+        });
+        assertThat(box.starter.allowsStaging(PlainWeightsDialect.VERSION + 1)).isTrue();
+    }
+
+    @Test
+    void rejected_order_leaves_an_earlier_unanswered_one_open() {
+        box.orderAnswer = Promise.ofException(new IOException("no answer"));
+        report(4, 1);
+        assertThatThrownBy(this::start).hasMessageContaining("no answer");
+        box.orderAnswer = Promise.ofException(new HttpStatusException(HttpHead.response(409, List.of())));
+        assertThatThrownBy(this::start).hasMessageContaining("409");
+        assertThat(box.starter.allowsStaging(PlainWeightsDialect.VERSION + 1)).isFalse();
+    }
+
+    @Test
+    void rejected_order_allows_other_versions_to_be_staged() {
+        box.orderAnswer = Promise.ofException(new HttpStatusException(HttpHead.response(409, List.of())));
+        report(4, 1);
+        assertThatThrownBy(this::start).hasMessageContaining("409");
+        assertThat(box.starter.allowsStaging(PlainWeightsDialect.VERSION + 1)).isTrue();
+    }
+
     @Test
     void unanswered_order_is_sent_again_and_keeps_other_versions_from_being_staged() {
         box.orderAnswer = Promise.ofException(new IOException("no answer"));
