Specification of start orders: an order counts as unanswered from its sending on

WeightsStart follows the code: a copy may be replaced while an order that a report has settled is still in flight.

--- a/specs/WeightsStart.tla
+++ b/specs/WeightsStart.tla
@@ -28,7 +28,7 @@
 VARIABLES published,        \* the newest version
           engine,           \* incarnation, revision, version held, staged versions by piece, whether the load was whole
           agent,            \* version copied, incarnation believed, that of the last report, its revision, pieces verified,
-                            \* whether an order is awaited
+                            \* whether an answer is awaited, whether an earlier sending of that order is unanswered
           order,            \* the order that is verified, awaited or unanswered
           unanswered,       \* whether the engine may still execute that order
           sent,             \* orders on their way, each executed once at any time, with the number of the sending
@@ -44,7 +44,7 @@
     /\ published = 1
     /\ engine = Empty(1)
     /\ agent = [copy |-> 1, life |-> 1, reported |-> 1, revision |-> 0,
-                verifying |-> FALSE, verified |-> 0, awaiting |-> FALSE]
+                verifying |-> FALSE, verified |-> 0, awaiting |-> FALSE, earlier |-> FALSE]
     /\ order = NoOrder
     /\ unanswered = FALSE
     /\ sent = {}
@@ -70,13 +70,11 @@
 \* A newer copy replaces the current one; a verification of the replaced one ends.
 Replace ==
     /\ agent.copy < published
-    /\ ~agent.awaiting
     /\ ~KeepStaged \/ ~unanswered
     /\ agent' = [agent EXCEPT !.copy = published, !.verifying = FALSE, !.verified = 0]
     /\ UNCHANGED <<published, engine, order, unanswered, sent, sends>>
 
 Stage(piece) ==
-    /\ ~agent.awaiting
     /\ engine' = [engine EXCEPT !.staged[piece] = agent.copy]
     /\ UNCHANGED <<published, agent, order, unanswered, sent, sends>>
 
@@ -102,8 +100,9 @@
     /\ sends < MaxSends
     /\ sends' = sends + 1
     /\ sent' = sent \cup {[order |-> order, number |-> sends']}
-    /\ agent' = [agent EXCEPT !.verifying = FALSE, !.verified = 0, !.awaiting = TRUE]
-    /\ UNCHANGED <<published, engine, order, unanswered>>
+    /\ agent' = [agent EXCEPT !.verifying = FALSE, !.verified = 0, !.awaiting = TRUE, !.earlier = unanswered]
+    /\ unanswered' = TRUE
+    /\ UNCHANGED <<published, engine, order>>
 
 IsForThisEngine(o) == ~CheckInstance \/ o.life = engine.life
 
@@ -125,15 +124,14 @@
              IF heard /\ agent.awaiting /\ message.number = sends
              THEN /\ agent' = [agent EXCEPT !.awaiting = FALSE,
                                             !.life = IF IsForThisEngine(o) THEN @ ELSE engine.life]
-                  /\ unanswered' = (unanswered /\ ~Takes(o) /\ IsForThisEngine(o))
+                  /\ unanswered' = (unanswered /\ ~Takes(o) /\ IsForThisEngine(o) /\ agent.earlier)
              ELSE UNCHANGED <<agent, unanswered>>
        /\ UNCHANGED <<published, order, sends>>
 
 GiveUp ==
     /\ agent.awaiting
     /\ agent' = [agent EXCEPT !.awaiting = FALSE]
-    /\ unanswered' = TRUE
-    /\ UNCHANGED <<published, engine, order, sent, sends>>
+    /\ UNCHANGED <<published, engine, order, unanswered, sent, sends>>
 
 Forget ==
     /\ ~Remember /\ unanswered
@@ -155,4 +153,7 @@
 
 ----------------------------------------------------------------------------
 LoadedIsWhole == engine.whole
+
+\* Else the order could neither be sent again nor be settled.
+UnansweredIsCopied == unanswered => order.version = agent.copy
 ============================================================================
