Weights: a restarted process finds out which start order may still be executed

What callers saw: tokens made with pieces of two versions. An engine may execute a start order seconds after its sender has given it up; a process that is restarted forgets such an order and staged a newer version beside it.

Cause: the rule "no other version is staged while an order is unanswered" was kept in memory only.

Why this works: because the former process kept that rule, what lies staged tells the order. A piece is missing, or pieces belong to several versions: no order can be outstanding. All pieces are those of one version newer than the held one: the order can only be for it, so that version is finished and ordered first; the order raises the engine's revision, after which the former one is rejected. If a confirmed publication names nothing newer than the engine holds at the first report, no order can matter and nothing is read.

Weighed: an announcement of each order to the control group (durable, but a round trip an order, and no orders while it has no majority); waiting after each restart (takes every restarted engine away for the longest delay). Both are worse where the staged pieces tell.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/EngineStarter.java
@@ -27,6 +27,11 @@
     private final UnansweredStart unanswered = UnansweredStart.none();
     private String publishedInstance = "";
 
+    /** The order that a former process may have sent, null if none is assumed. */
+    private StartOrder assumed;
+
+    private long assumedUntilMillis;
+
     /** The incarnation that orders are for, empty if it is not known. */
     private String instance = "";
 
@@ -54,6 +59,27 @@
         reportedInstance = requestedFrom;
         revision = report.revision();
         unanswered.observe(revision, report.heldVersion());
+        updateAssumed();
+    }
+
+    /**
+     * Treats an order as sent and not answered, because a former process may have sent it.
+     *
+     * @param untilMillis the time from which the engine can no longer execute the order
+     */
+    void assume(StartOrder order, long untilMillis) {
+        assumed = order;
+        assumedUntilMillis = untilMillis;
+        unanswered.sent(order);
+    }
+
+    private void updateAssumed() {
+        if (unanswered.order().isEmpty()) {
+            assumed = null;
+        } else if (assumed != null && context.clock().millis() >= assumedUntilMillis) {
+            assumed = null;
+            unanswered.rejected();
+        }
     }
 
     /** Notes which incarnation is published at the engine's address; a change replaces what the engine said itself. */
@@ -64,6 +90,16 @@
         }
     }
 
+    /** Returns true if the last report is known to be of the incarnation that orders are for. */
+    boolean hasCurrentReport() {
+        return instance.equals(reportedInstance);
+    }
+
+    /** Returns an order for the engine as it last reported, not null. */
+    StartOrder order(String model, int version, ChangeMethod method) {
+        return new StartOrder(model, version, method, instance, revision);
+    }
+
     /** Returns true if pieces of a version may be staged. */
     boolean allowsStaging(int version) {
         return unanswered.allowsStaging(version);
@@ -71,9 +107,7 @@
 
     /** Verifies the staged weights and orders the engine to load them; fails unless the engine accepts the order. */
     Promise<Void> start(WeightsCopy copy, ChangeMethod method) {
-        StartOrder order = unanswered
-                .order()
-                .orElseGet(() -> new StartOrder(copy.model(), copy.version(), method, instance, revision));
+        StartOrder order = unanswered.order().orElseGet(() -> order(copy.model(), copy.version(), method));
         return new Attempt(copy, order).run();
     }
 
@@ -104,7 +138,7 @@
                 return Promise.ofException(new IOException("commands to the engine are still on their way"));
             }
             boolean sentBefore = unanswered.order().isPresent();
-            if (!sentBefore && !instance.equals(reportedInstance)) {
+            if (!sentBefore && !hasCurrentReport()) {
                 return Promise.ofException(new IOException("the engine has not reported since it was replaced"));
             }
             return copy.verify();
@@ -129,6 +163,7 @@
             } else if (failure instanceof HttpStatusException rejection) {
                 rejected(rejection.head());
             }
+            updateAssumed();
         }
 
         private void rejected(HttpHead rejection) {
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsAgent.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -15,6 +16,7 @@
 import org.bankturn.service.WeightsLayout;
 import org.bankturn.weights.ChangeMethod;
 import org.bankturn.weights.ChangeSchedule;
+import org.bankturn.weights.FormerStart;
 import org.bankturn.weights.PieceRouting;
 import org.bankturn.weights.PublicationTimes;
 import org.bankturn.weights.WeightsPeer;
@@ -38,11 +40,14 @@
     private static final long MAX_LOAD_AGE_MILLIS = 1_000;
     private static final long REORDER_START_MILLIS = 1_500;
     private static final long FAILED_START_RETRY_MILLIS = 150;
+    private static final int MAX_NEIGHBOURS_ASKED = 3;
 
     private final WeightsSettings settings;
     private final ProcessCopyContext context;
     private final PieceSender sender;
     private final EngineStarter starter;
+    private final RecentManifests manifests = new RecentManifests();
+    private final FormerStartCheck formerStart;
     private final FetchScheduler scheduler = new FetchScheduler();
     private PublishedState published = PublishedState.EMPTY;
     private WeightsCopy copy;
@@ -74,6 +79,7 @@
         this.settings = settings;
         this.context = new ProcessCopyContext(dependencies, new EngineParticipant());
         this.starter = new EngineStarter(context);
+        this.formerStart = FormerStartCheck.of(context, manifests);
         this.sender = new PieceSender(dependencies.reactor(), dependencies.clock(), settings.linkBytesPerSecond());
     }
 
@@ -154,25 +160,78 @@
         lastReport = report;
         starter.observe(report, requestedFrom);
         reportMillis = context.clock().millis();
+        keepManifest(copy);
+        keepManifest(nextCopy);
         int wanted = Math.max(1, publishedVersion);
+        checkFormerStart(wanted, report);
         if (report.heldVersion() >= wanted) {
             return;
         }
         ensureCopy(wanted, report);
-        if (!report.busy() && copy.isComplete()) {
+        if (!report.busy() && copy != null && copy.isComplete()) {
             scheduleStart();
         }
     }
 
+    private void keepManifest(WeightsCopy copied) {
+        if (copied != null && copied.piece(WeightsCopy.MANIFEST) != null) {
+            manifests.keep(copied.version(), copied.piece(WeightsCopy.MANIFEST));
+        }
+    }
+
+    // ---- orders of a former process
+
+    private void checkFormerStart(int wanted, EngineReport report) {
+        if (formerStart.isDone() || !starter.hasCurrentReport()) {
+            return;
+        }
+        Optional<FormerStart> finding = formerStart.finding(report, wanted, published.confirmed());
+        if (finding.isPresent()) {
+            applyFormerStart(finding.get());
+        } else if (report.heldVersion() < wanted && !report.busy()) {
+            formerStart.readStagedPieces(layout().orElseThrow());
+            formerStart.lookUpManifests(layout().orElseThrow().model(), report.heldVersion(), wanted, neighbours());
+        }
+    }
+
+    /** Finishes the version that a former process may have ordered; sending that order again settles it. */
+    private void applyFormerStart(FormerStart finding) {
+        if (finding.state() != FormerStart.State.POSSIBLE) {
+            return;
+        }
+        String model = layout().orElseThrow().model();
+        starter.assume(starter.order(model, finding.version(), changeMethod()), formerStart.endMillis());
+        if (nextCopy != null && nextCopy.version() == finding.version()) {
+            cancel(nextCopy);
+            nextCopy = null;
+        }
+        byte[] manifest = manifests.manifest(finding.version());
+        copy = newCopy(finding.version());
+        copy.startFrom(manifest, context.dialect().manifest(manifest).orElseThrow(), formerStart.pieces());
+        stage(copy);
+    }
+
+    /** Returns the nearest boxes of the service, not null. */
+    private List<String> neighbours() {
+        return boxes().stream()
+                .filter(box -> !box.box().equals(settings.nodeAddress().toString()))
+                .sorted(Comparator.comparing(box -> !box.dataHall().equals(settings.dataHall())))
+                .limit(MAX_NEIGHBOURS_ASKED)
+                .map(WeightsPeer::box)
+                .toList();
+    }
+
+    // ---- copies
+
     /** Starts a copy of the wanted version, which is fetched but not staged while an advanced older copy is finished. */
     private void ensureCopy(int wanted, EngineReport report) {
         if (copy != null && copy.version() >= wanted) {
             return;
         }
-        boolean finishCurrent = copy != null
-                && (report.busy()
-                        || !starter.allowsStaging(wanted)
-                        || (copy.hasSubstantialProgress() && report.heldVersion() < copy.version()));
+        boolean finishCurrent = !formerStart.isDone()
+                || !starter.allowsStaging(wanted)
+                || (copy != null
+                        && (report.busy() || (copy.hasSubstantialProgress() && report.heldVersion() < copy.version())));
         if (nextCopy == null || nextCopy.version() < wanted) {
             cancel(nextCopy);
             nextCopy = startCopy(wanted);
@@ -181,11 +240,15 @@
             cancel(copy);
             copy = nextCopy;
             nextCopy = null;
-            copy.onComplete(this::scheduleStart);
-            copy.allowStaging();
+            stage(copy);
         }
     }
 
+    private void stage(WeightsCopy allowed) {
+        allowed.onComplete(this::scheduleStart);
+        allowed.allowStaging();
+    }
+
     private static void cancel(WeightsCopy obsolete) {
         if (obsolete != null) {
             obsolete.cancel();
@@ -198,11 +261,15 @@
                 .with(DecisionField.EVENT, "copy begun")
                 .with(DecisionField.VERSION, version)
                 .write();
-        WeightsCopy started = new WeightsCopy(context, layout().orElseThrow(), version, scheduler);
+        WeightsCopy started = newCopy(version);
         started.start();
         return started;
     }
 
+    private WeightsCopy newCopy(int version) {
+        return new WeightsCopy(context, layout().orElseThrow(), version, scheduler);
+    }
+
     /** Returns the current or the next copy if it is of the given version. */
     private Optional<WeightsCopy> copyOf(int version) {
         return Stream.of(Optional.ofNullable(copy), Optional.ofNullable(nextCopy))
@@ -256,8 +323,11 @@
         if (pending.isPresent()) {
             return sender.reply(pending.get().piece(request.piece()), context.engineServes());
         }
+        if (request.piece() == WeightsCopy.MANIFEST) {
+            return Promise.of(new NodeReply.Piece(manifests.manifest(request.version())));
+        }
         boolean loaded = lastReport != null && lastReport.heldVersion() == request.version();
-        if (!loaded || request.piece() == WeightsCopy.MANIFEST) {
+        if (!loaded) {
             return Promise.of(new NodeReply.Piece(null));
         }
         return context.queryEngine(context.dialect().readBack(request.model(), request.piece()))
--- a/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/WeightsCopy.java
@@ -3,13 +3,10 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import java.io.IOException;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -104,6 +101,25 @@
         logProgressLater();
     }
 
+    /**
+     * Starts the copy from pieces that lie staged already; those that do not match the manifest are fetched.
+     *
+     * @param staged the pieces of this version's layout, as they were read back, not null
+     */
+    void startFrom(byte[] manifestBytes, PieceManifest manifest, List<byte[]> staged) {
+        this.manifestBytes = manifestBytes;
+        this.manifest = manifest;
+        this.pieces = new byte[manifest.digests().size()][];
+        for (int piece = 0; piece < pieces.length; piece++) {
+            if (piece < staged.size() && matches(piece, staged.get(piece))) {
+                pieces[piece] = staged.get(piece);
+            } else {
+                request(piece);
+            }
+        }
+        logProgressLater();
+    }
+
     /** Allows pieces to be staged, which overwrites the staged pieces of any other version. */
     void allowStaging() {
         if (stagingAllowed) {
@@ -254,14 +270,7 @@
     }
 
     private boolean matches(int piece, byte[] bytes) {
-        try {
-            byte[] actual = MessageDigest.getInstance("SHA-256").digest(bytes);
-            return HexFormat.of()
-                    .formatHex(actual)
-                    .equalsIgnoreCase(manifest.digests().get(piece));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform must support SHA-256", e);
-        }
+        return PieceDigest.of(bytes).equalsIgnoreCase(manifest.digests().get(piece));
     }
 
     // ---- staging
--- a/specs/WeightsStart.tla
+++ b/specs/WeightsStart.tla
@@ -7,8 +7,10 @@
 (* The engine may execute an order at any later time, also when the agent  *)
 (* has given it up, and loads what is staged then.  It may lose power and  *)
 (* start anew, with nothing staged and at revision 0; the agent learns of  *)
-(* the new incarnation late.  Loaded weights must be those of the version  *)
-(* that the order names.                                                   *)
+(* the new incarnation late.  The agent may be restarted: it forgets its   *)
+(* order, and finds out from the staged pieces which one is possible       *)
+(* before it stages any, as org.bankturn.weights.StagedPieces does.        *)
+(* Loaded weights must be those of the version that the order names.       *)
 (*                                                                         *)
 (* Pieces arrive when they are staged: the module does not cover a piece   *)
 (* that is given up and arrives later.                                     *)
@@ -23,12 +25,14 @@
           CheckInstance,    \* TRUE: an order is executed by its incarnation only (the design)
           KeepStaged,       \* TRUE: no other version is staged while an order is unanswered (the design)
           MatchReport,      \* TRUE: a revision counts for the incarnation it was requested from (the design)
-          Remember          \* TRUE: the agent never forgets an unanswered order; FALSE: it may, as when it restarts
+          MaxRestarts,      \* restarts of the agent, which forgets an unanswered order each time
+          CheckStaged       \* TRUE: a restarted agent finds out from the staged pieces which order is possible (the design)
 
 VARIABLES published,        \* the newest version
           engine,           \* incarnation, revision, version held, staged versions by piece, whether the load was whole
           agent,            \* version copied, incarnation believed, that of the last report, its revision, pieces verified,
-                            \* whether an answer is awaited, whether an earlier sending of that order is unanswered
+                            \* whether an answer is awaited, whether an earlier sending of that order is unanswered,
+                            \* version held as reported, whether the staged pieces were checked, restarts so far
           order,            \* the order that is verified, awaited or unanswered
           unanswered,       \* whether the engine may still execute that order
           sent,             \* orders on their way, each executed once at any time, with the number of the sending
@@ -44,7 +48,8 @@
     /\ published = 1
     /\ engine = Empty(1)
     /\ agent = [copy |-> 1, life |-> 1, reported |-> 1, revision |-> 0,
-                verifying |-> FALSE, verified |-> 0, awaiting |-> FALSE, earlier |-> FALSE]
+                verifying |-> FALSE, verified |-> 0, awaiting |-> FALSE, earlier |-> FALSE,
+                held |-> 0, checked |-> TRUE, restarts |-> 0]
     /\ order = NoOrder
     /\ unanswered = FALSE
     /\ sent = {}
@@ -59,7 +64,7 @@
 Settled == engine.revision # order.revision \/ engine.held = order.version
 
 Report ==
-    /\ agent' = [agent EXCEPT !.revision = engine.revision, !.reported = agent.life]
+    /\ agent' = [agent EXCEPT !.revision = engine.revision, !.reported = agent.life, !.held = engine.held]
     /\ unanswered' = (unanswered /\ ~Settled)
     /\ UNCHANGED <<published, engine, order, sent, sends>>
 
@@ -69,18 +74,19 @@
 
 \* A newer copy replaces the current one; a verification of the replaced one ends.
 Replace ==
-    /\ agent.copy < published
+    /\ agent.checked /\ agent.copy < published
     /\ ~KeepStaged \/ ~unanswered
     /\ agent' = [agent EXCEPT !.copy = published, !.verifying = FALSE, !.verified = 0]
     /\ UNCHANGED <<published, engine, order, unanswered, sent, sends>>
 
 Stage(piece) ==
+    /\ agent.checked
     /\ engine' = [engine EXCEPT !.staged[piece] = agent.copy]
     /\ UNCHANGED <<published, agent, order, unanswered, sent, sends>>
 
 \* An unanswered order is sent again as it was.
 BeginVerification ==
-    /\ ~agent.verifying /\ ~agent.awaiting
+    /\ agent.checked /\ ~agent.verifying /\ ~agent.awaiting
     /\ unanswered => order.version = agent.copy
     /\ unanswered \/ ~MatchReport \/ agent.reported = agent.life
     /\ order' = IF unanswered
@@ -133,10 +139,29 @@
     /\ agent' = [agent EXCEPT !.awaiting = FALSE]
     /\ UNCHANGED <<published, engine, order, unanswered, sent, sends>>
 
-Forget ==
-    /\ ~Remember /\ unanswered
+Restart ==
+    /\ agent.restarts < MaxRestarts
+    /\ agent' = [agent EXCEPT !.copy = published, !.reported = 0, !.verifying = FALSE, !.verified = 0,
+                              !.awaiting = FALSE, !.earlier = FALSE, !.checked = ~CheckStaged, !.restarts = @ + 1]
+    /\ order' = NoOrder
     /\ unanswered' = FALSE
-    /\ UNCHANGED <<published, engine, agent, order, sent, sends>>
+    /\ UNCHANGED <<published, engine, sent, sends>>
+
+MayHaveBeenOrdered(version) ==
+    /\ version > agent.held
+    /\ \A piece \in 1..Pieces : engine.staged[piece] = version
+
+\* The order that a former process may have sent counts as sent and not answered.
+Check ==
+    /\ ~agent.checked /\ agent.reported = agent.life
+    /\ IF \E version \in 1..published : MayHaveBeenOrdered(version)
+       THEN LET version == CHOOSE version \in 1..published : MayHaveBeenOrdered(version)
+            IN /\ order' = [version |-> version, life |-> agent.life, revision |-> agent.revision]
+               /\ unanswered' = TRUE
+               /\ agent' = [agent EXCEPT !.checked = TRUE, !.copy = version]
+       ELSE /\ agent' = [agent EXCEPT !.checked = TRUE, !.copy = published]
+            /\ UNCHANGED <<order, unanswered>>
+    /\ UNCHANGED <<published, engine, sent, sends>>
 
 LosePower ==
     /\ engine.life < MaxLives
@@ -145,7 +170,7 @@
 
 Next ==
     \/ Publish \/ Report \/ LearnInstance \/ Replace \/ BeginVerification \/ Verify \/ Send \/ GiveUp
-    \/ Forget \/ LosePower
+    \/ Restart \/ Check \/ LosePower
     \/ \E piece \in 1..Pieces : Stage(piece)
     \/ \E message \in sent : Execute(message)
 
