Admission: urgent requests of a large account give way after less urgent ones of others

What callers saw: in a shortage, the most urgent requests lost more than a tenth of their credit while half of the next kind's was earned.

Shares by account apply while a tenth of the service's first attempts is rejected, whichever they are: the less urgent requests that are rejected for the sake of the urgent ones switched the shares on, and these rejected urgent requests.

Change: the most urgent requests are limited no further for a share than less urgent ones are limited for their urgency.

--- a/core/src/main/java/org/bankturn/routing/RequestAdmission.java
+++ b/core/src/main/java/org/bankturn/routing/RequestAdmission.java
@@ -192,17 +192,24 @@
     /**
      * Returns the limit factor of the request's account: 1 in a service whose requests all have one priority, and while
      * capacity is not short, so that no slot stays idle for a share.
+     *
+     * <p>The most urgent requests are limited no further than less urgent ones are on their account, so that capacity is
+     * taken from the less urgent requests of all accounts before it is taken from urgent ones of a large account.
      */
     private double accountShareFactor(RequestProgress request) {
-        if (!firstAttempts(request.service()).isShort()) {
+        Service service = request.service();
+        int highest = routes(service).stream()
+                .mapToInt(RequestAdmission::priority)
+                .min()
+                .orElse(0);
+        boolean ordered = routes(service).stream().anyMatch(route -> priority(route) != highest);
+        if (!ordered || !firstAttempts(service).isShort()) {
             return 1;
         }
-        boolean ordered = routes(request.service()).stream()
-                        .mapToInt(RequestAdmission::priority)
-                        .distinct()
-                        .count()
-                > 1;
-        return ordered ? accountShares(request.service()).limitFactor(request.accountName()) : 1;
+        double factor = accountShares(service).limitFactor(request.accountName());
+        return request.priority() <= highest
+                ? Math.max(factor, pressure(service).limitFactor(highest + 1))
+                : factor;
     }
 
     private static int priority(Route route) {
--- a/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
+++ b/core/src/test/java/org/bankturn/routing/RequestPolicyTest.java
@@ -262,6 +262,20 @@
         assertThat(decide(request(ROUTE, large))).isInstanceOf(NextStep.Send.class);
     }
 
+    /** Guards against urgent requests of a large account that are rejected while less urgent ones of others are admitted. */
+    @Test
+    void urgent_request_of_an_account_above_its_share_is_admitted_while_only_less_urgent_ones_are_rejected() {
+        publishUrgentAndPatientRoutes();
+        Account large = new Account("large", List.of(), -1);
+        Account small = new Account("small", List.of(), -1);
+        admitManyOf(large, small);
+        full("one");
+        full("two");
+        assertThat(decide(request(PATIENT_ROUTE, small))).isInstanceOf(NextStep.GiveUp.class);
+        busyForBoth();
+        assertThat(decide(request(ROUTE, large))).isInstanceOf(NextStep.Send.class);
+    }
+
     private void rejectOneOf(Account account) {
         full("one");
         full("two");
