Slow readers: progress is recorded before it is visible, and closing before it is told

What was seen: SlowReaderTest#stream_whose_client_stopped_reading_... timed out beside 24 busy processes (1 of 3 runs of the class on the untouched code; earlier 4 of 5), and two more tests of the class once each.

Cause, by a trace (a trial, 12 repetitions beside the same load): in both that did not close, the clock was advanced with 33,554,443 bytes queued, that is, before the first write, and 3,932,160 bytes were written after it. The size of the queue was published before the start of the write was recorded, and the kernel takes output for a client that does not read until its buffers are full; each such write restarts the second after which a client counts as not reading, but the test advanced its clock once.

Product: a connection records the time before the change of its queue is visible, for each write and not for a series of them; of clients unread since the same millisecond the one that read first is closed, not an arbitrary one; a connection that is closed leaves the accounts before it is reported (one of 50 runs of the class's tests read the sum in between: expected 0, was 29,622,283).

Tests: two tests advanced the clock once, which is wrong while the kernel still takes output. They now advance it by the same time once, and again only after progress was seen. That is as strict: after the last progress the clock is advanced once, by the bound, and a client that isn't closed then lets the test time out. Bounds, assertions and time-outs stay.

--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpListener.java
@@ -28,6 +28,7 @@
     private final Set<ServerConnection> connections = new HashSet<>();
     private final SendQueueBudget<ServerConnection> sendQueues;
     private boolean sendQueueCheckPosted;
+    private long writes;
     private boolean draining;
 
     /**
@@ -126,6 +127,11 @@
         return sendQueues.queuedBytes();
     }
 
+    /** Returns the number of the next write to any client; later writes have higher numbers. */
+    long nextWriteNumber() {
+        return writes++;
+    }
+
     /** Records a change of a connection's queued output and schedules a check if a bound is exceeded. */
     void sendQueueChanged(ServerConnection connection, long change) {
         sendQueues.changed(connection, change);
--- a/daemon/src/main/java/org/bankturn/daemon/http/SendQueueBudget.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/SendQueueBudget.java
@@ -28,6 +28,9 @@
 
         /** Returns since when the client has not read any of it, in milliseconds. */
         long unreadSinceMillis();
+
+        /** Returns the number of the current write, which orders connections whose times are equal. */
+        long writeNumber();
     }
 
     SendQueueBudget(SendQueueLimits limits) {
@@ -62,6 +65,6 @@
         return holders.stream()
                 .filter(each -> tooMuch || each.queuedBytes() > limits.connectionBytes())
                 .filter(each -> farTooMuch || nowMillis - each.unreadSinceMillis() >= STOPPED_READING_MILLIS)
-                .min(Comparator.comparingLong(Holder::unreadSinceMillis));
+                .min(Comparator.comparingLong(Holder::unreadSinceMillis).thenComparingLong(Holder::writeNumber));
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -45,7 +45,11 @@
 
     private long idleSinceMillis;
     private long requestStartMillis;
+
+    /** The start of the current write, which follows the last progress of the client at once. */
     private long writeStartMillis;
+
+    private long writeNumber;
     private boolean reading;
     private boolean sending;
     private boolean closeWhenSent;
@@ -109,13 +113,14 @@
         }
         closed = true;
         socket.closeEx(new IOException("connection closed locally"));
-        notifyClosed(cause);
+        long unsentBytes = queuedBytes;
         sendQueue.forEach(ByteBuf::recycle);
         sendQueue.clear();
-        queueChanged(-queuedBytes);
+        queueChanged(-unsentBytes);
+        notifyClosed(cause, unsentBytes);
     }
 
-    private void notifyClosed(DisconnectCause cause) {
+    private void notifyClosed(DisconnectCause cause, long unsentBytes) {
         listener.connectionClosed(this);
         ServerExchange interrupted = exchange;
         exchange = null;
@@ -129,9 +134,8 @@
         }
         // a write that fails at once ends the connection before the exchange has been finished
         HttpHead answered = interrupted != null ? interrupted.head() : answeredHead;
-        boolean undelivered = sending || !sendQueue.isEmpty();
-        if (answered != null && undelivered && cause != DisconnectCause.RESPONSE_ABORTED) {
-            interruptions.responseUndelivered(answered, queuedBytes, cause);
+        if (answered != null && unsentBytes > 0 && cause != DisconnectCause.RESPONSE_ABORTED) {
+            interruptions.responseUndelivered(answered, unsentBytes, cause);
         }
     }
 
@@ -145,6 +149,11 @@
         return writeStartMillis;
     }
 
+    @Override
+    public long writeNumber() {
+        return writeNumber;
+    }
+
     private void queueChanged(long change) {
         queuedBytes += change;
         listener.sendQueueChanged(this, change);
@@ -237,6 +246,9 @@
         if (closed) {
             return;
         }
+        if (!sending) {
+            writeStarts();
+        }
         queueChanged(bytes.length);
         for (int start = 0; start < bytes.length; start += MAX_WRITE_BYTES) {
             sendQueue.add(ByteBuf.wrap(bytes, start, Math.min(bytes.length, start + MAX_WRITE_BYTES)));
@@ -269,12 +281,11 @@
             if (closeWhenSent) {
                 socket.close();
                 closed = true;
-                notifyClosed(DisconnectCause.IDLE);
+                notifyClosed(DisconnectCause.IDLE, 0);
             }
             return;
         }
         sending = true;
-        writeStartMillis = clock.millis();
         Promise<Void> write = writeNext();
         // writes that complete at once are not nested, as there may be many of them
         while (write.isResult() && !sendQueue.isEmpty()) {
@@ -294,8 +305,15 @@
         });
     }
 
+    /** Records the progress of the client, before the change of the queue is visible. */
+    private void writeStarts() {
+        writeStartMillis = clock.millis();
+        writeNumber = listener.nextWriteNumber();
+    }
+
     /** Releases the previous write, if there is one. */
     private void writeCompleted() {
+        writeStarts();
         queueChanged(-writeLength);
         writeLength = 0;
     }
--- a/daemon/src/test/java/org/bankturn/daemon/http/SlowReaderTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/SlowReaderTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.time.ManualClock;
@@ -63,10 +64,7 @@
         listen(new SendQueueLimits(CONNECTION_BYTES, UNBOUNDED, UNBOUNDED));
         try (Socket silent = request("/stream")) {
             awaitQueued(RESPONSE_BYTES / 2);
-            clock.advance(SendQueueBudget.STOPPED_READING_MILLIS);
-            while (disconnects.isEmpty()) {
-                Thread.sleep(10);
-            }
+            advanceAfterEachProgressUntil(() -> !disconnects.isEmpty());
             assertThat(disconnects).containsExactly(DisconnectCause.SLOW_READER);
             assertThat(closedWithBytes)
                     .singleElement()
@@ -82,8 +80,8 @@
         listen(new SendQueueLimits(UNBOUNDED, CONNECTION_BYTES, UNBOUNDED));
         try (Socket silent = request("/whole")) {
             awaitQueued(RESPONSE_BYTES / 2);
-            clock.advance(SendQueueBudget.STOPPED_READING_MILLIS);
-            assertThat(undelivered.get(10, TimeUnit.SECONDS)).isEqualTo(DisconnectCause.SLOW_READER);
+            advanceAfterEachProgressUntil(undelivered::isDone);
+            assertThat(undelivered.get()).isEqualTo(DisconnectCause.SLOW_READER);
             assertThat(readAll(silent)).isLessThan(RESPONSE_BYTES);
         }
     }
@@ -172,6 +170,22 @@
         }
     }
 
+    /**
+     * Advances the clock by the time after which a client counts as not reading, once and again after each progress. The
+     * kernel takes output for a client that does not read until its buffers are full, which restarts that time.
+     */
+    private void advanceAfterEachProgressUntil(BooleanSupplier condition) throws InterruptedException {
+        long queuedBytes = 0;
+        while (!condition.getAsBoolean()) {
+            long newest = listener.queuedOutputBytes();
+            if (newest > 0 && newest != queuedBytes) {
+                queuedBytes = newest;
+                clock.advance(SendQueueBudget.STOPPED_READING_MILLIS);
+            }
+            Thread.sleep(10);
+        }
+    }
+
     private static long readAll(Socket socket) {
         long size = 0;
         byte[] buffer = new byte[1 << 16];
