Weights: a partly staged version is not taken for an ordered one with altered pieces

Only half of the pieces had to match, so the restarted process tried to finish versions that the origin no longer had.

Change: at most one piece in eight may belong to no known version. With more of them, an order is not looked for; it would load broken weights anyway unless it were repaired before it is executed.

--- a/core/src/main/java/org/bankturn/weights/StagedPieces.java
+++ b/core/src/main/java/org/bankturn/weights/StagedPieces.java
@@ -15,14 +15,17 @@
  *
  * <p>A process stages no other version while a start order is unanswered. So its successor can tell from the staged pieces
  * which order the engine may still execute: one for the version that they belong to, or none if a piece is missing or if
- * they belong to several versions. Pieces that belong to no version were altered since they were staged; an order whose
- * pieces were mostly altered is not looked for, since it loads broken weights whatever is staged next.
+ * they belong to several versions. A few pieces that belong to no known version were altered since they were staged; more
+ * of them show a copy that had not been staged whole, over an older version.
  *
  * <p>StagedPieces is immutable and thread-safe.
  */
 public final class StagedPieces {
     private static final String MISSING = "";
 
+    /** More altered pieces than one of so many are taken for those of an older version. */
+    private static final int PIECES_PER_ALTERED = 8;
+
     private final String[] digests;
 
     /**
@@ -77,10 +80,11 @@
         return known == newestVersion - heldVersion;
     }
 
-    /** Returns true if most pieces are those of a version, and no other piece is one of another version. */
+    /** Returns true if all pieces are those of a version, but for a few that belong to no known version. */
     private boolean isAltered(int version, Map<Integer, List<String>> manifests) {
         long matching = matching(manifests.get(version));
-        return 2 * matching > digests.length && matching == recognised(manifests);
+        long altered = digests.length - matching;
+        return altered * PIECES_PER_ALTERED <= digests.length && matching == recognised(manifests);
     }
 
     private long recognised(Map<Integer, List<String>> manifests) {
--- a/core/src/test/java/org/bankturn/weights/StagedPiecesTest.java
+++ b/core/src/test/java/org/bankturn/weights/StagedPiecesTest.java
@@ -56,6 +56,15 @@
         assertThat(formerStart(staged, 2, 4, 3, 4)).isEqualTo(FormerStart.of(3));
     }
 
+    /** Guards against a restarted process that finishes an old version of which the former one had staged a part. */
+    @Test
+    void part_of_a_newer_version_over_an_older_one_rules_every_order_out() {
+        List<String> staged = pieces(3);
+        staged.set(6, digest(2, 6));
+        staged.set(7, digest(2, 7));
+        assertThat(formerStart(staged, 2, 4, 3, 4)).isEqualTo(FormerStart.none());
+    }
+
     @Test
     void version_with_an_altered_piece_is_not_told_from_a_version_without_manifest() {
         List<String> staged = pieces(3);
