Slow readers: the first client's buffer is full before the second one comes

Trace: one channel of the reactor was closed and one open, and the report that the test waits for comes only if the complete response is closed. So the stream was: the kernel took output of the first client after the output of the second had begun. The second was then unread for longer, which the product may close.

The test's first client gets a receive buffer of 4 KiB, and the reactor handles what is ready before the second client comes. All assertions stay.

--- a/daemon/src/test/java/org/bankturn/daemon/http/SlowReaderTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/SlowReaderTest.java
@@ -27,6 +27,8 @@
     /** Larger than the socket buffers of both ends together. */
     private static final int RESPONSE_BYTES = 32 << 20;
 
+    private static final int SMALL_BUFFER_BYTES = 4 << 10;
+
     private static final long UNBOUNDED = Long.MAX_VALUE;
     private static final long CONNECTION_BYTES = 1 << 20;
     private static final long LONGER_THAN_SWEEP_MILLIS = 1_500;
@@ -100,8 +102,9 @@
     @Test
     void client_that_has_not_read_for_the_longest_time_is_closed_at_once_above_the_hard_bound() throws Exception {
         listen(new SendQueueLimits(UNBOUNDED, CONNECTION_BYTES, RESPONSE_BYTES + CONNECTION_BYTES));
-        try (Socket first = request("/whole")) {
+        try (Socket first = requestWithSmallBuffer("/whole")) {
             awaitQueued(RESPONSE_BYTES / 2);
+            awaitReactor();
             clock.advance(1);
             try (Socket second = request("/stream")) {
                 assertThat(undelivered.get(10, TimeUnit.SECONDS)).isEqualTo(DisconnectCause.SLOW_READER);
@@ -156,14 +159,35 @@
         exchange.writeChunk(new byte[RESPONSE_BYTES]);
     }
 
+    /** Sends a request of a client whose kernel takes no more output once its small buffer is full. */
+    private Socket requestWithSmallBuffer(String path) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        return request(socket, path);
+    }
+
     private Socket request(String path) throws IOException {
-        Socket socket = new Socket(address.host(), address.port());
+        return request(new Socket(), path);
+    }
+
+    private Socket request(Socket socket, String path) throws IOException {
+        socket.connect(address.toSocketAddress());
         socket.getOutputStream()
                 .write(("GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
                         .getBytes(StandardCharsets.ISO_8859_1));
         return socket;
     }
 
+    /** Waits until the reactor has handled the events that are ready, twice, as the first one may end within them. */
+    private void awaitReactor() {
+        for (int round = 0; round < 2; round++) {
+            reactor.submit(() -> {
+                        return Promise.complete();
+                    })
+                    .join();
+        }
+    }
+
     private void awaitQueued(long bytes) throws InterruptedException {
         while (listener.queuedOutputBytes() < bytes) {
             Thread.sleep(10);
