Logs: failed requests name the parts of their prompts

Change: the header is decoded at the boundary into a type (bounded, malformed parts counted and logged, never an error); lines health, failed and broken hold the ids; a response ended by its connection alone leaves a line each time and a counter. No decision uses any of it.

Tests: PromptPartsHeaderTest (14 cases and 200 random values) passes; GatewayTest and CrashingRequestTest pass unchanged.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -52,6 +52,7 @@
     private boolean promptPending = true;
     private boolean stallReported;
     private boolean finished;
+    private boolean endedAtClose;
     private long sentMillis;
     private long firstEventMillis;
     private long lastEventMillis;
@@ -279,6 +280,13 @@
         target.firstEventReceived(predicted, firstEventMillis);
     }
 
+    @Override
+    public void onEndOfConnection() {
+        endedAtClose = true;
+        gateway.metrics().responseEndedAtClose(request.service().name());
+        onComplete();
+    }
+
     @Override
     public void onComplete() {
         if (finished) {
@@ -314,6 +322,7 @@
                 .with(DecisionField.TARGET, targetId())
                 .with(DecisionField.REQUEST, metadata.id())
                 .with(DecisionField.FINGERPRINT, request.fingerprint())
+                .with(DecisionField.PROMPT_PARTS, metadata.promptParts())
                 .with(DecisionField.REASON, reason)
                 .with(DecisionField.FAILURES, target.consecutiveFailures())
                 .with(DecisionField.AVOIDED_MS, avoidedMillis)
@@ -338,6 +347,11 @@
         return firstEventMillis;
     }
 
+    /** Returns true if only the end of the connection delimited the response. */
+    boolean endedAtClose() {
+        return endedAtClose;
+    }
+
     int status() {
         return response.status();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -274,8 +274,9 @@
             gateway.crashDetector().onCompleted(this);
         }
         recordEnd(RequestOutcome.ANSWERED);
-        if (gateway.shouldLogAnswer()) {
+        if (gateway.shouldLogAnswer() || attempt.endedAtClose()) {
             outcomeLine(DecisionKind.ANSWERED, status, "answered by " + attempt.targetId())
+                    .with(DecisionField.ENDED_AT_CLOSE, attempt.endedAtClose())
                     .write();
         }
     }
@@ -329,6 +330,7 @@
     /** Adds the size of the request, its progress and the endings of its attempts to a line. */
     private void addCircumstances(DecisionLine line) {
         line.with(DecisionField.PROMPT_TOKENS, metadata.promptTokens())
+                .with(DecisionField.PROMPT_PARTS, metadata.promptParts())
                 .with(DecisionField.BODY_BYTES, exchange.body().length)
                 .with(DecisionField.EVENTS, eventsForwarded)
                 .with(DecisionField.DEADLINE_MS, endMillis - exchange.receivedMillis())
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -315,6 +315,7 @@
 
     private void handle(ServerExchange exchange) {
         RequestMetadata metadata = dialect.parseRequest(exchange.head());
+        reportUnreadable(metadata);
         ServingConfiguration configuration = published.configuration();
         if (configuration == null || outOfRotation) {
             answer(exchange, metadata, 503, outOfRotation ? "shutting down" : "no configuration received");
@@ -340,6 +341,17 @@
         new ForwardedRequest(this, exchange, metadata, route.get(), account).start();
     }
 
+    private void reportUnreadable(RequestMetadata metadata) {
+        int unreadable = metadata.promptParts().unreadable();
+        if (unreadable > 0) {
+            metrics.promptPartsUnreadable(unreadable);
+            log.line(DecisionKind.METADATA)
+                    .with(DecisionField.REQUEST, metadata.id())
+                    .with(DecisionField.UNREADABLE_PARTS, unreadable)
+                    .write();
+        }
+    }
+
     /** Denies a request, or answers 503 if an unconfirmed configuration may be out of date. */
     private void deny(ServerExchange exchange, RequestMetadata metadata, int status, String reason) {
         String inVersion = reason + " in version " + published.configuration().version();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/RequestMetadata.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/RequestMetadata.java
@@ -11,6 +11,7 @@
  * @param promptTokens the number of prompt tokens, 0 if not given
  * @param maxAnswerTokens the maximum number of response tokens, 0 if not given
  * @param answerTokensHint the caller's estimate of the number of response tokens, 0 if not given
+ * @param promptParts the parts of the prompt, not null
  */
 public record RequestMetadata(
         String id,
@@ -20,4 +21,5 @@
         String apiKey,
         int promptTokens,
         int maxAnswerTokens,
-        int answerTokensHint) {}
+        int answerTokensHint,
+        PromptParts promptParts) {}
--- a/daemon/src/main/java/org/bankturn/daemon/http/ResponseListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ResponseListener.java
@@ -16,6 +16,14 @@
     /** Called when the response is complete. */
     void onComplete();
 
+    /**
+     * Called instead of {@link #onComplete} when only the end of the connection delimits the response; the response may
+     * have been truncated by a crash of the target.
+     */
+    default void onEndOfConnection() {
+        onComplete();
+    }
+
     /**
      * Called when the response cannot be completed.
      *
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -162,7 +162,7 @@
             return;
         }
         if (wasAccepted) {
-            current.onComplete();
+            current.onEndOfConnection();
         } else {
             current.onFailure(TransportFailure.CLOSED);
         }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -38,6 +38,8 @@
     DISCONNECT,
     /** The number of targets that crashed while they processed the request. */
     ENDS,
+    /** True if only the end of the connection delimited the response. */
+    ENDED_AT_CLOSE,
     /** A description of the error. */
     ERROR,
     /** The name of the event. */
@@ -92,6 +94,8 @@
     PIECES,
     /** The predicted time to the first event, in milliseconds. */
     PREDICTED_MS,
+    /** The ids of the prompt's parts that other requests may have, too, in order. */
+    PROMPT_PARTS,
     /** The number of prompt tokens of the request, 0 if not given. */
     PROMPT_TOKENS,
     /** The reason for the decision. */
@@ -132,6 +136,8 @@
     TOTAL_UNSENT_BYTES,
     /** The number of requests in progress. */
     UNDER_WAY,
+    /** The number of prompt parts that could not be read. */
+    UNREADABLE_PARTS,
     /** The size of the writes to a caller that had not been completed, in bytes. */
     UNSENT_BYTES,
     /** How long it took to read the staged pieces back, in milliseconds. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -18,6 +18,8 @@
     ANSWERED,
     /** An unhandled error was thrown, which indicates a bug. */
     ERROR,
+    /** A part of a request's metadata could not be read; the request is handled without it. */
+    METADATA,
     /** A request was rejected without being executed. */
     REFUSED,
     /** A request failed, or its outcome is unknown. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -85,6 +85,8 @@
     private final Counter loadPolls;
     private final Counter errors;
     private final Counter suspects;
+    private final Counter unreadablePromptParts;
+    private final Counter closeDelimitedResponses;
     private final Counter unreadableReports;
     private final Counter targetNotices;
     private final Counter permits;
@@ -135,6 +137,9 @@
         heldBack = counter(
                 "held_back", "Requests that were not sent to the target chosen for them, by its wish.", "reason");
         suspects = counter("suspects", "Requests under which targets ended, by what became of them.", "event");
+        unreadablePromptParts = counter("unreadable_prompt_parts", "Parts of prompts that could not be read.");
+        closeDelimitedResponses = counter(
+                "close_delimited_responses", "Responses ended by their connection alone, by service.", "service");
         blockedRequests =
                 gauge("condemned_requests", "Requests that are sent to no target because targets ended under them.");
         pieceBytes = counter("piece_bytes", "Bytes of good pieces of weights, by source.", "source");
@@ -319,6 +324,16 @@
         suspects.labelValues(event).inc();
     }
 
+    /** Counts parts of a prompt that could not be read. */
+    public void promptPartsUnreadable(int parts) {
+        unreadablePromptParts.inc(parts);
+    }
+
+    /** Counts a response that only the end of its connection delimited. */
+    public void responseEndedAtClose(String service) {
+        closeDelimitedResponses.labelValues(service).inc();
+    }
+
     /** Sets the number of requests blocked because targets crashed while processing them. */
     public void setBlockedRequests(int requests) {
         blockedRequests.set(requests);
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/PlainDialect.java
@@ -20,7 +20,14 @@
                 head.field("Key").orElse(null),
                 0,
                 0,
-                0);
+                0,
+                head.field("Parts").map(PlainDialect::parts).orElse(PromptParts.NONE));
+    }
+
+    /** Parses the ids of all parts, separated by commas. */
+    private static PromptParts parts(String value) {
+        List<String> ids = List.of(value.split(",", -1));
+        return new PromptParts(ids.subList(0, ids.size() - 1), 0);
     }
 
     @Override
