--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -0,0 +1,69 @@
+package org.bankturn.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.bankturn.service.RequestKind;
+import org.junit.jupiter.api.Test;
+
+/** Guards against the end of a crashed target's connection that is taken for the end of its response. */
+class CloseDelimitedResponseTest extends GatewayFixture {
+    private static final String BEGUN_RESPONSE = "\r\n\r\nab";
+    private static final String BEGUN_STREAM = "\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+
+    private final AtomicBoolean firstRequest = new AtomicBoolean(true);
+
+    @Test
+    void a_response_cut_by_a_crash_is_not_complete_for_its_caller() throws Exception {
+        publish(RequestKind.UNSAFE, 1, crashingAfter(BEGUN_RESPONSE));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void a_response_cut_by_a_crash_is_fetched_from_another_target() throws Exception {
+        publish(RequestKind.IDEMPOTENT, 2, crashingAfter(BEGUN_RESPONSE), crashingAfter(BEGUN_RESPONSE));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+    }
+
+    @Test
+    void a_stream_cut_between_two_events_is_not_complete_for_its_caller() throws Exception {
+        publish(RequestKind.STREAM, 1, crashingAfter(BEGUN_STREAM));
+        assertThat(call("POST", "one", "body")).contains("data: a").doesNotEndWith(LAST_CHUNK);
+    }
+
+    @Test
+    void a_response_is_complete_while_its_target_lives() throws Exception {
+        publish(RequestKind.UNSAFE, 1, closingAfter("\r\n\r\nwhole"));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+    }
+
+    @Test
+    void a_stream_is_complete_while_its_target_lives() throws Exception {
+        publish(RequestKind.STREAM, 1, closingAfter(BEGUN_STREAM));
+        assertThat(call("POST", "one", "body")).contains("data: a").endsWith(LAST_CHUNK);
+    }
+
+    /** Returns a target that begins its response and crashes if no other target crashed before it. */
+    private ScriptedTarget crashingAfter(String text) throws IOException {
+        ScriptedTarget[] self = new ScriptedTarget[1];
+        self[0] = register(new ScriptedTarget((number, id, socket) -> {
+            boolean crashes = firstRequest.getAndSet(false);
+            String rest = crashes ? text : "\r\nContent-Length: 5\r\n\r\nwhole";
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + rest);
+            if (crashes) {
+                self[0].crash();
+            }
+            return !crashes;
+        }));
+        return self[0];
+    }
+
+    private ScriptedTarget closingAfter(String text) throws IOException {
+        return register(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + text);
+            return false;
+        }));
+    }
+}
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingTarget.java
@@ -1,9 +1,10 @@
 package org.bankturn.daemon.gateway;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Creates targets that crash on requests with a given body and answer all others. */
+/** Creates targets that crash on requests with a given body or prompt part and answer all others. */
 public final class CrashingTarget {
     private CrashingTarget() {}
 
@@ -26,4 +27,50 @@
         });
         return self[0];
     }
+
+    /**
+     * Returns a target on loopback, not null.
+     *
+     * @param crashingPart the id of the prompt part whose requests crash it, not null
+     * @param response what it writes to such a request before it crashes, not null
+     * @param crashes incremented when it crashes, not null
+     */
+    public static ScriptedTarget crashingOnPart(String crashingPart, CrashResponse response, AtomicInteger crashes)
+            throws IOException {
+        ScriptedTarget[] self = new ScriptedTarget[1];
+        self[0] = new ScriptedTarget((number, id, socket) -> {
+            String parts = ScriptedTarget.field(self[0].heads.get(number - 1), "parts");
+            if (List.of(parts.split(",", -1)).contains(crashingPart)) {
+                crashes.incrementAndGet();
+                ScriptedTarget.write(socket, response.text(id));
+                self[0].crash();
+                return false;
+            }
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok");
+            return true;
+        });
+        return self[0];
+    }
+
+    /** What a target writes before it crashes. */
+    public enum CrashResponse {
+        /** Nothing. */
+        NONE("", ""),
+        /** A response of which a part is missing. */
+        TRUNCATED("HTTP/1.1 200 OK\r\nId: ", "\r\nContent-Length: 100\r\n\r\nab"),
+        /** A part of a response that ends with its connection. */
+        CLOSE_DELIMITED("HTTP/1.1 200 OK\r\nId: ", "\r\n\r\nab");
+
+        private final String beforeId;
+        private final String afterId;
+
+        CrashResponse(String beforeId, String afterId) {
+            this.beforeId = beforeId;
+            this.afterId = afterId;
+        }
+
+        private String text(String id) {
+            return this == NONE ? "" : beforeId + id + afterId;
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/CrashingPromptPartAcrossGatewaysTest.java
@@ -0,0 +1,62 @@
+package org.bankturn.daemon.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.bankturn.daemon.gateway.CrashingTarget;
+import org.bankturn.daemon.gateway.CrashingTarget.CrashResponse;
+import org.bankturn.daemon.settings.Address;
+import org.junit.jupiter.api.Test;
+
+/** Gateways must share the crashes that a prompt part causes, since each sees only some of the requests that have it. */
+class CrashingPromptPartAcrossGatewaysTest extends ServingFixture {
+    private static final int TARGETS = 48;
+    private static final int CALLS_AFTER_CONDEMNATION = 20;
+    private static final int STATUS_CONDEMNED = 429;
+    private static final String CRASHING = "bad";
+
+    /** Five crashes observed by each of the two gateways, and one further attempt in progress at each. */
+    private static final int MAX_CRASHES = 12;
+
+    private final AtomicInteger crashes = new AtomicInteger();
+    private int calls;
+
+    @Test
+    void crashes_at_different_gateways_stop_all_requests_with_the_part_at_all_gateways() throws Exception {
+        for (int target = 0; target < TARGETS; target++) {
+            announce(CrashingTarget.crashingOnPart(CRASHING, CrashResponse.TRUNCATED, crashes));
+        }
+        configure();
+        Address one = startGateway();
+        Address other = startGateway();
+        List<Boolean> refused;
+        do {
+            refused = List.of(isRefused(one), isRefused(other));
+            assertThat(crashes.get()).isLessThanOrEqualTo(MAX_CRASHES);
+        } while (refused.contains(false));
+        int crashesBefore = crashes.get();
+        awaitCondemnedPart();
+        Address startedLater = startGateway();
+        for (int call = 0; call < CALLS_AFTER_CONDEMNATION; call++) {
+            assertThat(isRefused(one)).isTrue();
+            assertThat(isRefused(other)).isTrue();
+            assertThat(isRefused(startedLater)).isTrue();
+        }
+        assertThat(crashes.get()).isEqualTo(crashesBefore);
+        assertThat(callWithParts(startedLater, "first,own", "sound")).isEqualTo(200);
+    }
+
+    /** Sends a request that is unlike all others but for its first two parts; returns true if it is condemned. */
+    private boolean isRefused(Address gateway) throws IOException {
+        calls++;
+        return callWithParts(gateway, "first,bad,own" + calls, "body" + calls) == STATUS_CONDEMNED;
+    }
+
+    private void awaitCondemnedPart() throws IOException {
+        while (!operator("GET", "/suspects").contains("\"part\":\"bad\"")) {
+            Thread.onSpinWait();
+        }
+    }
+}
--- a/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
@@ -150,23 +150,33 @@
         return post(gateway, "/x/1", body);
     }
 
+    /** Calls a gateway with a prompt of the given parts; returns the response status. */
+    static int callWithParts(Address gateway, String parts, String body) throws IOException {
+        return status(exchange(gateway, "POST", "/x/1", "Parts: " + parts + "\r\n", body));
+    }
+
     /** Returns the whole HTTP response to an operator's request, not null. */
     String operator(String method, String target) throws IOException {
-        return exchange(control, method, target, "");
+        return exchange(control, method, target, "", "");
     }
 
     private static int post(Address to, String target, String body) throws IOException {
-        String answer = exchange(to, "POST", target, body);
+        return status(exchange(to, "POST", target, "", body));
+    }
+
+    private static int status(String answer) {
         return Integer.parseInt(answer.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
     }
 
-    private static String exchange(Address to, String method, String target, String body) throws IOException {
+    private static String exchange(Address to, String method, String target, String fields, String body)
+            throws IOException {
         try (Socket socket = new Socket(to.host(), to.port())) {
             String id = "r" + socket.getLocalPort();
             ScriptedTarget.write(
                     socket,
                     method + " " + target + " HTTP/1.1\r\nHost: h\r\nId: " + id
-                            + "\r\nDeadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: " + body.length()
+                            + "\r\n" + fields + "Deadline: 5000\r\nKey: k\r\nConnection: close\r\nContent-Length: "
+                            + body.length()
                             + "\r\n\r\n" + body);
             InputStream answer = new BufferedInputStream(socket.getInputStream());
             return new String(answer.readAllBytes(), StandardCharsets.ISO_8859_1);
