Gateway: a response cut by the end of its target is not taken for complete

What callers saw: 200 with a part of the response, with a length that the gateway made up, or a stream that ends as if complete.

Cause: a response with neither length nor chunks ends with its connection, and so does one whose target ends in the middle of it. Class: an end that means two things. Ruled out: that only framing tells them apart. A target that has ended refuses connections, one that lives takes the next one.

A refused one makes it a broken response: other targets are tried, or the caller gets 502 or a broken-off stream. Such a response clears no request of suspicion.

Same cause elsewhere: replies between processes are framed; pieces of weights are checked by digest, reports and manifests fail to parse when cut.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -280,11 +280,18 @@
         target.firstEventReceived(predicted, firstEventMillis);
     }
 
+    /** Completes the response only if the target lives, since a crash ends its connections in the same way. */
     @Override
     public void onEndOfConnection() {
         endedAtClose = true;
         gateway.metrics().responseEndedAtClose(request.service().name());
-        onComplete();
+        gateway.crashDetector().hasCrashed(target.sighting()).whenResult(crashed -> {
+            if (crashed) {
+                onFailure(TransportFailure.CLOSED);
+            } else {
+                onComplete();
+            }
+        });
     }
 
     @Override
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -184,6 +184,27 @@
         return probeOnce(target).then(() -> awaitCertainty(request));
     }
 
+    /**
+     * Determines whether a target has crashed that ended a connection without a fault.
+     *
+     * @return a promise of true if the target refuses connections; false if it accepts one, is draining, or does not
+     *     respond soon, not null
+     */
+    Promise<Boolean> hasCrashed(TargetSighting target) {
+        if (target.draining()) {
+            return Promise.of(false);
+        }
+        boolean crashesExpected = !suspects.isEmpty() || !interruptedRequests.isEmpty();
+        return connect(target).then(failure -> {
+            if (isRefused(failure) || !crashesExpected) {
+                return Promise.of(isRefused(failure));
+            }
+            return Promises.delay(SECOND_PROBE_DELAY_MILLIS)
+                    .then(() -> connect(target))
+                    .map(CrashDetector::isRefused);
+        });
+    }
+
     private Promise<Void> probeOnce(TargetSighting target) {
         Promise<Void> pending = pendingProbes.get(target.id());
         if (pending != null) {
@@ -238,11 +259,15 @@
 
     /** Evaluates the outcome of connecting to a target; a refused connection means that it has crashed. */
     void onConnectResult(TargetSighting target, Exception failure) {
-        if (failure instanceof ConnectException) {
+        if (isRefused(failure)) {
             onTargetEnded(target.id());
         }
     }
 
+    private static boolean isRefused(Exception connectFailure) {
+        return connectFailure instanceof ConnectException;
+    }
+
     private void onTargetEnded(String target) {
         List<RequestFingerprint> requests = interruptedRequests.recordCrash(target);
         for (RequestFingerprint request : requests) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -270,7 +270,8 @@
 
     /** Records that the complete response of a target was forwarded. */
     void onAnswered(int status) {
-        if (status / 100 == 2) {
+        // that a response ended with its connection does not prove that the request ran to its end
+        if (status / 100 == 2 && !attempt.endedAtClose()) {
             gateway.crashDetector().onCompleted(this);
         }
         recordEnd(RequestOutcome.ANSWERED);
