--- a/specs/SuspectParts.tla
+++ b/specs/SuspectParts.tla
@@ -157,7 +157,7 @@
 Symmetry == Permutations(Targets) \cup Permutations(Gateways)
 
 \* Keeps the number of completions finite.
-Bounded == agreed.index <= 4 /\ Cardinality(reports) <= 2
+Bounded == agreed.index <= 3 /\ Cardinality(reports) <= 2
 
 ----------------------------------------------------------------------------
 DisprovedByLaterRunsOnly == ~wronglyDisproved
