Crashes: a condemned prompt part is not released by another one that shares its crashes

The judgement was made anew from the crashes each time.

Change: the group records when it condemned a part. A part that never ran to its end stays condemned until a run disproves it, and further ones are condemned if two crashes are not explained yet; its crashes still count against no part that ran to its end. So the cause is found after two more crashes at most where another part was condemned first.

--- a/core/src/main/java/org/bankturn/crash/SuspectPart.java
+++ b/core/src/main/java/org/bankturn/crash/SuspectPart.java
@@ -19,6 +19,7 @@
  * @param crashes the last crashes that no completed request disproved, in order, not null
  * @param completedVersion the newest version of the weights on which a request with the part ran to its end,
  *     {@link #NEVER_COMPLETED} if none is known
+ * @param condemnedIndex the index of the log entry at which the control group condemned the part, 0 if it is not condemned
  * @param trials the number of trials, in which one request with the condemned part was sent
  * @param trialBy the process that took the last trial, null if there was none
  * @param changedIndex the index of the log entry that last changed this, 0 if only this process observed it
@@ -28,6 +29,7 @@
         int depth,
         List<PartCrash> crashes,
         int completedVersion,
+        long condemnedIndex,
         int trials,
         String trialBy,
         long changedIndex)
@@ -48,7 +50,7 @@
 
     /** Returns a part without crashes, not null. */
     public static SuspectPart withoutCrashes(String part, long index) {
-        return new SuspectPart(part, 0, List.of(), NEVER_COMPLETED, 0, null, index);
+        return new SuspectPart(part, 0, List.of(), NEVER_COMPLETED, 0, 0, null, index);
     }
 
     // ---- queries
@@ -70,17 +72,19 @@
                 .toList();
     }
 
-    /** Returns true if crashes of this part suffice to condemn it. */
-    boolean isCondemnedBy(List<PartCrash> counted) {
-        if (counted.size() < CONDEMNATION_THRESHOLD || isCausedByOneRequest(counted)) {
-            return false;
-        }
-        return countUnproven(counted) >= CONDEMNATION_THRESHOLD || countSuccessive(counted) >= CONDEMNATION_THRESHOLD;
+    /** Returns true if the part is condemned by crashes on weights on which it never ran to its end. */
+    boolean isCondemnedUnproven() {
+        return countUnproven() >= CONDEMNATION_THRESHOLD && !isCausedByOneRequest(crashes);
+    }
+
+    /** Returns true if the part is condemned by the given crashes, although it ran to its end before. */
+    boolean isCondemnedBySuccession(List<PartCrash> counted) {
+        return countSuccessive(counted) >= CONDEMNATION_THRESHOLD && !isCausedByOneRequest(counted);
     }
 
     /** Returns how many crashes happened on weights on which the part never ran to its end. */
-    int countUnproven(List<PartCrash> counted) {
-        return (int) counted.stream()
+    int countUnproven() {
+        return (int) crashes.stream()
                 .filter(crash -> crash.weightsVersion() > completedVersion)
                 .count();
     }
@@ -142,6 +146,7 @@
                 Math.max(depth, atDepth),
                 last.subList(Math.max(0, last.size() - MAX_CRASHES), last.size()),
                 completedVersion,
+                condemnedIndex,
                 trials,
                 trialBy,
                 atIndex);
@@ -154,17 +159,22 @@
                 .toList();
         int version = Math.max(completedVersion, completed.weightsVersion());
         return remaining.isEmpty()
-                ? new SuspectPart(part, depth, remaining, version, 0, null, atIndex)
-                : new SuspectPart(part, depth, remaining, version, trials, trialBy, atIndex);
+                ? new SuspectPart(part, depth, remaining, version, 0, 0, null, atIndex)
+                : new SuspectPart(part, depth, remaining, version, condemnedIndex, trials, trialBy, atIndex);
+    }
+
+    /** Returns a copy that was condemned at a log entry, or is not condemned if that is 0, not null. */
+    SuspectPart withCondemnedIndex(long condemnedAtIndex, long atIndex) {
+        return new SuspectPart(part, depth, crashes, completedVersion, condemnedAtIndex, trials, trialBy, atIndex);
     }
 
     /** Returns a copy with one more trial, not null. */
     SuspectPart withTrial(String who, long atIndex) {
-        return new SuspectPart(part, depth, crashes, completedVersion, trials + 1, who, atIndex);
+        return new SuspectPart(part, depth, crashes, completedVersion, condemnedIndex, trials + 1, who, atIndex);
     }
 
     /** Returns a copy without the last trial, whose request was sent to no target, not null. */
     SuspectPart withoutLastTrial(long atIndex) {
-        return new SuspectPart(part, depth, crashes, completedVersion, trials - 1, null, atIndex);
+        return new SuspectPart(part, depth, crashes, completedVersion, condemnedIndex, trials - 1, null, atIndex);
     }
 }
--- a/core/src/main/java/org/bankturn/crash/SuspectPartTable.java
+++ b/core/src/main/java/org/bankturn/crash/SuspectPartTable.java
@@ -13,9 +13,10 @@
 /**
  * The prompt parts of requests during which targets crashed, and which of them are condemned.
  *
- * <p>The part that explains the most crashes is condemned first, and its crashes then count against no other part: most parts
- * that were in flight beside it are harmless. Of parts that explain equally many, one that never ran to its end comes first,
- * then the one further back in its prompt, which fewer requests share. If that is the wrong one, the next crash tells.
+ * <p>Most parts that were in flight at a crashed target are harmless. So once a part is condemned, its crashes count against
+ * no part that ran to its end before, and another part that never did is condemned only if it was in flight at two further
+ * crashed targets. Of parts that never ran to their end, those condemned earlier stay so; then the one with the most crashes
+ * comes first, then the one further back in its prompt, which fewer requests share.
  *
  * <p>The table is bounded. Parts with the fewest crashes are evicted first, the least recently changed ones among them first.
  * SuspectPartTable is mutable and not thread-safe.
@@ -24,6 +25,16 @@
     /** Exceeds the parts in flight at all targets that crash between two crashes of the same cause. */
     public static final int MAX_PARTS = 512;
 
+    /** The number of crashes that no condemned part explains, from which on a further part is condemned. */
+    private static final int MIN_UNEXPLAINED_CRASHES = 2;
+
+    /** The order in which parts are condemned that never ran to their end. */
+    private static final Comparator<SuspectPart> CONDEMNATION_ORDER = Comparator.<SuspectPart>comparingLong(
+                    each -> each.condemnedIndex() > 0 ? each.condemnedIndex() : Long.MAX_VALUE)
+            .thenComparing(Comparator.comparingInt(SuspectPart::countUnproven).reversed())
+            .thenComparing(Comparator.comparingInt(SuspectPart::depth).reversed())
+            .thenComparing(SuspectPart::part);
+
     private static final Comparator<SuspectPart> EVICTION_ORDER = Comparator.<SuspectPart>comparingInt(
                     each -> each.crashes().size())
             .thenComparingLong(SuspectPart::changedIndex);
@@ -37,19 +48,6 @@
         private static final Verdict NONE = new Verdict(Set.of(), Set.of());
     }
 
-    /** A part with its crashes that no condemned part explains. */
-    private record Candidate(SuspectPart suspect, List<PartCrash> counted) {
-        private static final Comparator<Candidate> ORDER = Comparator.<Candidate>comparingInt(
-                        each -> each.suspect.countUnproven(each.counted))
-                .thenComparingInt(each -> each.counted.size())
-                .thenComparingInt(each -> each.suspect.depth())
-                .thenComparing(each -> each.suspect.part());
-
-        private boolean isCondemned() {
-            return suspect.isCondemnedBy(counted);
-        }
-    }
-
     /** Returns a table without parts, not null. */
     public static SuspectPartTable empty() {
         return new SuspectPartTable();
@@ -147,23 +145,26 @@
     private Verdict judge() {
         Set<String> condemned = new LinkedHashSet<>();
         Set<String> explained = new HashSet<>();
-        Optional<Candidate> next = findCulprit(explained);
-        while (next.isPresent()) {
-            condemned.add(next.get().suspect().part());
-            next.get().counted().forEach(crash -> explained.add(crash.target()));
-            next = findCulprit(explained);
-        }
+        parts.values().stream()
+                .filter(SuspectPart::isCondemnedUnproven)
+                .sorted(CONDEMNATION_ORDER)
+                .filter(each -> each.condemnedIndex() > 0
+                        || each.crashesOutside(explained).size() >= MIN_UNEXPLAINED_CRASHES)
+                .forEachOrdered(each -> {
+                    condemned.add(each.part());
+                    explained.addAll(each.endedTargets());
+                });
+        parts.values().stream()
+                .filter(each -> !condemned.contains(each.part()))
+                .filter(each -> each.isCondemnedBySuccession(each.crashesOutside(explained)))
+                .toList()
+                .forEach(each -> {
+                    condemned.add(each.part());
+                    explained.addAll(each.endedTargets());
+                });
         return new Verdict(Set.copyOf(condemned), Set.copyOf(explained));
     }
 
-    private Optional<Candidate> findCulprit(Set<String> explained) {
-        return parts.values().stream()
-                .filter(each -> each.crashes().size() >= SuspectPart.CONDEMNATION_THRESHOLD)
-                .map(each -> new Candidate(each, each.crashesOutside(explained)))
-                .filter(Candidate::isCondemned)
-                .max(Candidate.ORDER);
-    }
-
     // ---- updates
 
     /**
@@ -194,6 +195,16 @@
         }
     }
 
+    /** Records which parts are condemned as of a log entry, so that they stay so when further crashes are recorded. */
+    public void recordVerdict(long index) {
+        Set<String> condemned = condemned();
+        for (SuspectPart each : content()) {
+            if (condemned.contains(each.part()) != each.condemnedIndex() > 0) {
+                put(each.withCondemnedIndex(each.condemnedIndex() > 0 ? 0 : index, index));
+            }
+        }
+    }
+
     /**
      * Grants a trial of a condemned part: only the process that takes it may send one request with the part.
      *
--- a/core/src/main/java/org/bankturn/publication/CrashEvidence.java
+++ b/core/src/main/java/org/bankturn/publication/CrashEvidence.java
@@ -115,6 +115,7 @@
         for (CompletedPart completed : outcomes.completedParts()) {
             parts.recordCompletion(index, completed);
         }
+        parts.recordVerdict(index);
         for (EndedTarget ended : outcomes.ended()) {
             ended.underWay().stream()
                     .filter(request -> wouldRecord(request, ended.target()))
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingPromptPartTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingPromptPartTest.java
@@ -45,6 +45,23 @@
         assertThat(callWithParts("own1,own", "sound")).startsWith("HTTP/1.1 200");
     }
 
+    /** Guards against requests that are sent on, one after the other, before the crashes of their targets are certain. */
+    @Test
+    void a_part_is_sent_to_no_further_target_while_crashes_that_condemn_it_are_uncertain() throws Exception {
+        ScriptedTarget[] targets = new ScriptedTarget[SENDS_PER_CALL * CALLS];
+        for (int index = 0; index < targets.length; index++) {
+            ScriptedTarget[] self = new ScriptedTarget[1];
+            self[0] = register(new ScriptedTarget((number, id, socket) -> {
+                crashes.incrementAndGet();
+                self[0].crashWithLatePort();
+                return false;
+            }));
+            targets[index] = self[0];
+        }
+        publish(RequestKind.IDEMPOTENT, SENDS_PER_CALL, targets);
+        assertRefusedAfterFewCrashes("first,bad,");
+    }
+
     /** Sends different requests with the crashing part until one is refused, and then more of them. */
     private void assertRefusedAfterFewCrashes(String sharedParts) throws IOException {
         int number = 0;
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -18,6 +18,7 @@
     private final ServerSocket server;
     private final Script script;
     private final List<Socket> open = new CopyOnWriteArrayList<>();
+    private volatile boolean portClosesLate;
     final List<String> heads = new CopyOnWriteArrayList<>();
     public final List<String> bodies = new CopyOnWriteArrayList<>();
 
@@ -48,6 +49,14 @@
         }
     }
 
+    /** Simulates a process crash that closes its port only after one more connection. */
+    public void crashWithLatePort() throws IOException {
+        portClosesLate = true;
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
     public static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
@@ -62,6 +71,10 @@
             try {
                 Socket socket = server.accept();
                 open.add(socket);
+                if (portClosesLate) {
+                    crash();
+                    return;
+                }
                 Thread thread = new Thread(() -> serve(socket), "scripted-connection");
                 thread.setDaemon(true);
                 thread.start();
--- a/daemon/src/test/java/org/bankturn/daemon/wire/SerializationCompatibilityTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/SerializationCompatibilityTest.java
@@ -96,6 +96,7 @@
                 1,
                 List.of(new PartCrash("t1", List.of(new RequestFingerprint(1, 2)), 3, 4, 5)),
                 2,
+                5,
                 1,
                 "gateway",
                 6);
