Replay: prompts with shared parts, and parts that end their engines

Patterns with two shared parts by popularity: a part that ends its engines as the second and as the first, among crashes of 15% and 60% of the engines four times; crashes of 60% without a cause; one repeated request that ends its engines. The replay applies the group's state as the control processes do (PublicationState), gateways report crashes and completed parts as in the daemon, and trials are granted. New figure: requests that reach an engine later than 3 s after the fifth crash (3 allowed).

--- a/standins/src/main/java/org/bankturn/replay/LoadPattern.java
+++ b/standins/src/main/java/org/bankturn/replay/LoadPattern.java
@@ -21,6 +21,8 @@
  * @param surges the periods in which some of the demand is higher, not null
  * @param callersRetryFailures true if a caller retries a failed request once, immediately
  * @param loadReportDelayMillis how much older the load in a report is than the report says
+ * @param sharedParts for each shared part of a prompt, in order, how many different ones there are per kind of request and
+ *     part before it; empty if prompts have no parts, not null
  */
 public record LoadPattern(
         String name,
@@ -37,7 +39,8 @@
         List<Account> accounts,
         List<Surge> surges,
         boolean callersRetryFailures,
-        long loadReportDelayMillis) {
+        long loadReportDelayMillis,
+        List<SharedPart> sharedParts) {
     /** The account of callers without one. */
     static final Account ANONYMOUS = new Account("", 1, -1);
 
@@ -51,8 +54,16 @@
         events = List.copyOf(events);
         accounts = List.copyOf(accounts);
         surges = List.copyOf(surges);
+        sharedParts = List.copyOf(sharedParts);
     }
 
+    /**
+     * A part of prompts that several requests share; the nth of the different ones is 1/sqrt(n) times as popular as the first.
+     *
+     * @param count the number of different ones
+     */
+    public record SharedPart(int count) {}
+
     /**
      * The parameters of the engines.
      *
--- a/standins/src/main/java/org/bankturn/replay/LoadPatternReader.java
+++ b/standins/src/main/java/org/bankturn/replay/LoadPatternReader.java
@@ -80,7 +80,12 @@
                 fields.has("accounts") ? list(fields, "accounts", LoadPatternReader::account) : List.of(),
                 fields.has("surges") ? list(fields, "surges", LoadPatternReader::surge) : List.of(),
                 fields.flag("callersRetryFailures", false),
-                fields.number("loadReportDelayMillis", 0, MAX_MILLIS, 0));
+                fields.number("loadReportDelayMillis", 0, MAX_MILLIS, 0),
+                fields.has("sharedParts") ? list(fields, "sharedParts", LoadPatternReader::sharedPart) : List.of());
+    }
+
+    private static LoadPattern.SharedPart sharedPart(Fields fields) {
+        return new LoadPattern.SharedPart(integer(fields, "count", 1, MAX_MEMBERS));
     }
 
     private static LoadPattern.Engine engine(Fields fields) {
--- a/standins/src/main/java/org/bankturn/replay/ReplayEventType.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayEventType.java
@@ -27,6 +27,16 @@
         @Override
         void apply(ReplayedEngine engine, LoadPattern.Event event, VirtualClock time) {}
     },
+    /** Different requests that share a first part of their prompts, which crashes every engine, are sent. */
+    DEADLY_FIRST_PART {
+        @Override
+        void apply(ReplayedEngine engine, LoadPattern.Event event, VirtualClock time) {}
+    },
+    /** Different requests that share a second part of their prompts, which crashes every engine, are sent. */
+    DEADLY_SECOND_PART {
+        @Override
+        void apply(ReplayedEngine engine, LoadPattern.Event event, VirtualClock time) {}
+    },
     /** The engine is slower by a factor for a while. */
     SLOW {
         @Override
--- a/standins/src/main/java/org/bankturn/replay/ReplayResult.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayResult.java
@@ -20,6 +20,7 @@
  * @param busyShare the share of time in which engines were busy
  * @param engineCrashes the number of engine crashes caused by the crashing request
  * @param falselyCondemned how often a harmless request was rejected as a crashing one
+ * @param lateCrashingRequests how many requests that crash their engines reached one later than 3 s after the fifth crash
  * @param servedBySize the shares served by size, for each kind of request, not null
  * @param byKind the outcomes of each kind of request, not null
  * @param byAccount the outcomes of each account's requests, not null
@@ -40,6 +41,7 @@
         double busyShare,
         int engineCrashes,
         int falselyCondemned,
+        int lateCrashingRequests,
         List<ServedBySize> servedBySize,
         List<GroupOutcome> byKind,
         List<GroupOutcome> byAccount) {
--- a/standins/src/main/java/org/bankturn/replay/ReplaySimulation.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplaySimulation.java
@@ -7,13 +7,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.commons.math3.distribution.ExponentialDistribution;
 import org.apache.commons.math3.distribution.LogNormalDistribution;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.crash.CompletedPart;
+import org.bankturn.crash.EndedTarget;
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.crash.Suspect;
-import org.bankturn.crash.SuspectTable;
+import org.bankturn.crash.SuspectPart;
+import org.bankturn.publication.PublicationCommand;
+import org.bankturn.publication.PublicationState;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.EngineLoad;
 import org.bankturn.routing.PlacementSettings;
@@ -46,6 +51,11 @@
 
     private static final String FIRST_HALL = "hall-0";
     private static final double LATENCY_IN_HALL_MILLIS = 0.1;
+
+    /** The number of crashes after which, and a time for everyone to know, hardly any further may follow. */
+    private static final int CRASHES_BEFORE_LIMIT = 5;
+
+    private static final double CONTACT_MILLIS = 3_000;
     private static final double PERCENT = 100;
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -60,11 +70,16 @@
     private final List<ReplayedEngine> present = new ArrayList<>();
     private final Map<String, LoadSample> samples = new HashMap<>();
     private final Map<String, List<ReplayedGateway>> gateways = new HashMap<>();
-    private final SuspectTable suspects = SuspectTable.empty();
+    private final PublicationState published = PublicationState.empty();
+    private final PromptPartSource promptParts;
     private final Set<String> crashedIncarnations = new HashSet<>();
+    private long commands;
     private long calls;
     private double shiftedShare;
 
+    /** The time of the fifth crash by the crashing request or part, negative before. */
+    private double fifthCrashMillis = -1;
+
     /**
      * A sample of the load of an engine.
      *
@@ -77,6 +92,7 @@
         this.pattern = pattern;
         this.settings = settings;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        this.promptParts = new PromptPartSource(pattern.sharedParts(), seed);
         this.service = new Service(SERVICE, "/", 100, pattern.engine().model(), null, null, null);
         pattern.kinds().forEach(kind -> routes.put(kind.name(), routeOf(kind)));
         for (int hall = 0; hall < pattern.halls(); hall++) {
@@ -179,26 +195,56 @@
     // ---- changes agreed by the control group
 
     /** Records that a gateway saw an engine crash while it ran a request. */
-    void crashObserved(String incarnation, RequestFingerprint request) {
-        if (request.equals(CRASHING_REQUEST)) {
+    void crashObserved(String incarnation, ReplayedCall call) {
+        if (call.crashesEngine()) {
             crashedIncarnations.add(incarnation);
+            if (crashedIncarnations.size() == CRASHES_BEFORE_LIMIT && fifthCrashMillis < 0) {
+                fifthCrashMillis = time.now();
+            }
         }
-        agree(() -> suspects.recordCrash(1, request, incarnation));
+        agree(new PublicationCommand.RecordOutcomes(
+                List.of(new EndedTarget(incarnation, List.of(call.fingerprint()), List.of())), List.of(), List.of()));
+    }
+
+    /** Records what a gateway reports of prompt parts. */
+    void partsObserved(List<EndedTarget> ended, List<CompletedPart> completed) {
+        agree(new PublicationCommand.RecordOutcomes(ended, List.of(), completed));
     }
 
     /** Records that a gateway saw a suspect request complete. */
     void completionObserved(RequestFingerprint request) {
-        agree(() -> suspects.clear(1, request));
+        agree(new PublicationCommand.RecordOutcomes(List.of(), List.of(request), List.of()));
     }
 
-    private void agree(Runnable change) {
+    /** Records that a request that crashes its engine reached one. */
+    void crashingRequestReached() {
+        if (fifthCrashMillis >= 0 && time.now() > fifthCrashMillis + CONTACT_MILLIS) {
+            statistics.lateCrashingRequest();
+        }
+    }
+
+    /** Asks for a trial of a condemned part; {@code decision} receives whether it is granted. */
+    void trialRequested(PublicationCommand.TakePartTrial trial, Consumer<Boolean> decision) {
         time.schedule(AGREEMENT_MILLIS, () -> {
-            change.run();
-            List<Suspect> content = suspects.content();
-            gateways.values().forEach(here -> here.forEach(gateway -> gateway.suspects(content)));
+            boolean granted = commit(trial);
+            decision.accept(granted);
         });
     }
 
+    private void agree(PublicationCommand command) {
+        time.schedule(AGREEMENT_MILLIS, () -> commit(command));
+    }
+
+    /** Applies and publishes a command; returns true if it changed anything. */
+    private boolean commit(PublicationCommand command) {
+        boolean changed = published.apply(++commands, command);
+        List<Suspect> suspects = published.suspects();
+        List<SuspectPart> parts = published.suspectParts().content();
+        gateways.values()
+                .forEach(here -> here.forEach(gateway -> gateway.suspects(published.index(), suspects, parts)));
+        return changed;
+    }
+
     // ---- the replay
 
     ReplayResult run() {
@@ -261,6 +307,10 @@
             repeatCrashingRequest(event, time.now() + event.forMillis());
             return;
         }
+        if (event.type() == ReplayEventType.DEADLY_FIRST_PART || event.type() == ReplayEventType.DEADLY_SECOND_PART) {
+            sendCrashingPart(event, time.now() + event.forMillis());
+            return;
+        }
         List<ReplayedEngine> shuffled = new ArrayList<>(present);
         for (int number = 0; number < count; number++) {
             ReplayedEngine affected = shuffled.remove(random.nextInt(shuffled.size()));
@@ -292,10 +342,31 @@
                 gateway.dataHall(),
                 kind.promptTokens(),
                 kind.answerTokens(),
-                CRASHING_REQUEST));
+                CRASHING_REQUEST,
+                promptParts.draw(kind)));
         time.schedule((double) event.overMillis(), () -> repeatCrashingRequest(event, untilMillis));
     }
 
+    /** Sends a new request with the crashing part to a random gateway, and others until the end of the event. */
+    private void sendCrashingPart(LoadPattern.Event event, double untilMillis) {
+        if (time.now() >= untilMillis) {
+            return;
+        }
+        ReplayedGateway gateway = randomGateway("hall-" + random.nextInt(pattern.halls()));
+        LoadPattern.Kind kind = pattern.kinds().get(0);
+        boolean first = event.type() == ReplayEventType.DEADLY_FIRST_PART;
+        gateway.handle(new ReplayedCall(
+                this,
+                kind,
+                LoadPattern.ANONYMOUS,
+                gateway.dataHall(),
+                promptTokens(kind),
+                answerTokens(kind),
+                new RequestFingerprint(0, calls++),
+                first ? promptParts.drawCrashingFirst(kind) : promptParts.drawCrashingSecond(kind)));
+        time.schedule((double) event.overMillis(), () -> sendCrashingPart(event, untilMillis));
+    }
+
     private void join(String id, String dataHall) {
         present.add(engine(id, dataHall));
         time.schedule(PUBLICATION_MILLIS, this::publish);
@@ -363,7 +434,14 @@
                 shiftedShare > 0 && random.nextDouble() < shiftedShare ? randomGateway(FIRST_HALL) : own;
         RequestFingerprint fingerprint = new RequestFingerprint(0, calls++);
         gateway.handle(new ReplayedCall(
-                this, kind, account, gateway.dataHall(), promptTokens(kind), answerTokens(kind), fingerprint));
+                this,
+                kind,
+                account,
+                gateway.dataHall(),
+                promptTokens(kind),
+                answerTokens(kind),
+                fingerprint,
+                promptParts.draw(kind)));
     }
 
     private int promptTokens(LoadPattern.Kind kind) {
--- a/standins/src/main/java/org/bankturn/replay/ReplayStatistics.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayStatistics.java
@@ -32,6 +32,7 @@
     private long repeatedPromptTokens;
     private int engineCrashes;
     private int falselyCondemned;
+    private int lateCrashingRequests;
 
     /** Records the first attempt of a request. */
     void requestCreated() {
@@ -96,6 +97,11 @@
         engineCrashes = engines;
     }
 
+    /** Records a request that crashes its engine and reached it although all gateways should have known it. */
+    void lateCrashingRequest() {
+        lateCrashingRequests++;
+    }
+
     /** Records a harmless request that was rejected as a crashing one. */
     void falselyCondemned() {
         falselyCondemned++;
@@ -128,6 +134,7 @@
                 busyShare,
                 engineCrashes,
                 falselyCondemned,
+                lateCrashingRequests,
                 outcomes.entrySet().stream()
                         .map(entry -> ServedBySize.of(entry.getKey(), entry.getValue()))
                         .toList(),
--- a/standins/src/main/java/org/bankturn/replay/ReplayedCall.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayedCall.java
@@ -1,5 +1,6 @@
 package org.bankturn.replay;
 
+import java.util.List;
 import org.bankturn.crash.RequestFingerprint;
 
 /**
@@ -29,6 +30,7 @@
     private boolean pauseExceeded;
     private boolean rejectedAgain;
     private final RequestFingerprint fingerprint;
+    private final List<String> promptParts;
 
     ReplayedCall(
             ReplaySimulation simulation,
@@ -37,8 +39,10 @@
             String dataHall,
             int promptTokens,
             int answerTokens,
-            RequestFingerprint fingerprint) {
+            RequestFingerprint fingerprint,
+            List<String> promptParts) {
         this.fingerprint = fingerprint;
+        this.promptParts = List.copyOf(promptParts);
         this.simulation = simulation;
         this.kind = kind;
         this.account = account;
@@ -69,8 +73,14 @@
         return fingerprint;
     }
 
+    /** Returns the ids of the shared parts of its prompt, not null. */
+    List<String> promptParts() {
+        return promptParts;
+    }
+
     boolean crashesEngine() {
-        return fingerprint.equals(ReplaySimulation.CRASHING_REQUEST);
+        return fingerprint.equals(ReplaySimulation.CRASHING_REQUEST)
+                || promptParts.contains(PromptPartSource.CRASHING_PART);
     }
 
     String dataHall() {
--- a/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
@@ -1,13 +1,24 @@
 package org.bankturn.replay;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.bankturn.crash.CompletedPart;
+import org.bankturn.crash.EndedTarget;
+import org.bankturn.crash.InterruptedPart;
+import org.bankturn.crash.InterruptedRequest;
+import org.bankturn.crash.KnownSuspectParts;
 import org.bankturn.crash.KnownSuspects;
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.crash.Suspect;
+import org.bankturn.crash.SuspectPart;
+import org.bankturn.crash.TrialScheduler;
+import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.routing.Candidate;
 import org.bankturn.routing.LoadPollSchedule;
@@ -31,6 +42,9 @@
     private static final double POLL_TIMEOUT_MILLIS = 25;
     private static final long WATCH_PLAN_MILLIS = 1_000;
     private static final long MIN_POLL_PAUSE_MILLIS = 20;
+    private static final double CRASH_REPORT_MILLIS = 10;
+    private static final double MAX_COMPLETION_REPORT_MILLIS = 200;
+    private static final int WEIGHTS_VERSION = 1;
     private static final RetryLimits RETRY_LIMITS = new RetryLimits(0.2, 254, 10_000);
 
     private final ReplaySimulation simulation;
@@ -42,6 +56,12 @@
     private final WatchPlan plan;
     private final LoadPollSchedule pollSchedule;
     private final KnownSuspects suspects = KnownSuspects.empty();
+    private final KnownSuspectParts suspectParts;
+    private final TrialScheduler<String> trials;
+    private final UniformRandomProvider random;
+    private final Map<String, List<InterruptedRequest>> unreportedCrashes = new LinkedHashMap<>();
+    private long publishedIndex;
+    private boolean completionReportScheduled;
     private List<TargetSighting> sightings = List.of();
     private int maxInFlight;
 
@@ -55,6 +75,9 @@
         this.time = simulation.time();
         this.name = name;
         this.dataHall = dataHall;
+        this.random = random;
+        this.suspectParts = KnownSuspectParts.empty(time);
+        this.trials = TrialScheduler.of(time);
         this.targets = TargetTable.of(time, dataHall, settings, random);
         this.policy = RequestPolicy.of(time, targets, RETRY_LIMITS, random);
         this.plan = WatchPlan.of(settings, name, dataHall);
@@ -81,8 +104,53 @@
         watch();
     }
 
-    void suspects(List<Suspect> published) {
+    void suspects(long index, List<Suspect> published, List<SuspectPart> publishedParts) {
+        publishedIndex = index;
         suspects.published(published);
+        suspectParts.published(publishedParts);
+        trials.update(suspectParts.condemned(), suspectParts::findPublished);
+        scheduleCompletionReport();
+    }
+
+    private boolean isCondemned(ReplayedCall call) {
+        return suspects.isCondemned(call.fingerprint()) || !condemnedParts(call).isEmpty();
+    }
+
+    private List<String> condemnedParts(ReplayedCall call) {
+        return call.promptParts().stream()
+                .filter(suspectParts.condemned()::contains)
+                .toList();
+    }
+
+    private void crashObserved(String incarnation, InterruptedRequest interrupted) {
+        suspectParts.recordCrash(incarnation, InterruptedRequest.partsOf(List.of(interrupted)));
+        if (unreportedCrashes.isEmpty()) {
+            time.schedule(CRASH_REPORT_MILLIS, this::reportCrashes);
+        }
+        unreportedCrashes.computeIfAbsent(incarnation, key -> new ArrayList<>()).add(interrupted);
+    }
+
+    private void reportCrashes() {
+        List<EndedTarget> ended = unreportedCrashes.entrySet().stream()
+                .map(each -> new EndedTarget(each.getKey(), List.of(), InterruptedRequest.partsOf(each.getValue())))
+                .toList();
+        unreportedCrashes.clear();
+        List<InterruptedPart> parts =
+                ended.stream().flatMap(each -> each.parts().stream()).toList();
+        simulation.partsObserved(ended, suspectParts.completionsOf(parts));
+    }
+
+    private void scheduleCompletionReport() {
+        if (!completionReportScheduled && !suspectParts.unreportedCompletions().isEmpty()) {
+            completionReportScheduled = true;
+            time.schedule(random.nextDouble() * MAX_COMPLETION_REPORT_MILLIS, () -> {
+                completionReportScheduled = false;
+                List<CompletedPart> unreported = suspectParts.unreportedCompletions();
+                if (!unreported.isEmpty()) {
+                    simulation.partsObserved(List.of(), unreported);
+                }
+            });
+        }
     }
 
     // ---- watching
@@ -155,17 +223,48 @@
                 simulation.service(),
                 call.promptTokens(),
                 (long) call.expiryMillis());
-        if (suspects.isCondemned(call.fingerprint())) {
-            recordCondemned(call);
-            call.rejected((double) RetryAfter.CONDEMNED_MILLIS);
-            return;
+        if (!isCondemned(call)) {
+            forward(call, progress);
+        } else if (isTrialDue(call)) {
+            requestTrial(call, progress);
+        } else {
+            rejectCondemned(call);
         }
+    }
+
+    private void forward(ReplayedCall call, RequestProgress progress) {
         policy.requestArrived(progress);
         ForwardedRequest forwarded = new ForwardedRequest(call, progress);
         time.schedule(call.expiryMillis() - time.now(), forwarded::deadlineReached);
         forwarded.sendToNext();
     }
 
+    private void rejectCondemned(ReplayedCall call) {
+        recordCondemned(call);
+        call.rejected((double) RetryAfter.CONDEMNED_MILLIS);
+    }
+
+    private boolean isTrialDue(ReplayedCall call) {
+        List<String> parts = condemnedParts(call);
+        return parts.size() == 1
+                && !suspects.isCondemned(call.fingerprint())
+                && trials.isDue(parts.get(0), suspectParts.findPublished(parts.get(0)));
+    }
+
+    /** Forwards the call if the control group grants it the next trial of its condemned part. */
+    private void requestTrial(ReplayedCall call, RequestProgress progress) {
+        String part = condemnedParts(call).get(0);
+        int number = suspectParts.findPublished(part).orElseThrow().trials() + 1;
+        String requester = name + "/" + call.fingerprint();
+        simulation.trialRequested(new PublicationCommand.TakePartTrial(part, number, requester), granted -> {
+            if (granted) {
+                forward(call, progress);
+            } else {
+                rejectCondemned(call);
+            }
+        });
+    }
+
     private static Account account(LoadPattern.Account account) {
         return account.equals(LoadPattern.ANONYMOUS)
                 ? null
@@ -243,6 +342,7 @@
         private final double latency;
         private final double startMillis = time.now();
         private double lastDataMillis = time.now();
+        private final long knownIndex = publishedIndex;
         private boolean promptPending = true;
         private boolean finished;
 
@@ -281,6 +381,9 @@
                 interrupted();
                 return;
             }
+            if (request.call.crashesEngine()) {
+                simulation.crashingRequestReached();
+            }
             if (!engine.offer(task)) {
                 simulation.statistics().rejected();
                 time.schedule(latency, this::rejected);
@@ -339,13 +442,18 @@
                 if (!finished) {
                     finish();
                     request.finished = true;
-                    recordCompletion(request.call.fingerprint());
+                    recordCompletion(request.call);
                     request.call.answered();
                 }
             });
         }
 
-        private void recordCompletion(RequestFingerprint fingerprint) {
+        private void recordCompletion(ReplayedCall call) {
+            call.promptParts()
+                    .forEach(part -> suspectParts.recordCompletion(
+                            new CompletedPart(part, WEIGHTS_VERSION, knownIndex), (long) startMillis));
+            scheduleCompletionReport();
+            RequestFingerprint fingerprint = call.fingerprint();
             if (!suspects.endedTargetsOf(fingerprint).isEmpty()) {
                 suspects.recordCompletion(fingerprint);
                 simulation.completionObserved(fingerprint);
@@ -363,9 +471,12 @@
                 }
                 if (crashed) {
                     suspects.recordCrash(incarnation, request.call.fingerprint());
-                    simulation.crashObserved(incarnation, request.call.fingerprint());
+                    simulation.crashObserved(incarnation, request.call);
+                    if (!request.call.promptParts().isEmpty()) {
+                        crashObserved(incarnation, interruptedRequest());
+                    }
                 }
-                if (suspects.isCondemned(request.call.fingerprint())) {
+                if (isCondemned(request.call)) {
                     recordCondemned(request.call);
                     finish();
                     request.finished = true;
@@ -376,6 +487,11 @@
             });
         }
 
+        private InterruptedRequest interruptedRequest() {
+            return new InterruptedRequest(
+                    request.call.fingerprint(), request.call.promptParts(), WEIGHTS_VERSION, knownIndex);
+        }
+
         private void retryElsewhere(ForwardedRequest lost) {
             if (finished) {
                 return;
--- a/standins/src/test/java/org/bankturn/replay/LoadReplayTest.java
+++ b/standins/src/test/java/org/bankturn/replay/LoadReplayTest.java
@@ -157,6 +157,37 @@
         }
     }
 
+    /** Guards against different requests that share a prompt part which crashes every engine on which they run. */
+    @Test
+    void requests_with_a_part_that_ends_its_engines_are_stopped_soon_after_the_fifth() throws IOException {
+        List<String> names =
+                List.of("deadly-part", "deadly-first-part", "deadly-part-crash-15", "deadly-part-crash-60");
+        for (String name : names) {
+            for (long seed = 1; seed <= 4; seed++) {
+                ReplayResult result = replay(name, PlacementRule.PRESENT, seed);
+                assertThat(result.lateCrashingRequests())
+                        .as("%s, seed %d", name, seed)
+                        .isLessThanOrEqualTo(3);
+                assertThat((double) result.falselyCondemned() / result.requests())
+                        .as("%s, seed %d", name, seed)
+                        .isLessThan(0.006);
+            }
+        }
+    }
+
+    /** Guards against shared parts that are taken for the cause of crashes with another cause. */
+    @Test
+    void shared_parts_are_not_taken_for_the_cause_of_other_crashes() throws IOException {
+        for (long seed = 1; seed <= 4; seed++) {
+            ReplayResult crashes = replay("parts-crash-60", PlacementRule.PRESENT, seed);
+            assertThat((double) crashes.falselyCondemned() / crashes.requests()).isLessThan(0.006);
+            ReplayResult repeated = replay("parts-deadly", PlacementRule.PRESENT, seed);
+            assertThat((double) repeated.falselyCondemned() / repeated.requests())
+                    .isLessThan(0.006);
+            assertThat(repeated.engineCrashes()).isLessThanOrEqualTo(6);
+        }
+    }
+
     /** Guards against an admission limit that rejects the same requests first whenever capacity is short. */
     @Test
     void largest_requests_of_a_kind_are_served_at_least_half_as_often_as_the_kind() throws IOException {
