Specification of suspect prompt parts: what the group condemned stays so

Brought in line with the judgement that the group records: condemned parts are part of the agreed state.

Gateways look for unreported completed parts only when a completed request changed what is held against one, instead of after each request while any part is suspect.

--- a/core/src/main/java/org/bankturn/crash/KnownSuspectParts.java
+++ b/core/src/main/java/org/bankturn/crash/KnownSuspectParts.java
@@ -137,16 +137,19 @@
      *
      * @param run the completed part, not null
      * @param sentMillis when the request was sent to its target; crashes observed after that are not disproved
+     * @return true if that changes what is held against the part
      */
-    public void recordCompletion(CompletedPart run, long sentMillis) {
+    public boolean recordCompletion(CompletedPart run, long sentMillis) {
         completed.record(run);
         boolean disproved = observed.entrySet()
                 .removeIf(each -> each.getKey().part().equals(run.part())
                         && each.getValue().atMillis() <= sentMillis
                         && each.getValue().interrupted().weightsVersion() <= run.weightsVersion());
-        if (disproved || combined.wouldRecordCompletion(run)) {
+        boolean changed = disproved || combined.wouldRecordCompletion(run);
+        if (changed) {
             combine();
         }
+        return changed;
     }
 
     /** Applies what this gateway knows itself to what is published. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/PromptPartGuard.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/PromptPartGuard.java
@@ -168,10 +168,11 @@
      * @param sentMillis when it was sent
      */
     void onCompleted(PromptParts prompt, int weightsVersion, long knownIndex, long sentMillis) {
+        boolean changed = false;
         for (String part : prompt.shared()) {
-            suspects.recordCompletion(new CompletedPart(part, weightsVersion, knownIndex), sentMillis);
+            changed |= suspects.recordCompletion(new CompletedPart(part, weightsVersion, knownIndex), sentMillis);
         }
-        if (!suspects.isEmpty()) {
+        if (changed) {
             scheduleCompletionReport();
             refreshCondemned();
         }
--- a/specs/SuspectParts.tla
+++ b/specs/SuspectParts.tla
@@ -9,15 +9,18 @@
 (* before it was sent.                                                     *)
 (*                                                                         *)
 (* The group that agrees is one register here; the module Agreement shows  *)
-(* that it is.  Two crashes condemn here, five in the code.                *)
+(* that it is.  Two crashes condemn here, five in the code; one that no    *)
+(* condemned part explains suffices for a further part here, two in the    *)
+(* code.                                                                   *)
 (***************************************************************************)
 EXTENDS Naturals, FiniteSets, TLC
 
 CONSTANTS Gateways,         \* model values
-          Targets,          \* incarnations, model values
+          Incarnations,     \* of targets, model values
           MaxRuns,          \* requests in flight at the same time
           KnownAtSend,      \* TRUE: the index is that of the sending (the design); FALSE: that of the report, a seeded fault
-          UnprovenFirst     \* TRUE: a part that never completed is condemned first (the design); FALSE: last, a seeded fault
+          UnprovenFirst     \* TRUE: completed requests count, and a part without them is condemned first (the design);
+                            \* FALSE: they don't, a seeded fault
 
 VARIABLES up,               \* targets that run
           runs,             \* requests in flight
@@ -33,10 +36,10 @@
 Both == {"bad", "shared"}
 Kinds == {Both, {"shared"}}
 
-Nothing == [index |-> 0, crashes |-> {}, completed |-> {}]
+Nothing == [index |-> 0, crashes |-> {}, completed |-> {}, condemned |-> {}]
 
 Init ==
-    /\ up = Targets
+    /\ up = Incarnations
     /\ runs = {}
     /\ reports = {}
     /\ agreed = Nothing
@@ -52,28 +55,31 @@
 InSuccession(crashes) ==
     \E one, other \in crashes : one.index < other.index /\ other.known >= one.index
 
-IsCondemned(part, crashes, completed) ==
-    IF part \in completed THEN InSuccession(crashes) ELSE Cardinality(crashes) >= Condemning
+Proven(part, s) == UnprovenFirst /\ part \in s.completed
 
-\* The part that is condemned first, if both are.
+CrashedTargets(crashes) == {c.target : c \in crashes}
+
+\* Parts that never completed and have crashes enough.
+Unproven(s) ==
+    {p \in Both : ~Proven(p, s) /\ Cardinality(CrashesOf(p, s.crashes)) >= Condemning}
+
+\* Of these, the one that was condemned earlier comes first; then the one with more crashes, then the one further back.
 First(s) ==
     LET bad == CrashesOf("bad", s.crashes)
         shared == CrashesOf("shared", s.crashes)
-        proven(part) == part \in s.completed
-    IN IF UnprovenFirst /\ proven("bad") # proven("shared")
-       THEN IF proven("shared") THEN "bad" ELSE "shared"
-       ELSE IF Cardinality(bad) # Cardinality(shared)
-            THEN IF Cardinality(bad) > Cardinality(shared) THEN "bad" ELSE "shared"
-            ELSE IF UnprovenFirst THEN "bad" ELSE "shared"
+    IN IF Cardinality(s.condemned) = 1
+       THEN CHOOSE p \in s.condemned : TRUE
+       ELSE IF Cardinality(shared) > Cardinality(bad) \/ ~UnprovenFirst THEN "shared" ELSE "bad"
 
 Verdict(s) ==
-    LET condemned == {p \in Both : IsCondemned(p, CrashesOf(p, s.crashes), s.completed)}
+    LET unproven == Unproven(s)
         first == First(s)
-        explained == {c.target : c \in CrashesOf(first, s.crashes)}
-        remaining == {c \in s.crashes : c.target \notin explained}
-        second == IF first = "bad" THEN "shared" ELSE "bad"
-    IN IF condemned # Both THEN condemned
-       ELSE {first} \cup {p \in {second} : IsCondemned(p, CrashesOf(p, remaining), s.completed)}
+        outside(p) == {c \in CrashesOf(p, s.crashes) : c.target \notin CrashedTargets(CrashesOf(first, s.crashes))}
+        never == IF unproven # Both THEN unproven
+                 ELSE {first} \cup {p \in Both \ {first} : p \in s.condemned \/ outside(p) # {}}
+        explained == UNION {CrashedTargets(CrashesOf(p, s.crashes)) : p \in never}
+    IN never \cup {p \in Both \ never :
+                    Proven(p, s) /\ InSuccession({c \in CrashesOf(p, s.crashes) : c.target \notin explained})}
 
 ----------------------------------------------------------------------------
 (* Steps *)
@@ -85,7 +91,7 @@
     /\ Cardinality(runs) < MaxRuns
     /\ kind \cap Verdict(published[g]) = {}
     /\ runs' = runs \cup {[gateway |-> g, target |-> t, kind |-> kind, known |-> published[g].index,
-                           crashedBefore |-> Targets \ up]}
+                           crashedBefore |-> Incarnations \ up]}
     /\ late' = IF AllKnow /\ kind = Both THEN late + 1 ELSE late
     /\ UNCHANGED <<up, reports, agreed, published, wronglyDisproved>>
 
@@ -122,11 +128,13 @@
        ELSE (crashes \ former) \cup
             {IF c.known >= reported.known THEN c ELSE [reported EXCEPT !.index = c.index] : c \in former}
 
+Judged(s) == [s EXCEPT !.condemned = Verdict(s)]
+
 AgreeCrash(report) ==
     /\ report \in reports /\ report.crash
     /\ LET index == agreed.index + 1
-       IN agreed' = [agreed EXCEPT !.index = index,
-                                   !.crashes = Recorded("bad", report, Recorded("shared", report, @, index), index)]
+       IN agreed' = Judged([agreed EXCEPT !.index = index,
+                               !.crashes = Recorded("bad", report, Recorded("shared", report, @, index), index)])
     /\ reports' = reports \ {report}
     /\ UNCHANGED <<up, runs, published, wronglyDisproved, late>>
 
@@ -134,7 +142,8 @@
     /\ report \in reports /\ ~report.crash
     /\ LET run == CHOOSE r \in report.runs : TRUE
            disproved == {c \in agreed.crashes : c.part \in run.kind /\ c.index <= run.known}
-       IN /\ agreed' = [agreed EXCEPT !.index = @ + 1, !.crashes = @ \ disproved, !.completed = @ \cup run.kind]
+       IN /\ agreed' = Judged([agreed EXCEPT !.index = @ + 1, !.crashes = @ \ disproved,
+                                             !.completed = @ \cup run.kind])
           /\ wronglyDisproved' = (wronglyDisproved \/ \E c \in disproved : c.target \notin run.crashedBefore)
     /\ reports' = reports \ {report}
     /\ UNCHANGED <<up, runs, published, late>>
@@ -146,15 +155,15 @@
     /\ UNCHANGED <<up, reports, agreed, wronglyDisproved, late>>
 
 Next ==
-    \/ \E g \in Gateways, t \in Targets, kind \in Kinds : Send(g, t, kind)
-    \/ \E t \in Targets : Crash(t)
+    \/ \E g \in Gateways, t \in Incarnations, kind \in Kinds : Send(g, t, kind)
+    \/ \E t \in Incarnations : Crash(t)
     \/ \E r \in runs : Complete(r)
     \/ \E report \in reports : AgreeCrash(report) \/ AgreeCompletion(report)
     \/ \E g \in Gateways : Publish(g)
 
 Spec == Init /\ [][Next]_vars
 
-Symmetry == Permutations(Targets) \cup Permutations(Gateways)
+Symmetry == Permutations(Incarnations) \cup Permutations(Gateways)
 
 \* Keeps the number of completions finite.
 Bounded == agreed.index <= 3 /\ Cardinality(reports) <= 2
@@ -167,8 +176,9 @@
         (one.part = other.part /\ one.index < other.index /\ other.known >= one.index)
             => one.target \in other.crashedBefore
 
-CauseIsCondemned ==
-    (reports = {} /\ Cardinality(Targets \ up) >= Condemning) => "bad" \in Verdict(agreed)
+\* All requests that crash targets have both parts here, so that any of the two stops them.
+CauseIsStopped ==
+    (reports = {} /\ Cardinality(Incarnations \ up) >= Condemning) => Verdict(agreed) # {}
 
 PartBesideTheCauseIsSpared ==
     (reports = {} /\ "shared" \in agreed.completed) => "shared" \notin Verdict(agreed)
--- a/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
+++ b/standins/src/main/java/org/bankturn/replay/ReplayedGateway.java
@@ -449,10 +449,14 @@
         }
 
         private void recordCompletion(ReplayedCall call) {
-            call.promptParts()
-                    .forEach(part -> suspectParts.recordCompletion(
-                            new CompletedPart(part, WEIGHTS_VERSION, knownIndex), (long) startMillis));
-            scheduleCompletionReport();
+            boolean changed = false;
+            for (String part : call.promptParts()) {
+                CompletedPart completed = new CompletedPart(part, WEIGHTS_VERSION, knownIndex);
+                changed |= suspectParts.recordCompletion(completed, (long) startMillis);
+            }
+            if (changed) {
+                scheduleCompletionReport();
+            }
             RequestFingerprint fingerprint = call.fingerprint();
             if (!suspects.endedTargetsOf(fingerprint).isEmpty()) {
                 suspects.recordCompletion(fingerprint);
