--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingTarget.java
@@ -69,7 +69,8 @@
             this.afterId = afterId;
         }
 
-        private String text(String id) {
+        /** Returns the bytes that are written before the crash, for the request with an id, not null. */
+        public String text(String id) {
             return this == NONE ? "" : beforeId + id + afterId;
         }
     }
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -19,7 +19,7 @@
     private final Script script;
     private final List<Socket> open = new CopyOnWriteArrayList<>();
     private volatile boolean portClosesLate;
-    final List<String> heads = new CopyOnWriteArrayList<>();
+    public final List<String> heads = new CopyOnWriteArrayList<>();
     public final List<String> bodies = new CopyOnWriteArrayList<>();
 
     /** Answers one request on its connection. */
@@ -120,7 +120,7 @@
         return head.toString(StandardCharsets.ISO_8859_1);
     }
 
-    static String field(String head, String name) {
+    public static String field(String head, String name) {
         for (String line : head.split("\r\n", -1)) {
             if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
                 return line.substring(line.indexOf(':') + 1).trim();
--- a/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
@@ -8,6 +8,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.bankturn.daemon.gateway.PlainDialect;
 import org.bankturn.daemon.gateway.ScriptedTarget;
 import org.bankturn.daemon.group.PlainControlDialect;
@@ -42,6 +44,7 @@
     private final Address control = FreeAddresses.next();
     private final Address controlNode = FreeAddresses.next();
     private final List<ScriptedTarget> targets = new ArrayList<>();
+    private final Map<Address, ServingProcess> gateways = new ConcurrentHashMap<>();
 
     @BeforeEach
     void startControl() throws IOException {
@@ -60,10 +63,16 @@
     /** Registers a target with the control process. */
     ScriptedTarget announce(ScriptedTarget target) throws IOException {
         targets.add(target);
-        postUntilAccepted("/beat/t" + targets.size() + "/ready/1/" + target.address(), "");
+        announceAgain(target, 1);
         return target;
     }
 
+    /** Sends another heartbeat of a registered target. */
+    void announceAgain(ScriptedTarget target, long sequence) throws IOException {
+        String id = "t" + (targets.indexOf(target) + 1);
+        postUntilAccepted("/beat/" + id + "/ready/" + sequence + "/" + target.address(), "");
+    }
+
     /** Publishes the configuration that routes requests to the targets. */
     void configure() throws IOException {
         postUntilAccepted("/put", "1");
@@ -74,14 +83,19 @@
     /** Starts a gateway and returns its address for callers once it serves requests, not null. */
     Address startGateway() throws Exception {
         Address callers = FreeAddresses.next();
-        start(ProcessRole.ENTRY, callers);
+        gateways.put(callers, start(ProcessRole.ENTRY, callers));
         while (call(callers, "sound") != 200) {
             Thread.onSpinWait();
         }
         return callers;
     }
 
-    private void start(ProcessRole role, Address callAddress) throws IOException {
+    /** Stops a gateway in an orderly way. */
+    void stopGateway(Address callers) {
+        gateways.remove(callers).stop();
+    }
+
+    private ServingProcess start(ProcessRole role, Address callAddress) throws IOException {
         boolean isControl = role == ProcessRole.CONTROL;
         ServingSettings settings = new ServingSettings(
                 "test-" + callAddress.port(),
@@ -101,9 +115,9 @@
                 RegionMap.NONE);
         Dialects dialects =
                 new Dialects(format(), new PlainDialect(), new PlainControlDialect(), new PlainWeightsDialect());
-        ServingProcess.of(settings, new UnchangedSettings(settings), dialects)
-                .start()
-                .join();
+        ServingProcess process = ServingProcess.of(settings, new UnchangedSettings(settings), dialects);
+        process.start().join();
+        return process;
     }
 
     private record UnchangedSettings(ServingSettings settings) implements SettingsSource {
@@ -152,7 +166,12 @@
 
     /** Calls a gateway with a prompt of the given parts; returns the response status. */
     static int callWithParts(Address gateway, String parts, String body) throws IOException {
-        return status(exchange(gateway, "POST", "/x/1", "Parts: " + parts + "\r\n", body));
+        return status(exchangeWithParts(gateway, parts, body));
+    }
+
+    /** Calls a gateway with a prompt of the given parts; returns the whole response, not null. */
+    static String exchangeWithParts(Address gateway, String parts, String body) throws IOException {
+        return exchange(gateway, "POST", "/x/1", "Parts: " + parts + "\r\n", body);
     }
 
     /** Returns the whole HTTP response to an operator's request, not null. */
