Crashes: a part beside the cause is not condemned by crashes that were dropped from the cause's list

Cause, found by reading the figures of a table filled at random: the last eight crashes of a part are kept, also of a condemned one. A few further crashes of the cause drop its first ones, which then are explained by no part and count against parts that were in flight beside it.

Change: 32 crashes are kept of a condemned part. After it is condemned there are two trials and what was already on its way.

The new test fails with eight and passes.

--- a/core/src/main/java/org/bankturn/crash/SuspectPart.java
+++ b/core/src/main/java/org/bankturn/crash/SuspectPart.java
@@ -43,6 +43,9 @@
     /** Exceeds the threshold, so that the part with the most crashes can be told from those beside it. */
     static final int MAX_CRASHES = 8;
 
+    /** The crashes that are kept of a condemned part; those that were dropped would count against parts beside it again. */
+    static final int MAX_CRASHES_CONDEMNED = 32;
+
     /** Copies the crashes. */
     public SuspectPart {
         crashes = List.copyOf(crashes);
@@ -140,11 +143,12 @@
             }
         }
         changed.add(merged);
-        List<PartCrash> last = sorted(changed);
+        List<PartCrash> all = sorted(changed);
+        int kept = condemnedIndex > 0 ? MAX_CRASHES_CONDEMNED : MAX_CRASHES;
         return new SuspectPart(
                 part,
                 Math.max(depth, atDepth),
-                last.subList(Math.max(0, last.size() - MAX_CRASHES), last.size()),
+                all.subList(Math.max(0, all.size() - kept), all.size()),
                 completedVersion,
                 condemnedIndex,
                 trials,
--- a/core/src/test/java/org/bankturn/crash/SuspectPartTableTest.java
+++ b/core/src/test/java/org/bankturn/crash/SuspectPartTableTest.java
@@ -115,6 +115,18 @@
         assertThat(table.condemned()).contains(CRASHING);
     }
 
+    /** Guards against crashes that count against a harmless part once they are dropped from those of the cause. */
+    @Test
+    void further_crashes_of_a_condemned_part_do_not_condemn_a_part_beside_its_first_ones() {
+        for (int crashes = 0; crashes < 5; crashes++) {
+            crash(SHARED, CRASHING);
+        }
+        for (int crashes = 0; crashes < 20; crashes++) {
+            crash(CRASHING);
+        }
+        assertThat(table.condemned()).containsExactly(CRASHING);
+    }
+
     @Test
     void two_parts_that_crash_different_targets_are_both_condemned() {
         for (int crashes = 0; crashes < 5; crashes++) {
