Gateway: probes of crashed targets in a class of their own

CrashProbe holds the two connections, their timeout and what a refused one means; no behaviour changes. The tests of crashes, silent targets, pauses and resets pass as before (63).

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -3,8 +3,6 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
-import java.net.ConnectException;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -21,13 +19,11 @@
 import org.bankturn.crash.KnownSuspects;
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.crash.Suspect;
-import org.bankturn.daemon.http.TargetConnection;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.daemon.publication.PublishedState;
-import org.bankturn.daemon.settings.Address;
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.time.Clock;
@@ -36,26 +32,18 @@
  * Detects targets that crash while running a request and reports them to the control group, so that all gateways stop
  * requests that crash their targets.
  *
- * <p>After a lost connection the target is probed: an address that refuses connections belongs to a crashed process.
- * Completed requests are reported as well, which clears them of suspicion. CrashDetector is confined to its reactor's
- * thread.
+ * <p>After a lost connection the target is probed. Completed requests are reported as well, which clears them of suspicion.
+ * CrashDetector is confined to its reactor's thread.
  */
 final class CrashDetector {
-    /** Delay before the second probe; a crashing process may close its port after its connections. */
-    private static final long SECOND_PROBE_DELAY_MILLIS = 150;
-
-    /** Connect timeout of a probe, which bounds how long an interrupted request waits; a path between regions takes 6 ms. */
-    private static final long PROBE_TIMEOUT_MILLIS = 100;
-
     /** Observations made within this time are sent together; the requests of a crashed target break off within 8 ms. */
     private static final long REPORT_DELAY_MILLIS = 10;
 
     private final String process;
     private final Eventloop reactor;
-    private final Clock clock;
     private final DecisionLog log;
     private final ServingMetrics metrics;
-    private final TargetConnectionPool connections;
+    private final CrashProbe probe;
     private final Consumer<PublicationCommand> controlGroup;
     private final Runnable onCondemned;
     private final InterruptedRequests interruptedRequests;
@@ -63,7 +51,6 @@
     private final PromptPartGuard promptParts;
     private final KnownSuspects suspects = KnownSuspects.empty();
     private final Set<RequestFingerprint> condemned = new HashSet<>();
-    private final Map<String, Promise<Void>> pendingProbes = new HashMap<>();
     private final Map<String, Map<RequestFingerprint, InterruptedRequest>> unreportedCrashes = new LinkedHashMap<>();
     private final Set<RequestFingerprint> unreportedCompletions = new LinkedHashSet<>();
     private List<Suspect> lastPublished = List.of();
@@ -104,13 +91,17 @@
             Runnable onCondemned) {
         this.process = process;
         this.reactor = reactor;
-        this.clock = clock;
         this.log = log;
         this.metrics = metrics;
-        this.connections = connections;
+        this.interruptedRequests = InterruptedRequests.of(clock);
+        this.probe = CrashProbe.of(
+                reactor,
+                clock,
+                connections,
+                target -> onTargetEnded(target.id()),
+                target -> interruptedRequests.markAlive(target.id()));
         this.controlGroup = controlGroup;
         this.onCondemned = onCondemned;
-        this.interruptedRequests = InterruptedRequests.of(clock);
         this.trialRequester = TrialRequester.of(
                 reactor,
                 clock,
@@ -230,7 +221,7 @@
             onTargetEnded(target.id());
             return Promise.complete();
         }
-        return probeOnce(target).then(() -> awaitCertainty(request));
+        return probe.probe(target).then(() -> awaitCertainty(request));
     }
 
     /**
@@ -244,33 +235,14 @@
             return Promise.of(false);
         }
         boolean crashesExpected = !suspects.isEmpty() || !promptParts.isEmpty() || !interruptedRequests.isEmpty();
-        return connect(target).then(failure -> {
-            if (isRefused(failure) || !crashesExpected) {
-                return Promise.of(isRefused(failure));
-            }
-            return Promises.delay(SECOND_PROBE_DELAY_MILLIS)
-                    .then(() -> connect(target))
-                    .map(CrashDetector::isRefused);
-        });
-    }
-
-    private Promise<Void> probeOnce(TargetSighting target) {
-        Promise<Void> pending = pendingProbes.get(target.id());
-        if (pending != null) {
-            return pending;
-        }
-        Promise<Void> probe = probe(target);
-        if (!probe.isComplete()) {
-            pendingProbes.put(target.id(), probe);
-        }
-        return probe;
+        return probe.refusesConnections(target, crashesExpected);
     }
 
     /** Delays a request that one more crash would condemn until the undecided probes have finished. */
     private Promise<Void> awaitCertainty(ForwardedRequest request) {
         boolean certain =
                 isCondemned(request) || !(couldRepetitionBeCondemned(request) || couldPartBeCondemned(request));
-        return certain ? Promise.complete() : Promises.delay(SECOND_PROBE_DELAY_MILLIS + PROBE_TIMEOUT_MILLIS);
+        return certain ? Promise.complete() : Promises.delay(CrashProbe.DECISION_MILLIS);
     }
 
     private boolean couldRepetitionBeCondemned(ForwardedRequest request) {
@@ -284,49 +256,13 @@
                 .anyMatch(part -> promptParts.couldBeCondemned(part, interruptedRequests.findUndecided(part)));
     }
 
-    /** Probes whether a target accepts connections, and if so once more after a delay. */
-    private Promise<Void> probe(TargetSighting target) {
-        return connect(target).then(failure -> {
-            pendingProbes.remove(target.id());
-            if (failure == null) {
-                reactor.delayBackground(SECOND_PROBE_DELAY_MILLIS, () -> probeAgain(target));
-            }
-            return Promise.complete();
-        });
-    }
-
-    private void probeAgain(TargetSighting target) {
-        connect(target).whenResult(failure -> {
-            if (failure == null) {
-                interruptedRequests.markAlive(target.id());
-            }
-        });
-    }
-
-    /** Returns a promise of the connect failure, null if the target accepts the connection. */
-    private Promise<Exception> connect(TargetSighting target) {
-        return TargetConnection.connect(
-                        reactor, clock, Address.parse(target.address()).toSocketAddress(), PROBE_TIMEOUT_MILLIS)
-                .then((opened, failure) -> {
-                    if (opened != null) {
-                        connections.release(target.id(), opened);
-                    }
-                    onConnectResult(target, failure);
-                    return Promise.of(failure);
-                });
-    }
-
     /** Evaluates the outcome of connecting to a target; a refused connection means that it has crashed. */
     void onConnectResult(TargetSighting target, Exception failure) {
-        if (isRefused(failure)) {
+        if (CrashProbe.isRefused(failure)) {
             onTargetEnded(target.id());
         }
     }
 
-    private static boolean isRefused(Exception connectFailure) {
-        return connectFailure instanceof ConnectException;
-    }
-
     private void onTargetEnded(String target) {
         List<InterruptedRequest> requests = interruptedRequests.recordCrash(target);
         if (requests.isEmpty()) {
