Gateway: a target without an outcome of its probe is not taken for alive

Cause: the end of such a response waited for a connection of 100 ms at most, and only a refused one made it a cut response. One without an outcome in time counted as accepted. The same for interrupted requests: after a first probe without an outcome there was no second one.

Change: the response is complete only once its target accepts a connection (400 ms as for requests, tried twice); interrupted requests get their second probe unless the first was refused.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -288,11 +288,11 @@
     public void onEndOfConnection() {
         endedAtClose = true;
         gateway.metrics().responseEndedAtClose(request.service().name());
-        gateway.crashDetector().hasCrashed(target.sighting()).whenResult(crashed -> {
-            if (crashed) {
-                onFailure(TransportFailure.CLOSED);
-            } else {
+        gateway.crashDetector().isAlive(target.sighting()).whenResult(alive -> {
+            if (alive) {
                 onComplete();
+            } else {
+                onFailure(TransportFailure.CLOSED);
             }
         });
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -225,17 +225,16 @@
     }
 
     /**
-     * Determines whether a target has crashed that ended a connection without a fault.
+     * Determines whether a target lives that ended a connection without a fault.
      *
-     * @return a promise of true if the target refuses connections; false if it accepts one, is draining, or does not
-     *     respond soon, not null
+     * @return a promise of true if the target accepts a connection or is draining, not null
      */
-    Promise<Boolean> hasCrashed(TargetSighting target) {
+    Promise<Boolean> isAlive(TargetSighting target) {
         if (target.draining()) {
-            return Promise.of(false);
+            return Promise.of(true);
         }
         boolean crashesExpected = !suspects.isEmpty() || !promptParts.isEmpty() || !interruptedRequests.isEmpty();
-        return probe.refusesConnections(target, crashesExpected);
+        return probe.acceptsConnections(target, crashesExpected);
     }
 
     /** Delays a request that one more crash would condemn until the undecided probes have finished. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
@@ -24,6 +24,9 @@
     /** Connect timeout of a probe, which bounds how long an interrupted request waits; a path between regions takes 6 ms. */
     private static final long PROBE_TIMEOUT_MILLIS = 100;
 
+    /** Connect timeout where a probe without an outcome costs a response; that of connections for requests. */
+    private static final long ACCEPT_TIMEOUT_MILLIS = 400;
+
     /** The time after which both probes of a target have an outcome. */
     static final long DECISION_MILLIS = SECOND_PROBE_DELAY_MILLIS + PROBE_TIMEOUT_MILLIS;
 
@@ -66,7 +69,7 @@
     }
 
     /**
-     * Probes a target now and, if it accepts the connection, once more after a delay; a probe in progress is joined.
+     * Probes a target now and, unless it refuses the connection, once more after a delay; a probe in progress is joined.
      *
      * @return a promise that completes with the first probe, not null
      */
@@ -75,9 +78,9 @@
         if (joined != null) {
             return joined;
         }
-        Promise<Void> first = connect(target).then(failure -> {
+        Promise<Void> first = connect(target, PROBE_TIMEOUT_MILLIS).then(failure -> {
             pending.remove(target.id());
-            if (failure == null) {
+            if (!isRefused(failure)) {
                 reactor.delayBackground(SECOND_PROBE_DELAY_MILLIS, () -> probeAgain(target));
             }
             return Promise.complete();
@@ -89,7 +92,7 @@
     }
 
     private void probeAgain(TargetSighting target) {
-        connect(target).whenResult(failure -> {
+        connect(target, PROBE_TIMEOUT_MILLIS).whenResult(failure -> {
             if (failure == null) {
                 onAlive.accept(target);
             }
@@ -97,26 +100,31 @@
     }
 
     /**
-     * Returns a promise of true if a target refuses connections, not null.
+     * Returns a promise of true if a target accepts a connection; a connection without an outcome is tried once more.
      *
      * @param target the target, not null
-     * @param thorough true to probe a target that accepts the first connection once more after a delay
+     * @param thorough true to require that it accepts another one after a delay
      */
-    Promise<Boolean> refusesConnections(TargetSighting target, boolean thorough) {
-        return connect(target).then(failure -> {
-            if (isRefused(failure) || !thorough) {
-                return Promise.of(isRefused(failure));
-            }
-            return Promises.delay(SECOND_PROBE_DELAY_MILLIS)
-                    .then(() -> connect(target))
-                    .map(CrashProbe::isRefused);
-        });
+    Promise<Boolean> acceptsConnections(TargetSighting target, boolean thorough) {
+        return connect(target, ACCEPT_TIMEOUT_MILLIS)
+                .then(failure -> {
+                    boolean undecided = failure != null && !isRefused(failure);
+                    return undecided ? connect(target, ACCEPT_TIMEOUT_MILLIS) : Promise.of(failure);
+                })
+                .then(failure -> {
+                    if (failure != null || !thorough) {
+                        return Promise.of(failure == null);
+                    }
+                    return Promises.delay(SECOND_PROBE_DELAY_MILLIS)
+                            .then(() -> connect(target, ACCEPT_TIMEOUT_MILLIS))
+                            .map(second -> second == null);
+                });
     }
 
     /** Returns a promise of the connect failure, null if the target accepts the connection. */
-    private Promise<Exception> connect(TargetSighting target) {
+    private Promise<Exception> connect(TargetSighting target, long timeoutMillis) {
         return TargetConnection.connect(
-                        reactor, clock, Address.parse(target.address()).toSocketAddress(), PROBE_TIMEOUT_MILLIS)
+                        reactor, clock, Address.parse(target.address()).toSocketAddress(), timeoutMillis)
                 .then((opened, failure) -> {
                     if (opened != null) {
                         connections.release(target.id(), opened);
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.bankturn.service.RequestKind;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,15 @@
         assertThat(call("POST", "one", "body")).contains("data: a").doesNotEndWith(LAST_CHUNK);
     }
 
+    /** Guards against a probe without an outcome that is taken for a sign of life. */
+    @Test
+    void a_response_is_not_complete_while_its_target_accepts_no_connection() throws Exception {
+        try (FullBacklogTarget target = FullBacklogTarget.answeringOnce(BEGUN_RESPONSE)) {
+            publish(RequestKind.UNSAFE, 1, 4_000, List.of(target.address()));
+            assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+        }
+    }
+
     @Test
     void a_response_is_complete_while_its_target_lives() throws Exception {
         publish(RequestKind.UNSAFE, 1, closingAfter("\r\n\r\nwhole"));
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/FullBacklogTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/FullBacklogTarget.java
@@ -1,6 +1,8 @@
 package org.bankturn.daemon.gateway;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -21,8 +23,39 @@
         return new FullBacklogTarget();
     }
 
+    /**
+     * Starts a target that answers its first request, fills its backlog and then closes the connection of the request.
+     *
+     * @param response what it writes after the id of the request, not null
+     */
+    static FullBacklogTarget answeringOnce(String response) throws IOException {
+        FullBacklogTarget target = new FullBacklogTarget(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        Thread thread = new Thread(() -> target.answerOnce(response), "full-backlog-target");
+        thread.setDaemon(true);
+        thread.start();
+        return target;
+    }
+
     private FullBacklogTarget() throws IOException {
-        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        this(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        fillBacklog();
+    }
+
+    private FullBacklogTarget(ServerSocket server) {
+        this.server = server;
+    }
+
+    private void answerOnce(String response) {
+        try (Socket socket = server.accept()) {
+            String head = ScriptedTarget.readHead(new BufferedInputStream(socket.getInputStream()));
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + ScriptedTarget.field(head, "id") + response);
+            fillBacklog();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void fillBacklog() throws IOException {
         while (queued.size() < MAX_QUEUED) {
             Socket socket = new Socket();
             try {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -108,7 +108,7 @@
         }
     }
 
-    private static String readHead(InputStream input) throws IOException {
+    static String readHead(InputStream input) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
             int next = input.read();
