Weights: the grace after a start counts from the start, not from the first publication

Cause: a gateway that started 10 s after version 3 was named learned of it 1.25 s after its start and then allowed 2 s, as it can't know when the version was named. So it sent to version 2 until 3.25 s after its start; others rely on a process again 3 s after it. Ruled out: a prediction that leaves too little for the engine's queue; the request began 0.25 s before the gateway's own deadline.

Change: the deadline is 2 s after the start (VersionDeadlines.deadlineOf). Its test fails with the former rule.

--- a/core/src/main/java/org/bankturn/routing/VersionDeadlines.java
+++ b/core/src/main/java/org/bankturn/routing/VersionDeadlines.java
@@ -15,6 +15,12 @@
     /** The safety factor for predictions, which covers links and engines that are slowing down. */
     private static final double PREDICTION_MARGIN = 2;
 
+    /**
+     * How long after its start a process sends requests to older weights of which it does not know when they were
+     * replaced; less than the time after which others rely on the process again.
+     */
+    private static final long GRACE_AFTER_START_MILLIS = 2_000;
+
     private final TreeMap<Integer, Long> deadlines = new TreeMap<>();
 
     /** Returns deadlines for a model without announced versions, not null. */
@@ -24,6 +30,18 @@
 
     private VersionDeadlines() {}
 
+    /**
+     * Returns the deadline of a version for a process that learns of it.
+     *
+     * @param startedMillis when the process started
+     * @param namedAfterMillis a time before the version was named
+     * @param allowedMillis how long requests may start on older versions after it was named
+     */
+    public static long deadlineOf(long startedMillis, long namedAfterMillis, long allowedMillis) {
+        boolean mayPredateStart = namedAfterMillis < startedMillis;
+        return mayPredateStart ? startedMillis + GRACE_AFTER_START_MILLIS : namedAfterMillis + allowedMillis;
+    }
+
     /** Returns the minimum version that may serve a request, 0 for any. */
     public int minVersion(long nowMillis) {
         return deadlines.descendingMap().entrySet().stream()
--- a/core/src/test/java/org/bankturn/routing/VersionDeadlinesTest.java
+++ b/core/src/test/java/org/bankturn/routing/VersionDeadlinesTest.java
@@ -29,6 +29,18 @@
         assertThat(deadlines.minVersion(7_500)).isEqualTo(2);
     }
 
+    @Test
+    void a_version_is_due_a_while_after_it_was_named() {
+        assertThat(VersionDeadlines.deadlineOf(1_000, 5_000, 7_000)).isEqualTo(12_000);
+    }
+
+    /** Guards against a restarted process that learns late of a version and sends to older weights for too long. */
+    @Test
+    void a_version_that_may_have_been_named_before_the_start_is_due_within_three_seconds_of_the_start() {
+        long started = 60_000;
+        assertThat(VersionDeadlines.deadlineOf(started, started - 1, 7_000)).isLessThan(started + 3_000);
+    }
+
     /** Guards against requests that are delayed on a slow link and start on outdated weights. */
     @Test
     void slow_target_gets_no_request_shortly_before_a_deadline() {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -44,6 +44,7 @@
 import org.bankturn.routing.SlowStarts;
 import org.bankturn.routing.TargetState;
 import org.bankturn.routing.TargetTable;
+import org.bankturn.routing.VersionDeadlines;
 import org.bankturn.service.Account;
 import org.bankturn.service.ClientLimits;
 import org.bankturn.service.Route;
@@ -60,7 +61,6 @@
     private static final byte[] EMPTY_BODY = new byte[0];
 
     private static final long STOP_CHECK_MILLIS = 50;
-    private static final long VERSION_GRACE_AFTER_START_MILLIS = 2_000;
     private static final int ANSWERS_PER_LOG_LINE = 64;
     private static final String NO_SERVICE = "none";
 
@@ -173,10 +173,7 @@
      * @param changedSinceMillis a time before any of the changes took effect
      */
     public void update(PublishedState newer, long changedSinceMillis) {
-        boolean mayPredateStart = changedSinceMillis < startedMillis;
-        long due = mayPredateStart
-                ? clock.millis() + VERSION_GRACE_AFTER_START_MILLIS
-                : changedSinceMillis + settings.weightsDeadlineMillis();
+        long due = VersionDeadlines.deadlineOf(startedMillis, changedSinceMillis, settings.weightsDeadlineMillis());
         for (NamedWeights named : newer.weights()) {
             policy.versionAnnounced(named.model(), named.version(), due);
         }
