--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /** A small deployment of the project's programs on loopback addresses, started with the commands of the deploy file. */
 final class Deployment implements AutoCloseable {
@@ -19,7 +20,7 @@
     static final int READY_PORT = 8002;
     private static final int NODE_PORT = 7700;
     private static final int METRICS_PORT = 7715;
-    private static final String[] HALLS = {"hall-a", "hall-b", "hall-c"};
+    private static final String[] HALLS = {"hall-a", "hall-b", "hall-c", "hall-d", "hall-e"};
 
     private final Path folder;
     private final Path root;
@@ -27,6 +28,10 @@
     private final List<Process> processes = new ArrayList<>();
     private final PrintWriter record;
     private final long startNanos = System.nanoTime();
+    private List<Integer> seeds = List.of(0, 1, 2);
+    private int tolerance = 1;
+    private int catchUpSeconds = 4;
+    private int recoverySeconds = 12;
 
     Deployment(Path recordFile) throws IOException {
         root = Path.of("").toAbsolutePath();
@@ -74,6 +79,18 @@
         return network + (101 + number);
     }
 
+    /** Sets the control processes that the settings of processes started from now on name as seeds. */
+    void setSeeds(List<Integer> numbers) {
+        seeds = numbers;
+    }
+
+    /** Sets how many machines with a disk may be lost at a time, and the bounds that go with it. */
+    void setTolerance(int machines, int catchUp, int recovery) {
+        tolerance = machines;
+        catchUpSeconds = catchUp;
+        recoverySeconds = recovery;
+    }
+
     Path folder() {
         return folder;
     }
@@ -85,7 +102,12 @@
 
     /** Starts three control processes and some entry processes. */
     void start(int entries) throws IOException {
-        for (int number = 0; number < 3; number++) {
+        start(3, entries);
+    }
+
+    /** Starts control and entry processes. */
+    void start(int controls, int entries) throws IOException {
+        for (int number = 0; number < controls; number++) {
             startControl(number, true);
         }
         for (int number = 0; number < entries; number++) {
@@ -94,17 +116,31 @@
     }
 
     Process startControl(int number, boolean bootstrap) throws IOException {
+        return startControl(number, number, bootstrap);
+    }
+
+    /** Starts a control process in the hall of the given one, which it may replace. */
+    Process startControl(int number, int hallOf, boolean bootstrap) throws IOException {
+        return startControl(number, hallOf, bootstrap, "data-" + number);
+    }
+
+    /** Starts a control process again at its address, with an empty data folder. */
+    Process startControlWithEmptyDisk(int number) throws IOException {
+        return startControl(number, number, false, "data-" + number + "-empty");
+    }
+
+    private Process startControl(int number, int hallOf, boolean bootstrap, String dataFolder) throws IOException {
         String ip = control(number);
-        List<String> lines = common("core-" + number, "control", ip, HALLS[number % 3], bootstrap);
+        List<String> lines = common("core-" + number, "control", ip, HALLS[hallOf % HALLS.length], bootstrap);
         lines.add("machine_class=core");
         lines.add("listen.control=" + ip + ":" + CALL_PORT);
-        lines.add("data_dir=" + Files.createDirectories(folder.resolve("data-" + number)));
+        lines.add("data_dir=" + Files.createDirectories(folder.resolve(dataFolder)));
         return startRole("control", "core-" + number, lines);
     }
 
     Process startEntry(int number) throws IOException {
         String ip = entry(number);
-        List<String> lines = common("front-" + number, "front", ip, HALLS[number % 3], true);
+        List<String> lines = common("front-" + number, "front", ip, hall(number), true);
         lines.add("machine_class=front");
         lines.add("listen.front=" + ip + ":" + CALL_PORT);
         lines.add("listen.ready=" + ip + ":" + READY_PORT);
@@ -136,9 +172,10 @@
                 "zones.hall-a=region-hall-a",
                 "zones.hall-b=region-hall-b",
                 "zones.hall-c=region-hall-c",
+                "zones.hall-d=region-hall-d",
+                "zones.hall-e=region-hall-e",
                 "internal_ports=" + NODE_PORT + "," + METRICS_PORT,
-                "seeds=" + control(0) + ":" + CALL_PORT + "," + control(1) + ":" + CALL_PORT + "," + control(2) + ":"
-                        + CALL_PORT,
+                "seeds=" + seeds.stream().map(seed -> control(seed) + ":" + CALL_PORT).collect(Collectors.joining(",")),
                 "bootstrap=" + bootstrap,
                 "fault_counted=" + serves.equals("control"),
                 "limits.cpu_share=0.75",
@@ -150,14 +187,14 @@
                 "entry=vip",
                 "heartbeat_ms=1200",
                 "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,chunks",
-                "fault_tolerance.machines=1",
+                "fault_tolerance.machines=" + tolerance,
                 "fault_tolerance.zones=1",
                 "fault_tolerance.regions=0",
                 "bounds.seed_lag_s=3",
                 "bounds.reuse_after_s=2",
                 "bounds.contact_ms=3000",
                 "bounds.ack_ms=4000",
-                "bounds.catch_up_s=4",
+                "bounds.catch_up_s=" + catchUpSeconds,
                 "bounds.drain_ms=2000",
                 "bounds.grace_s=8",
                 "bounds.loss_slack_ms=200",
@@ -169,7 +206,7 @@
                 "bounds.retry_budget_ratio=0.2",
                 "bounds.budget_window_s=10",
                 "bounds.budget_slack=102",
-                "bounds.recovery_s=12",
+                "bounds.recovery_s=" + recoverySeconds,
                 "bounds.pass_ms=120",
                 "bounds.retry_after_s=0",
                 "bounds.version_ms=8000",
