--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -147,17 +147,7 @@
         return startRole("entry", "front-" + number, lines);
     }
 
-    /** Starts the process beside a model replica, which has the same address. */
-    Process startSide(int number, String service) throws IOException {
-        String ip = standin(number);
-        List<String> lines = common("side-" + number, "side", ip, hall(number), true);
-        lines.add("machine_class=side");
-        lines.add("app=" + ip + ":" + Engine.PORT);
-        lines.add("service=" + service);
-        return startRole("target", "side-" + number, lines);
-    }
-
-    static String hall(int number) {
+    private static String hall(int number) {
         return HALLS[number % HALLS.length];
     }
 
--- a/review/standins/ReplacedCores.java
+++ b/review/standins/ReplacedCores.java
@@ -1,7 +1,5 @@
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -24,10 +22,12 @@
 
     private final Deployment deployment;
     private final TreeMap<Integer, Process> cores = new TreeMap<>();
+    private final Operator operator;
     private int next = CORES;
 
     private ReplacedCores(Deployment deployment) {
         this.deployment = deployment;
+        this.operator = new Operator(deployment, cores::keySet);
     }
 
     public static void main(String[] arguments) throws Exception {
@@ -62,7 +62,13 @@
             loseDisks(List.of(1, 2));
         }
         TimeUnit.SECONDS.sleep(RECOVERY_SECONDS);
-        return isRead(3) ? 0 : 1;
+        return operator.reads(3, ASK_SECONDS) ? 0 : 1;
+    }
+
+    private void publish(int version, int seconds) throws IOException, InterruptedException {
+        if (!operator.publish(version, seconds)) {
+            throw new IOException("configuration " + version + " was not acknowledged");
+        }
     }
 
     /** Takes two machines away for good; empty ones at other addresses follow a second later. */
@@ -91,57 +97,4 @@
             cores.put(number, deployment.startControlWithEmptyDisk(number));
         }
     }
-
-    private static String configuration(int version) {
-        return "{\"version\":" + version + ",\"routes\":[{\"name\":\"read\",\"host\":\"booking.example\","
-                + "\"path_prefix\":\"/read/\",\"route_type\":\"idempotent\",\"timeout_ms\":6000,"
-                + "\"target_latency_ms\":400,\"priority\":1,\"service\":\"booking-core\",\"max_attempts\":2,"
-                + "\"no_auth\":false}],\"services\":[{\"name\":\"booking-core\",\"health_path\":\"/health\","
-                + "\"max_conns\":96,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"max_header_bytes\":16384,"
-                + "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-                + "\"tenants\":[{\"name\":\"tenant-1\",\"api_keys\":[\"key-1\"],\"priority\":1}]}";
-    }
-
-    /** Sends a configuration to the living control processes in turn until one acknowledges it. */
-    private void publish(int version, int seconds) throws IOException, InterruptedException {
-        byte[] request = Http.request("POST", "/config/put", "Host: operator\r\n", configuration(version));
-        if (ask(request, "configuration " + version, seconds, null) == null) {
-            throw new IOException("configuration " + version + " was not acknowledged");
-        }
-    }
-
-    private boolean isRead(int version) throws InterruptedException {
-        byte[] request = Http.request("GET", "/config/get", "Host: operator\r\n", "");
-        String body = ask(request, "a read of the configuration", ASK_SECONDS, "\"version\":" + version + ",");
-        if (body == null) {
-            deployment.record("BROKEN: configuration " + version + ", which was acknowledged, does not come");
-        }
-        return body != null;
-    }
-
-    /** Asks the living control processes in turn; returns the body of the first 200, null if there is none in time. */
-    private String ask(byte[] request, String what, int seconds, String expected) throws InterruptedException {
-        long until = System.currentTimeMillis() + seconds * 1_000L;
-        for (int number = 0; System.currentTimeMillis() < until; number++) {
-            List<Integer> living = new ArrayList<>(cores.keySet());
-            int core = living.get(number % living.size());
-            String got;
-            try {
-                Http.Answer answer = Http.call(deployment.control(core), Deployment.CALL_PORT, request, 2_500);
-                String body = new String(answer.body, StandardCharsets.UTF_8);
-                got = answer.status + " " + (answer.complete ? "" : answer.end);
-                if (answer.status == 200 && answer.complete && (expected == null || body.contains(expected))) {
-                    deployment.record(what + ": 200 from core-" + core);
-                    return body;
-                }
-            } catch (IOException e) {
-                got = e.getMessage();
-            }
-            if (number % 5 == 4) {
-                deployment.record(what + ": " + got + " from core-" + core);
-            }
-            TimeUnit.MILLISECONDS.sleep(200);
-        }
-        return null;
-    }
 }
