Agreement: decisions about the membership are logged and counted

Cause: nothing of the membership of the control group was logged but the number of members at a start. Whether a silent member stayed a voter, or a join request was dropped, could not be told from logs.

Change: RaftNode reports each decision (join accepted or ignored and why, admitted, given up, replaced, removed, retained) with the time of silence, the number of members and of silent ones as a part of Ready; the daemons write a line each. Gauges: bankturn_group_members, bankturn_group_members_silent, bankturn_group_tolerable_losses. No logic of the membership changes.

--- a/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -1,8 +1,10 @@
 package org.bankturn.agreement;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Decides on the leader which member to add or remove next, one change at a time.
@@ -17,11 +19,17 @@
 
     private final RaftSettings settings;
     private final ProgressTracker progress;
+    private final Outbox outbox;
+
+    /** The silent members whose retention has been reported. */
+    private final Set<Member> retained = new HashSet<>();
+
     private Member learner;
 
-    MembershipChanges(RaftSettings settings, ProgressTracker progress) {
+    MembershipChanges(RaftSettings settings, ProgressTracker progress, Outbox outbox) {
         this.settings = settings;
         this.progress = progress;
+        this.outbox = outbox;
     }
 
     /** Returns the non-voting member that is replicating the log before its admission, empty if there is none. */
@@ -32,6 +40,7 @@
     /** Discards the learner; called when leadership is gained or lost. */
     void reset() {
         learner = null;
+        retained.clear();
     }
 
     void addLearner(Member member, long nextIndex, long nowMillis) {
@@ -47,6 +56,7 @@
         boolean admitted = members.contains(learner);
         boolean silent = nowMillis - progress.lastContactMillis(learner) > settings.electionTimeoutMillis();
         if (silent && !admitted) {
+            report(MembershipEvent.Kind.GIVEN_UP, learner, members, nowMillis);
             progress.remove(learner);
         }
         if (silent || admitted) {
@@ -60,35 +70,66 @@
      *
      * @return the new membership, empty if there is no learner or it lacks committed entries
      */
-    Optional<List<Member>> nextAdmission(List<Member> members, long commitIndex) {
+    Optional<List<Member>> nextAdmission(List<Member> members, long commitIndex, long nowMillis) {
         if (learner == null || progress.matchIndex(learner) < commitIndex) {
             return Optional.empty();
         }
-        List<Member> nextMembers = new ArrayList<>(members);
-        boolean hadPreviousIncarnation =
-                nextMembers.removeIf(member -> member.box().equals(learner.box()));
-        if (!hadPreviousIncarnation) {
-            nextMembers.add(learner);
+        Optional<Member> former = members.stream()
+                .filter(member -> member.box().equals(learner.box()))
+                .findFirst();
+        if (former.isPresent()) {
+            report(MembershipEvent.Kind.REPLACED, former.get(), members, nowMillis);
+            return Optional.of(without(members, former.get()));
         }
+        report(MembershipEvent.Kind.ADMITTED, learner, members, nowMillis);
+        List<Member> nextMembers = new ArrayList<>(members);
+        nextMembers.add(learner);
         return Optional.of(List.copyOf(nextMembers));
     }
 
     /** Returns the membership without the only unresponsive member, empty if no member should be removed. */
     Optional<List<Member>> nextRemoval(List<Member> members, List<Member> peers, long nowMillis) {
-        if (learner != null || members.size() <= settings.minMembers()) {
-            return Optional.empty();
+        List<Member> silent = silentMembers(peers, nowMillis);
+        retained.retainAll(silent);
+        List<Member> overdue = silent.stream()
+                .filter(peer -> isSilent(peer, REMOVAL_TIMEOUTS, nowMillis))
+                .toList();
+        boolean removable =
+                learner == null && members.size() > settings.minMembers() && silent.size() == 1 && !overdue.isEmpty();
+        if (removable) {
+            report(MembershipEvent.Kind.REMOVED, overdue.get(0), members, nowMillis);
+            return Optional.of(without(members, overdue.get(0)));
         }
-        List<Member> silent =
-                peers.stream().filter(peer -> isSilent(peer, 1, nowMillis)).toList();
-        boolean removable = silent.size() == 1 && isSilent(silent.get(0), REMOVAL_TIMEOUTS, nowMillis);
-        return removable
-                ? Optional.of(members.stream()
-                        .filter(member -> !member.equals(silent.get(0)))
-                        .toList())
-                : Optional.empty();
+        overdue.stream()
+                .filter(retained::add)
+                .forEach(peer -> report(MembershipEvent.Kind.RETAINED, peer, members, nowMillis));
+        return Optional.empty();
+    }
+
+    /** Returns the members that have not responded within an election timeout, not null. */
+    List<Member> silentMembers(List<Member> peers, long nowMillis) {
+        return peers.stream().filter(peer -> isSilent(peer, 1, nowMillis)).toList();
+    }
+
+    void report(MembershipEvent.Kind kind, Member member, List<Member> members, long nowMillis) {
+        long silentMillis = progress.find(member)
+                .map(each -> nowMillis - each.lastContactMillis())
+                .orElse(0L);
+        List<Member> tracked =
+                members.stream().filter(each -> progress.find(each).isPresent()).toList();
+        outbox.report(new MembershipEvent(
+                kind,
+                member,
+                silentMillis,
+                members.size(),
+                silentMembers(tracked, nowMillis).size()));
     }
 
     private boolean isSilent(Member peer, int electionTimeouts, long nowMillis) {
         return nowMillis - progress.lastContactMillis(peer) > electionTimeouts * settings.electionTimeoutMillis();
     }
+
+    private static List<Member> without(List<Member> members, Member removed) {
+        return members.stream().filter(member -> !member.equals(removed)).toList();
+    }
 }
--- a/core/src/main/java/org/bankturn/agreement/Outbox.java
+++ b/core/src/main/java/org/bankturn/agreement/Outbox.java
@@ -4,13 +4,14 @@
 import java.util.List;
 
 /**
- * Accumulates pending writes and messages until the next {@link Ready}.
+ * Accumulates pending writes, messages and membership decisions until the next {@link Ready}.
  *
  * <p>Outbox is mutable and owned by one {@link RaftNode}.
  */
 final class Outbox {
     private final List<LogEntry> entries = new ArrayList<>();
     private final List<Ready.Outbound> messages = new ArrayList<>();
+    private final List<MembershipEvent> events = new ArrayList<>();
     private boolean voteChanged;
     private Snapshot installedSnapshot;
 
@@ -18,6 +19,10 @@
         messages.add(new Ready.Outbound(to, message));
     }
 
+    void report(MembershipEvent event) {
+        events.add(event);
+    }
+
     void voteChanged() {
         voteChanged = true;
     }
@@ -45,11 +50,13 @@
                 List.copyOf(entries),
                 commitIndex,
                 List.copyOf(messages),
-                committed);
+                committed,
+                List.copyOf(events));
         voteChanged = false;
         installedSnapshot = null;
         entries.clear();
         messages.clear();
+        events.clear();
         return ready;
     }
 }
--- a/core/src/main/java/org/bankturn/agreement/RaftNode.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftNode.java
@@ -85,7 +85,7 @@
         this.clock = clock;
         this.random = random;
         this.admissionPolicy = admissionPolicy;
-        this.membershipChanges = new MembershipChanges(settings, progress);
+        this.membershipChanges = new MembershipChanges(settings, progress, outbox);
         this.log = new RaftLog(stored.snapshot(), stored.entries());
         this.term = stored.vote().term();
         this.votedFor = stored.vote().votedFor();
@@ -158,6 +158,18 @@
         return contacts.get(members().size() / 2);
     }
 
+    /** Returns the members that this leader has not heard from within an election timeout, empty if it does not lead. */
+    public List<Member> silentMembers() {
+        return role == Role.LEADER ? membershipChanges.silentMembers(peers(), clock.millis()) : List.of();
+    }
+
+    /** Returns how many members besides the silent ones may be lost before this leader has no majority. */
+    public int tolerableLosses() {
+        int members = members().size();
+        int majority = members / 2 + 1;
+        return Math.max(0, members - silentMembers().size() - majority);
+    }
+
     // ---- Steps
 
     /** Processes expired timers: starts elections, sends heartbeats, and steps down without contact with a majority. */
@@ -546,11 +558,36 @@
     // ---- Membership
 
     private void onJoinRequest(JoinRequest request) {
-        boolean canJoin = membershipChanges.learner().isEmpty() && !isVoter(request.from());
-        if (role == Role.LEADER && canJoin && admissionPolicy.test(request.from())) {
-            membershipChanges.addLearner(request.from(), log.lastIndex() + 1, clock.millis());
-            sendAppend(request.from());
+        Member joining = request.from();
+        if (role != Role.LEADER) {
+            // Members without a leader ask to join, too, in case they have been removed.
+            if (!isVoter(joining)) {
+                report(MembershipEvent.Kind.JOIN_WITHOUT_LEADER, joining);
+            }
+            return;
         }
+        MembershipEvent.Kind decision = decideJoin(joining);
+        report(decision, joining);
+        if (decision == MembershipEvent.Kind.JOIN_ACCEPTED) {
+            membershipChanges.addLearner(joining, log.lastIndex() + 1, clock.millis());
+            sendAppend(joining);
+        }
+    }
+
+    private MembershipEvent.Kind decideJoin(Member joining) {
+        if (isVoter(joining)) {
+            return MembershipEvent.Kind.JOIN_BY_MEMBER;
+        }
+        if (membershipChanges.learner().isPresent()) {
+            return MembershipEvent.Kind.JOIN_WHILE_ANOTHER_JOINS;
+        }
+        return admissionPolicy.test(joining)
+                ? MembershipEvent.Kind.JOIN_ACCEPTED
+                : MembershipEvent.Kind.JOIN_NOT_PERMITTED;
+    }
+
+    private void report(MembershipEvent.Kind kind, Member member) {
+        membershipChanges.report(kind, member, members(), clock.millis());
     }
 
     /** Proposes the next membership change, unless the previous one is not yet committed. */
@@ -561,7 +598,7 @@
             return;
         }
         membershipChanges
-                .nextAdmission(members(), commitIndex)
+                .nextAdmission(members(), commitIndex, now)
                 .or(() -> membershipChanges.nextRemoval(members(), peers(), now))
                 .ifPresent(members -> appendAsLeader(new byte[0], members));
     }
--- a/core/src/main/java/org/bankturn/agreement/Ready.java
+++ b/core/src/main/java/org/bankturn/agreement/Ready.java
@@ -13,6 +13,7 @@
  * @param commitIndex the commit index to persist with the entries; an outdated value is safe
  * @param messages the messages to send after the sync, not null
  * @param committed the committed entries to apply, in order, not null
+ * @param events the decisions about the membership to report, in order, not null
  */
 public record Ready(
         Vote vote,
@@ -20,7 +21,8 @@
         List<LogEntry> entries,
         long commitIndex,
         List<Outbound> messages,
-        List<LogEntry> committed) {
+        List<LogEntry> committed,
+        List<MembershipEvent> events) {
     /** A message and its recipient. */
     public record Outbound(Member to, RaftMessage message) {}
 
@@ -31,6 +33,6 @@
 
     /** Returns true if there is nothing to do. */
     public boolean isEmpty() {
-        return !mustSync() && messages.isEmpty() && committed.isEmpty();
+        return !mustSync() && messages.isEmpty() && committed.isEmpty() && events.isEmpty();
     }
 }
--- a/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
@@ -15,7 +15,7 @@
     private final Member silent = member("c");
     private final Member learner = member("d");
     private final ProgressTracker progress = new ProgressTracker();
-    private final MembershipChanges changes = new MembershipChanges(SETTINGS, progress);
+    private final MembershipChanges changes = new MembershipChanges(SETTINGS, progress, new Outbox());
 
     /** Removing the unresponsive member first would leave a group of two that tolerates no failure. */
     @Test
@@ -23,7 +23,7 @@
         progress.track(responsive, 1, NOW);
         progress.track(silent, 1, STALE);
         changes.addLearner(learner, 1, NOW);
-        assertThat(changes.nextAdmission(List.of(self, responsive, silent), 0))
+        assertThat(changes.nextAdmission(List.of(self, responsive, silent), 0, NOW))
                 .contains(List.of(self, responsive, silent, learner));
     }
 
@@ -51,8 +51,10 @@
     void box_with_new_incarnation_replaces_its_former_member() {
         Member rejoined = new Member("c", 2, "c");
         changes.addLearner(rejoined, 1, NOW);
-        assertThat(changes.nextAdmission(List.of(self, responsive, silent), 0)).contains(List.of(self, responsive));
-        assertThat(changes.nextAdmission(List.of(self, responsive), 0)).contains(List.of(self, responsive, rejoined));
+        assertThat(changes.nextAdmission(List.of(self, responsive, silent), 0, NOW))
+                .contains(List.of(self, responsive));
+        assertThat(changes.nextAdmission(List.of(self, responsive), 0, NOW))
+                .contains(List.of(self, responsive, rejoined));
     }
 
     private static Member member(String box) {
--- a/core/src/test/java/org/bankturn/storage/RaftStorageTest.java
+++ b/core/src/test/java/org/bankturn/storage/RaftStorageTest.java
@@ -44,7 +44,7 @@
 
     private static Ready ready(long index) {
         LogEntry entry = new LogEntry(index, 1, new byte[] {(byte) index}, null);
-        return new Ready(new Vote(1, SELF), null, List.of(entry), index - 1, List.of(), List.of());
+        return new Ready(new Vote(1, SELF), null, List.of(entry), index - 1, List.of(), List.of(), List.of());
     }
 
     @Test
@@ -90,7 +90,7 @@
         List<LogEntry> many = LongStream.rangeClosed(1, 10_000)
                 .mapToObj(index -> new LogEntry(index, 1, new byte[64], null))
                 .toList();
-        storage.store(new Ready(null, null, many, 9_995, List.of(), List.of()));
+        storage.store(new Ready(null, null, many, 9_995, List.of(), List.of(), List.of()));
         storage.compact(new Snapshot(9_990, 1, List.of(SELF), new byte[1_000]));
         storage.store(ready(10_001));
         directory.close();
--- a/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.bankturn.agreement.LogEntry;
 import org.bankturn.agreement.Member;
+import org.bankturn.agreement.MembershipEvent;
 import org.bankturn.agreement.RaftMessage;
 import org.bankturn.agreement.RaftNode;
 import org.bankturn.agreement.Ready;
@@ -269,6 +270,16 @@
             LOG.log(Level.INFO, at.self().box() + event + ", term " + at.term());
         }
 
+        @Override
+        public void membershipDecided(MembershipEvent event) {
+            LOG.log(
+                    Level.INFO,
+                    event.kind().label() + ": " + event.member().box() + " "
+                            + event.kind().reason() + ", silent for "
+                            + event.silentMillis() + " ms, " + event.silentMembers() + " of " + event.members()
+                            + " members silent");
+        }
+
         @Override
         public void publishView(RaftNode at) {
             view = new View(at.role(), at.term(), at.leader().orElse(null), at.members(), at.isEstablishedLeader());
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 import org.bankturn.agreement.LogEntry;
 import org.bankturn.agreement.Member;
+import org.bankturn.agreement.MembershipEvent;
 import org.bankturn.agreement.RaftMessage;
 import org.bankturn.agreement.RaftNode;
 import org.bankturn.agreement.Ready;
@@ -201,6 +202,19 @@
                     .write();
         }
 
+        @Override
+        public void membershipDecided(MembershipEvent event) {
+            wiring.log()
+                    .line(DecisionKind.GROUP)
+                    .with(DecisionField.EVENT, event.kind().label())
+                    .with(DecisionField.ADDRESS, event.member().address())
+                    .with(DecisionField.REASON, event.kind().reason())
+                    .with(DecisionField.SILENT_MS, event.silentMillis())
+                    .with(DecisionField.MEMBERS, event.members())
+                    .with(DecisionField.SILENT_MEMBERS, event.silentMembers())
+                    .write();
+        }
+
         @Override
         public void publishView(RaftNode agreement) {
             wiring.stepped().accept(agreement);
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -136,7 +136,10 @@
                                 clients.tell(Address.parse(to.address()), new NodeRequest.DeliverRaftMessage(message)),
                         this::contacts,
                         this::applied,
-                        contactMonitor::observe,
+                        node -> {
+                            contactMonitor.observe(node);
+                            recordGroup(node);
+                        },
                         log),
                 clock);
         this.reads = DocumentReads.of(reactor, clients, member);
@@ -220,6 +223,15 @@
         reactor.execute(() -> watchers.wake(index));
     }
 
+    private void recordGroup(RaftNode node) {
+        metrics.setGroupMembers(node.members().size());
+        if (node.isEstablishedLeader()) {
+            metrics.setGroupHealth(node.silentMembers().size(), node.tolerableLosses());
+        } else {
+            metrics.clearGroupHealth();
+        }
+    }
+
     private void replaceSilentConnections(long heardMillis) {
         reactor.execute(() -> clients.reusePolicy().timedOut(heardMillis));
     }
--- a/daemon/src/main/java/org/bankturn/daemon/member/MemberLoop.java
+++ b/daemon/src/main/java/org/bankturn/daemon/member/MemberLoop.java
@@ -224,6 +224,7 @@
             storage.store(ready);
         }
         ready.messages().forEach(stateMachine::send);
+        ready.events().forEach(stateMachine::membershipDecided);
         if (ready.installed() != null) {
             stateMachine.restore(ready.installed().state());
             appliedIndex = ready.installed().index();
--- a/daemon/src/main/java/org/bankturn/daemon/member/ReplicatedStateMachine.java
+++ b/daemon/src/main/java/org/bankturn/daemon/member/ReplicatedStateMachine.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.bankturn.agreement.LogEntry;
 import org.bankturn.agreement.Member;
+import org.bankturn.agreement.MembershipEvent;
 import org.bankturn.agreement.RaftNode;
 import org.bankturn.agreement.Ready;
 import org.bankturn.storage.RaftStorage;
@@ -43,6 +44,9 @@
     /** Called after this member became the leader or lost leadership. */
     void leadershipChanged(RaftNode raftNode);
 
+    /** Called for each decision about the membership of the group. */
+    void membershipDecided(MembershipEvent event);
+
     /** Publishes the status of the member to other threads. */
     void publishView(RaftNode raftNode);
 
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -122,7 +122,9 @@
     SENDS,
     /** How long a target may send nothing before the request is moved, in milliseconds. */
     SILENCE_LIMIT_MS,
-    /** The time since data was last received on a connection, in milliseconds. */
+    /** The number of members of the group that the leader has not heard from. */
+    SILENT_MEMBERS,
+    /** The time since data was last received on a connection or from a member, in milliseconds. */
     SILENT_MS,
     /** The number of sources that supplied pieces. */
     SOURCES,
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -110,6 +110,9 @@
     private final Gauge documentVersion;
     private final Gauge targets;
     private final Gauge leads;
+    private final Gauge groupMembers;
+    private final Gauge silentGroupMembers;
+    private final Gauge tolerableGroupLosses;
     private final Gauge evacuatedHalls;
 
     /** Returns metrics that include the line counts of the log, not null. */
@@ -166,6 +169,12 @@
         documentVersion = gauge("document_version", "Version of the operators' document in force here.");
         targets = gauge("targets", "Targets known here.");
         leads = gauge("leads", "1 if this process leads its group.");
+        groupMembers = gauge("group_members", "Voting members of the control group as known here.");
+        silentGroupMembers = gauge(
+                "group_members_silent", "Voting members that the leader does not hear from; NaN unless it leads.");
+        tolerableGroupLosses = gauge(
+                "group_tolerable_losses",
+                "Members that may be lost besides the silent ones before the group has no majority; NaN unless it leads.");
         evacuatedHalls = gauge("evacuated_halls", "Data halls evacuated as known here.");
         CounterWithCallback.builder()
                 .name("bankturn_log_lines")
@@ -385,6 +394,23 @@
         leads.set(leading ? 1 : 0);
     }
 
+    /** Sets the number of voting members of the control group. */
+    public void setGroupMembers(int members) {
+        groupMembers.set(members);
+    }
+
+    /** Sets what a leader knows of its group; see {@link #clearGroupHealth} for other members. */
+    public void setGroupHealth(int silentMembers, int tolerableLosses) {
+        silentGroupMembers.set(silentMembers);
+        tolerableGroupLosses.set(tolerableLosses);
+    }
+
+    /** Clears what only a leader knows. */
+    public void clearGroupHealth() {
+        silentGroupMembers.set(Double.NaN);
+        tolerableGroupLosses.set(Double.NaN);
+    }
+
     /** Sets the number of evacuated data halls known to this process. */
     public void setEvacuatedHalls(int halls) {
         evacuatedHalls.set(halls);
