Control group: it keeps as many members as the losses to be borne need

Cause: silent members were removed down to a group of three, whose majority is two disks, whatever the settings say may be lost at once (fault_tolerance.machines was read nowhere).

So an entry is acknowledged on more disks than may be lost, and a majority is left.

Evidence: with the former minimum MembershipTest#nothing_is_acknowledged_on_as_few_disks_as_may_be_lost and MembershipChangesTest#group_that_tolerates_two_losses_keeps_five_members fail (1 of 1 each); they pass now, as do the other tests of the two classes, GroupNodeTest and SettingsFileTest. Not covered: a zone that holds more control boxes than that number; the first second of a group, while three seeds are its only members.

--- a/core/src/main/java/org/bankturn/agreement/RaftSettings.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftSettings.java
@@ -12,6 +12,9 @@
     /** The value of {@code minMembers} that disables the removal of unresponsive members. */
     public static final int NEVER_REMOVE_MEMBERS = Integer.MAX_VALUE;
 
+    /** The smallest group that tolerates the loss of a member. */
+    private static final int SMALLEST_GROUP = 3;
+
     /** Settings for data halls with round trips of a few milliseconds. */
     public static final RaftSettings DEFAULT = new RaftSettings(1_000, 150, 64, NEVER_REMOVE_MEMBERS);
 
@@ -26,6 +29,19 @@
         this(electionTimeoutMillis, heartbeatMillis, maxBatchEntries, NEVER_REMOVE_MEMBERS);
     }
 
+    /**
+     * Returns the smallest group in which every acknowledged entry is on more disks than may be lost, and which still has
+     * a majority after the loss.
+     *
+     * @param toleratedLosses the number of members that may be lost at the same time, not negative
+     */
+    public static int minMembersFor(int toleratedLosses) {
+        if (toleratedLosses < 0) {
+            throw new IllegalArgumentException("toleratedLosses must not be negative: " + toleratedLosses);
+        }
+        return Math.max(SMALLEST_GROUP, 2 * toleratedLosses + 1);
+    }
+
     /** Validates the timing. */
     public RaftSettings {
         if (heartbeatMillis <= 0 || electionTimeoutMillis < 3 * heartbeatMillis) {
--- a/core/src/test/java/org/bankturn/agreement/InMemoryCluster.java
+++ b/core/src/test/java/org/bankturn/agreement/InMemoryCluster.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -15,6 +17,7 @@
 /** A Raft group connected by an in-memory network that the test steps; checks leader uniqueness and log consistency. */
 final class InMemoryCluster {
     static final RaftSettings SETTINGS = new RaftSettings(100, 20, 4);
+    private static final long JOIN_RETRY_MILLIS = 80;
 
     final ManualClock clock = ManualClock.startingAt(0);
     final UniformRandomProvider random;
@@ -24,6 +27,8 @@
     final Map<Long, Member> leaders = new HashMap<>();
     final List<Outbound> inFlight = new ArrayList<>();
     private final List<Member> initialMembers;
+    private final Map<String, List<Member>> contacts = new HashMap<>();
+    private final Map<String, Long> lastJoinRequestMillis = new HashMap<>();
     private final RaftSettings settings;
     private long lastIncarnation = 1;
 
@@ -68,18 +73,48 @@
         start(new Member(box, lastIncarnation, box));
     }
 
+    /** Starts a new or existing box with an empty disk that knows no other boxes than the given ones. */
+    void startWithEmptyDisk(String box, List<String> knownBoxes) {
+        contacts.put(
+                box,
+                knownBoxes.stream().map(known -> new Member(known, 0, known)).toList());
+        startWithEmptyDisk(box);
+    }
+
+    void transferLeadership() {
+        RaftNode member = leader();
+        member.transferLeadership();
+        process(member);
+    }
+
     void tickAll() {
         clock.advance(10);
         for (RaftNode member : List.copyOf(running.values())) {
             member.tick();
             boolean outside = member.members().stream().noneMatch(member.self()::equals);
             if (outside || member.leader().isEmpty()) {
-                member.requestJoin(initialMembers);
+                requestJoin(member);
             }
             process(member);
         }
     }
 
+    private void requestJoin(RaftNode member) {
+        List<Member> known = contacts.get(member.self().box());
+        if (known == null) {
+            member.requestJoin(initialMembers);
+            return;
+        }
+        long last = lastJoinRequestMillis.getOrDefault(member.self().box(), Long.MIN_VALUE / 2);
+        if (clock.millis() - last >= JOIN_RETRY_MILLIS) {
+            lastJoinRequestMillis.put(member.self().box(), clock.millis());
+            Set<Member> asked = new LinkedHashSet<>(member.members());
+            asked.addAll(known);
+            asked.remove(member.self());
+            member.requestJoin(List.copyOf(asked));
+        }
+    }
+
     /** Delivers a random message; if {@code faulty}, duplicates or drops it with a probability of 10% each. */
     void deliverRandom(boolean faulty) {
         if (inFlight.isEmpty()) {
--- a/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -57,6 +58,30 @@
                 .contains(List.of(self, responsive, rejoined));
     }
 
+    /** Guards against acknowledged entries being on no more disks than may be lost. */
+    @Test
+    void group_that_tolerates_two_losses_keeps_five_members() {
+        RaftSettings settings = new RaftSettings(100, 20, 4, RaftSettings.minMembersFor(2));
+        MembershipChanges tolerant = new MembershipChanges(settings, progress, new Outbox());
+        List<Member> members = groupWithTwoSilent().subList(0, 5);
+        assertThat(members).contains(silent);
+        assertThat(tolerant.nextRemoval(members, members.subList(1, members.size()), NOW))
+                .isEmpty();
+    }
+
+    /** Returns a group of eight: the first one leads, {@link #silent} and "h" are silent, the former for longer. */
+    private List<Member> groupWithTwoSilent() {
+        List<Member> members = new ArrayList<>(List.of(self, responsive, silent));
+        for (String box : List.of("d", "e", "f", "g")) {
+            members.add(member(box));
+        }
+        members.forEach(member -> progress.track(member, 1, NOW));
+        progress.track(silent, 1, STALE);
+        members.add(member("h"));
+        progress.track(member("h"), 1, STALE + 1);
+        return members;
+    }
+
     private static Member member(String box) {
         return new Member(box, 1, box);
     }
--- a/core/src/test/java/org/bankturn/agreement/MembershipTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MembershipTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -35,9 +37,7 @@
         cluster.runRounds(ROUNDS);
         cluster.propose(cluster.leader(), "still accepted");
         cluster.runRounds(ROUNDS);
-        assertThat(cluster.committed.values())
-                .anyMatch(entry ->
-                        new String(entry.command(), java.nio.charset.StandardCharsets.UTF_8).equals("still accepted"));
+        assertThat(isCommitted(cluster, "still accepted")).isTrue();
     }
 
     @Test
@@ -63,6 +63,40 @@
         assertThat(boxesOf(cluster)).containsExactlyInAnyOrder("a", "b", "c");
     }
 
+    /** Guards against acknowledged entries being on no more disks than may be lost. */
+    @Test
+    void nothing_is_acknowledged_on_as_few_disks_as_may_be_lost() {
+        RaftSettings settings = new RaftSettings(100, 20, 4, RaftSettings.minMembersFor(2));
+        InMemoryCluster cluster = new InMemoryCluster(settings, 5, "a", "b", "c");
+        cluster.startWithEmptyDisk("d");
+        cluster.startWithEmptyDisk("e");
+        cluster.runRounds(ROUNDS);
+        assertThat(boxesOf(cluster)).hasSize(5);
+        List<Member> down = new ArrayList<>();
+        for (int member = 0; member < 3; member++) {
+            String box = followerOf(cluster);
+            down.add(cluster.running.get(box).self());
+            cluster.stop(box);
+            cluster.runRounds(ROUNDS);
+        }
+        List<String> remaining = List.copyOf(cluster.running.keySet());
+        remaining.forEach(box -> cluster.propose(cluster.running.get(box), "kept"));
+        cluster.runRounds(ROUNDS);
+        assertThat(isCommitted(cluster, "kept")).isFalse();
+        remaining.forEach(box -> cluster.startWithEmptyDisk(box, List.of("a", "b", "c", "d", "e")));
+        down.forEach(cluster::startStopped);
+        cluster.runRounds(ROUNDS);
+        cluster.propose(cluster.leader(), "later");
+        cluster.runRounds(ROUNDS);
+        assertThat(isCommitted(cluster, "later")).isTrue();
+        assertThat(boxesOf(cluster)).containsExactlyInAnyOrder("a", "b", "c", "d", "e");
+    }
+
+    private static boolean isCommitted(InMemoryCluster cluster, String command) {
+        return cluster.committed.values().stream()
+                .anyMatch(entry -> new String(entry.command(), StandardCharsets.UTF_8).equals(command));
+    }
+
     private static InMemoryCluster newCluster(long seed) {
         InMemoryCluster cluster = new InMemoryCluster(SETTINGS, seed, "a", "b", "c");
         cluster.runRounds(ROUNDS);
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -50,8 +50,12 @@
  * own thread.
  */
 public final class GroupNode {
-    /** An election follows five missed heartbeats; unreachable members are removed from groups of more than three. */
-    private static final RaftSettings TIMING = new RaftSettings(500, 100, 64, 3);
+    /** An election follows five missed heartbeats. */
+    private static final long ELECTION_TIMEOUT_MILLIS = 500;
+
+    private static final long HEARTBEAT_MILLIS = 100;
+
+    private static final int MAX_BATCH_ENTRIES = 64;
 
     private static final long FIRST_INCARNATION = 1;
 
@@ -62,6 +66,7 @@
     static final long FORWARD_TIMEOUT_MILLIS = 2_000;
 
     private final GroupSettings settings;
+    private final RaftSettings raftSettings;
     private final Supplier<List<Address>> seeds;
     private final ControlDialect dialect;
     private final DocumentFormat format;
@@ -114,6 +119,11 @@
             DecisionLog log,
             ServingMetrics metrics) {
         this.settings = settings;
+        this.raftSettings = new RaftSettings(
+                ELECTION_TIMEOUT_MILLIS,
+                HEARTBEAT_MILLIS,
+                MAX_BATCH_ENTRIES,
+                RaftSettings.minMembersFor(settings.toleratedLosses()));
         this.seeds = seeds;
         this.dialect = dialect;
         this.format = format;
@@ -128,7 +138,7 @@
         this.listener = HttpListener.create(
                 reactor, clock, settings.callAddress().toSocketAddress(), () -> ServerLimits.CONTROL, this::handle);
         QuorumContactMonitor contactMonitor =
-                QuorumContactMonitor.of(TIMING, clock, log, this::replaceSilentConnections);
+                QuorumContactMonitor.of(raftSettings, clock, log, this::replaceSilentConnections);
         this.member = GroupMember.of(
                 new GroupMember.Wiring(
                         this::openFolder,
@@ -181,7 +191,7 @@
         RaftNode agreement = RaftNode.recover(
                 member(settings.nodeAddress(), incarnation),
                 storage.stored(),
-                TIMING,
+                raftSettings,
                 clock,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(),
                 joining -> true);
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupSettings.java
@@ -17,6 +17,7 @@
  * @param seeds the node addresses of the control boxes, not null
  * @param heartbeatMillis the heartbeat interval of targets
  * @param regions the region of each data hall, not null
+ * @param toleratedLosses the number of control boxes that may be lost at the same time
  */
 public record GroupSettings(
         String process,
@@ -28,13 +29,17 @@
         boolean formsGroup,
         List<Address> seeds,
         long heartbeatMillis,
-        RegionMap regions) {
+        RegionMap regions,
+        int toleratedLosses) {
+    /** The number of losses tolerated by the smallest replicated group. */
+    public static final int DEFAULT_TOLERATED_LOSSES = 1;
+
     /** Copies the seeds. */
     public GroupSettings {
         seeds = List.copyOf(seeds);
     }
 
-    /** Creates the settings of a control process that knows no regions. */
+    /** Creates the settings of a control process that knows no regions and tolerates one loss. */
     public GroupSettings(
             String process,
             String dataHall,
@@ -55,6 +60,7 @@
                 formsGroup,
                 seeds,
                 heartbeatMillis,
-                RegionMap.NONE);
+                RegionMap.NONE,
+                DEFAULT_TOLERATED_LOSSES);
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/serving/CdsTrainingRun.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/CdsTrainingRun.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
+import org.bankturn.daemon.group.GroupSettings;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.PooledHttpClient;
 import org.bankturn.daemon.settings.Address;
@@ -124,7 +125,8 @@
                         CALL_TIMEOUT_MILLIS,
                         CALL_TIMEOUT_MILLIS,
                         CALL_TIMEOUT_MILLIS,
-                        new RetryLimits(0.1, 1, CALL_TIMEOUT_MILLIS)),
+                        new RetryLimits(0.1, 1, CALL_TIMEOUT_MILLIS),
+                        GroupSettings.DEFAULT_TOLERATED_LOSSES),
                 RegionMap.NONE);
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingSettings.java
@@ -53,7 +53,12 @@
      * @param stopTimeoutMillis the longest duration of a planned stop
      * @param weightsDeadlineMillis the time within which all targets must hold a named weights version
      * @param retries the retry budget of all gateways together, not null
+     * @param toleratedLosses the number of control boxes that may be lost at the same time
      */
     public record Bounds(
-            long heartbeatMillis, long stopTimeoutMillis, long weightsDeadlineMillis, RetryLimits retries) {}
+            long heartbeatMillis,
+            long stopTimeoutMillis,
+            long weightsDeadlineMillis,
+            RetryLimits retries,
+            int toleratedLosses) {}
 }
--- a/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
@@ -36,7 +36,7 @@
 @Timeout(60)
 abstract class ServingFixture {
     private static final ServingSettings.Bounds BOUNDS =
-            new ServingSettings.Bounds(1_000, 2_000, 8_000, new RetryLimits(0.5, 96_000_000, 10_000));
+            new ServingSettings.Bounds(1_000, 2_000, 8_000, new RetryLimits(0.5, 96_000_000, 10_000), 1);
 
     @TempDir
     private Path folder;
