Control group: members that were lost at the same time are all removed

Cause: MembershipChanges removed a silent member only while it was the only silent one. Two that go together stay voters for ever, and each such pair raises the majority: eight voters, two of them gone, two wiped, four left.

Change: the member that has been silent for longest is removed while the group is larger than its losses need and a majority answers, whoever else is silent; the next one after that step is committed. A step never lowers the number of losses that the group bears: with n members of which r answer, r stays and the majority of n - 1 is no larger. The one that was slow or cut off asks to join again, as before.

What the case does while another process leads is the next question.

--- a/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -1,6 +1,7 @@
 package org.bankturn.agreement;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -9,8 +10,8 @@
 /**
  * Decides on the leader which member to add or remove next, one change at a time.
  *
- * <p>A box that lost its disk replaces its former member. A new box is added first; an unresponsive member is removed
- * only afterwards, and only while all other members are responsive, so that the group keeps its majority.
+ * <p>A box that lost its disk replaces its former member. A new box is added first; unresponsive members are removed only
+ * afterwards, and only while a majority is responsive and the group remains large enough for the losses that it tolerates.
  *
  * <p>MembershipChanges is mutable and owned by one {@link RaftNode}.
  */
@@ -87,16 +88,23 @@
         return Optional.of(List.copyOf(nextMembers));
     }
 
-    /** Returns the membership without the only unresponsive member, empty if no member should be removed. */
+    /**
+     * Returns the membership without the member that has been silent for longest, empty if no member should be removed.
+     *
+     * <p>Several members that are silent at the same time are removed one after the other. Each step needs a majority of
+     * responsive members, so that it can be committed, and never reduces the number of losses that the group tolerates.
+     */
     Optional<List<Member>> nextRemoval(List<Member> members, List<Member> peers, long nowMillis) {
         List<Member> silent = silentMembers(peers, nowMillis);
         retained.retainAll(silent);
         List<Member> overdue = silent.stream()
                 .filter(peer -> isSilent(peer, REMOVAL_TIMEOUTS, nowMillis))
+                .sorted(Comparator.comparingLong(progress::lastContactMillis).thenComparing(Comparator.naturalOrder()))
                 .toList();
+        int responsive = members.size() - silent.size();
         boolean removable =
-                learner == null && members.size() > settings.minMembers() && silent.size() == 1 && !overdue.isEmpty();
-        if (removable) {
+                learner == null && members.size() > settings.minMembers() && 2 * responsive > members.size();
+        if (removable && !overdue.isEmpty()) {
             report(MembershipEvent.Kind.REMOVED, overdue.get(0), members, nowMillis);
             return Optional.of(without(members, overdue.get(0)));
         }
--- /dev/null
+++ b/core/src/test/java/org/bankturn/agreement/MemberLossSimulation.java
@@ -0,0 +1,165 @@
+package org.bankturn.agreement;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * A simulation of a Raft group in virtual time that loses up to as many members at a time as it is to tolerate, again and
+ * again, as soon as the members that came for the last ones have had their time to catch up.
+ *
+ * <p>A member that is lost is replaced by an empty one at another address, or loses its disk and returns. Between the
+ * losses, leaders change. Checks after each round that the running boxes and no others are members, that every entry
+ * acknowledged before is there, and that a further one is acknowledged.
+ */
+final class MemberLossSimulation {
+    /** The number of members that may be lost at the same time. */
+    private static final int TOLERATED_LOSSES = 2;
+
+    private static final RaftSettings SETTINGS =
+            new RaftSettings(100, 20, 4, RaftSettings.minMembersFor(TOLERATED_LOSSES));
+    private static final int ROUNDS = 8;
+    private static final int SEEDS = 3;
+
+    /** The time in steps of ten milliseconds that a box is away before it or its successor starts. */
+    private static final int MAX_STEPS_AWAY = 40;
+
+    /** The time to catch up in steps of ten milliseconds: twelve election timeouts. */
+    private static final int CATCH_UP_STEPS = 120;
+
+    private static final int FORMATION_STEPS = 200;
+    private static final int ACKNOWLEDGEMENT_STEPS = 60;
+
+    private final InMemoryCluster cluster;
+    private final Contacts contacts;
+    private final Set<String> boxes = new TreeSet<>();
+    private final List<String> acknowledged = new ArrayList<>();
+    private int startedBoxes;
+
+    /** Which members a box with an empty disk knows. */
+    enum Contacts {
+        /** All boxes that run. */
+        ALL,
+        /** Three boxes, which are fixed when the empty one starts; one of them at least is a member. */
+        THREE_SEEDS
+    }
+
+    MemberLossSimulation(long seed, int size, Contacts contacts) {
+        this.contacts = contacts;
+        List<String> first = new ArrayList<>();
+        for (int box = 0; box < SEEDS; box++) {
+            first.add(nextName());
+        }
+        cluster = new InMemoryCluster(SETTINGS, seed, first.toArray(String[]::new));
+        boxes.addAll(first);
+        while (boxes.size() < size) {
+            startEmpty(nextName());
+        }
+        cluster.runRounds(FORMATION_STEPS);
+        checkMembers("after the formation");
+    }
+
+    /** Runs the simulation; throws an AssertionError if a check fails. */
+    void run() {
+        acknowledge("first");
+        for (int round = 1; round <= ROUNDS; round++) {
+            changeLeaderSometimes();
+            loseMembers();
+            cluster.runRounds(CATCH_UP_STEPS);
+            checkMembers("after round " + round);
+            checkAcknowledged(round);
+            acknowledge("round " + round);
+        }
+    }
+
+    private void changeLeaderSometimes() {
+        if (cluster.random.nextBoolean()) {
+            cluster.transferLeadership();
+            cluster.runRounds(cluster.random.nextInt(MAX_STEPS_AWAY));
+        }
+    }
+
+    private void loseMembers() {
+        List<String> lost = drawLost();
+        lost.forEach(cluster::stop);
+        boxes.removeAll(lost);
+        cluster.runRounds(cluster.random.nextInt(MAX_STEPS_AWAY));
+        for (String box : lost) {
+            boolean replaced = cluster.random.nextBoolean();
+            startEmpty(replaced ? nextName() : box);
+        }
+    }
+
+    /** Draws the boxes that are lost; one of them often leads. */
+    private List<String> drawLost() {
+        List<String> candidates = new ArrayList<>(boxes);
+        List<String> lost = new ArrayList<>();
+        int count = 1 + cluster.random.nextInt(TOLERATED_LOSSES);
+        if (cluster.random.nextBoolean()) {
+            lost.add(cluster.leader().self().box());
+        }
+        candidates.removeAll(lost);
+        while (lost.size() < count) {
+            lost.add(candidates.remove(cluster.random.nextInt(candidates.size())));
+        }
+        return lost;
+    }
+
+    private void startEmpty(String box) {
+        List<String> running = new ArrayList<>(boxes);
+        List<String> known = new ArrayList<>();
+        while (contacts == Contacts.THREE_SEEDS && known.size() < Math.min(SEEDS, running.size())) {
+            known.add(running.remove(cluster.random.nextInt(running.size())));
+        }
+        boxes.add(box);
+        cluster.startWithEmptyDisk(box, contacts == Contacts.ALL ? running : known);
+    }
+
+    private String nextName() {
+        startedBoxes++;
+        return String.format("box-%02d", startedBoxes);
+    }
+
+    private void acknowledge(String command) {
+        long before = cluster.leader().commitIndex();
+        cluster.propose(cluster.leader(), command);
+        cluster.runRounds(ACKNOWLEDGEMENT_STEPS);
+        boolean committed = cluster.committed.entrySet().stream()
+                .anyMatch(entry ->
+                        entry.getKey() > before && text(entry.getValue()).equals(command));
+        check(committed, command + " is not acknowledged");
+        acknowledged.add(command);
+    }
+
+    private void checkMembers(String when) {
+        Set<String> members = new TreeSet<>();
+        cluster.leader().members().forEach(member -> members.add(member.box()));
+        check(members.equals(boxes), when + ": members " + members + ", running " + boxes);
+        Set<Member> running = new HashSet<>();
+        cluster.running.values().forEach(node -> running.add(node.self()));
+        check(running.containsAll(cluster.leader().members()), when + ": a former incarnation is a member");
+    }
+
+    /** Checks that the leader has delivered, in this life or from a snapshot, all entries acknowledged so far. */
+    private void checkAcknowledged(int round) {
+        long last = cluster.committed.entrySet().stream()
+                .filter(entry -> acknowledged.contains(text(entry.getValue())))
+                .mapToLong(java.util.Map.Entry::getKey)
+                .max()
+                .orElse(0);
+        check(cluster.leader().commitIndex() >= last, "entry " + last + " is lost in round " + round);
+    }
+
+    private static String text(LogEntry entry) {
+        return new String(entry.command(), StandardCharsets.UTF_8);
+    }
+
+    private static void check(boolean holds, String message) {
+        if (!holds) {
+            throw new AssertionError(message);
+        }
+    }
+}
--- a/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
@@ -58,6 +58,20 @@
                 .contains(List.of(self, responsive, rejoined));
     }
 
+    /** Guards against members that were lost at the same time and stay voting members for ever. */
+    @Test
+    void members_silent_at_the_same_time_are_removed_one_after_the_other() {
+        List<Member> members = groupWithTwoSilent();
+        List<Member> peers = members.subList(1, members.size());
+        List<Member> afterFirst = changes.nextRemoval(members, peers, NOW).orElseThrow();
+        assertThat(afterFirst).hasSize(members.size() - 1).doesNotContain(silent);
+        List<Member> afterSecond = changes.nextRemoval(afterFirst, afterFirst.subList(1, afterFirst.size()), NOW)
+                .orElseThrow();
+        assertThat(afterSecond).hasSize(members.size() - 2).doesNotContain(silent, member("h"));
+        assertThat(changes.nextRemoval(afterSecond, afterSecond.subList(1, afterSecond.size()), NOW))
+                .isEmpty();
+    }
+
     /** Guards against acknowledged entries being on no more disks than may be lost. */
     @Test
     void group_that_tolerates_two_losses_keeps_five_members() {
