Control group: a join request reaches the leader through any member

Cause: RaftNode dropped a join request unless it led, and a process without a log knows only the seeds of its settings.

Weighed: an answer that names the leader and the members (one message more for the joiner to keep and to trust, and a round trip) against passing the request on (no state, no new message). Passed on, once: a request that was passed on carries the term of who did so, and only a leader takes it, so none circulates. An empty box that still hears from the leader, as its former incarnation is a member, asks it directly, which needs no seed at all.

--- a/core/src/main/java/org/bankturn/agreement/MembershipEvent.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipEvent.java
@@ -14,8 +14,10 @@
     public enum Kind {
         /** The leader replicates its log to a member that asked to join. */
         JOIN_ACCEPTED("join accepted", ""),
+        /** A join request was passed on to the leader. */
+        JOIN_PASSED_ON("join passed on", "this member does not lead"),
         /** A join request was ignored because this member neither leads nor knows the leader. */
-        JOIN_WITHOUT_LEADER("join ignored", "this member does not lead"),
+        JOIN_WITHOUT_LEADER("join ignored", "no leader is known"),
         /** A join request was ignored because another member is joining. */
         JOIN_WHILE_ANOTHER_JOINS("join ignored", "another member is joining"),
         /** A join request was ignored because its sender has been a voting member already. */
--- a/core/src/main/java/org/bankturn/agreement/RaftMessage.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftMessage.java
@@ -49,6 +49,24 @@
     /** Tells a member to start an election immediately, to transfer leadership. */
     record TimeoutNow(Member from, long term) implements RaftMessage {}
 
-    /** Requests admission to the group; the term is always 0. */
-    record JoinRequest(Member from, long term) implements RaftMessage {}
+    /**
+     * Requests admission to the group. {@code from} is the member that wants to join; {@code term} is 0 if that member
+     * sent the request, otherwise the term of the follower that passed it on to its leader.
+     */
+    record JoinRequest(Member from, long term) implements RaftMessage {
+        /** Returns a request as the joining member sends it, not null. */
+        static JoinRequest of(Member joining) {
+            return new JoinRequest(joining, 0);
+        }
+
+        /** Returns this request as a follower passes it on, not null. */
+        JoinRequest passedOn(long followerTerm) {
+            return new JoinRequest(from, followerTerm);
+        }
+
+        /** Returns true if a follower passed this request on. */
+        boolean isPassedOn() {
+            return term > 0;
+        }
+    }
 }
--- a/core/src/main/java/org/bankturn/agreement/RaftNode.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftNode.java
@@ -187,13 +187,18 @@
     }
 
     /**
-     * Sends a request to join the group to the given members.
+     * Sends a request to join the group to the given members, and to the leader if this member hears from it. A member
+     * that does not lead passes the request on.
      *
      * @param peers the members to ask; their incarnations are ignored, not null
      */
     public void requestJoin(List<Member> peers) {
-        for (Member peer : peers) {
-            send(peer, new JoinRequest(self, 0));
+        JoinRequest request = JoinRequest.of(self);
+        peers.forEach(peer -> send(peer, request));
+        boolean leaderAsked =
+                leader == null || peers.stream().anyMatch(peer -> peer.box().equals(leader.box()));
+        if (!leaderAsked) {
+            send(leader, request);
         }
     }
 
@@ -558,14 +563,11 @@
     // ---- Membership
 
     private void onJoinRequest(JoinRequest request) {
-        Member joining = request.from();
         if (role != Role.LEADER) {
-            // Members without a leader ask to join, too, in case they have been removed.
-            if (!isVoter(joining)) {
-                report(MembershipEvent.Kind.JOIN_WITHOUT_LEADER, joining);
-            }
+            passOn(request);
             return;
         }
+        Member joining = request.from();
         MembershipEvent.Kind decision = decideJoin(joining);
         report(decision, joining);
         if (decision == MembershipEvent.Kind.JOIN_ACCEPTED) {
@@ -574,6 +576,21 @@
         }
     }
 
+    /** Passes a join request on to the leader; only once, so that requests do not circulate during elections. */
+    private void passOn(JoinRequest request) {
+        Member joining = request.from();
+        if (isVoter(joining)) {
+            // Members without a leader ask to join, too, in case they have been removed.
+            return;
+        }
+        if (leader == null || request.isPassedOn()) {
+            report(MembershipEvent.Kind.JOIN_WITHOUT_LEADER, joining);
+            return;
+        }
+        report(MembershipEvent.Kind.JOIN_PASSED_ON, joining);
+        send(leader, request.passedOn(term));
+    }
+
     private MembershipEvent.Kind decideJoin(Member joining) {
         if (isVoter(joining)) {
             return MembershipEvent.Kind.JOIN_BY_MEMBER;
--- a/core/src/test/java/org/bankturn/agreement/MemberLossTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MemberLossTest.java
@@ -23,6 +23,13 @@
         assertThat(failures(size, Contacts.ALL)).isEmpty();
     }
 
+    /** Guards against empty boxes that never become members because none of the boxes they know leads. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, 6, 8})
+    void group_survives_losses_while_empty_boxes_know_three_members_only(int size) {
+        assertThat(failures(size, Contacts.THREE_SEEDS)).isEmpty();
+    }
+
     private static List<String> failures(int size, Contacts contacts) {
         List<String> failures = new ArrayList<>();
         for (long seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
--- a/core/src/test/java/org/bankturn/agreement/MembershipTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MembershipTest.java
@@ -63,6 +63,31 @@
         assertThat(boxesOf(cluster)).containsExactlyInAnyOrder("a", "b", "c");
     }
 
+    /** Guards against an empty box that never becomes a member because none of the boxes it knows leads. */
+    @Test
+    void empty_box_joins_through_a_member_that_does_not_lead() {
+        InMemoryCluster cluster = newCluster(6);
+        cluster.startWithEmptyDisk("d", List.of(followerOf(cluster)));
+        cluster.runRounds(ROUNDS);
+        assertThat(boxesOf(cluster)).containsExactlyInAnyOrder("a", "b", "c", "d");
+    }
+
+    /** Guards against join requests that members pass on to each other again and again. */
+    @Test
+    void join_request_is_passed_on_at_most_once() {
+        InMemoryCluster cluster = newCluster(8);
+        RaftNode follower = cluster.running.get(followerOf(cluster));
+        Member joining = new Member("d", 9, "d");
+        follower.receive(new RaftMessage.JoinRequest(joining, 0));
+        Ready ready = follower.ready();
+        assertThat(ready.messages()).singleElement().satisfies(outbound -> {
+            assertThat(outbound.to()).isEqualTo(cluster.leader().self());
+            assertThat(outbound.message()).isEqualTo(new RaftMessage.JoinRequest(joining, follower.term()));
+        });
+        follower.receive(ready.messages().get(0).message());
+        assertThat(follower.ready().messages()).isEmpty();
+    }
+
     /** Guards against acknowledged entries being on no more disks than may be lost. */
     @Test
     void nothing_is_acknowledged_on_as_few_disks_as_may_be_lost() {
--- a/core/src/test/java/org/bankturn/agreement/RaftNodeTest.java
+++ b/core/src/test/java/org/bankturn/agreement/RaftNodeTest.java
@@ -106,6 +106,25 @@
         assertThat(cluster.leader().term()).isEqualTo(term + 1);
     }
 
+    /** Guards against a box that lost its disk, hears from the leader and still asks only the boxes of its settings. */
+    @Test
+    void box_with_empty_disk_asks_the_leader_that_it_hears_from_to_join() {
+        Member gone = new Member("gone", 0, "gone");
+        RaftNode empty = RaftNode.recover(
+                new Member("a", 2, "a"),
+                new PersistentState(Vote.NONE, Snapshot.initial(List.of()), List.of(), 0),
+                InMemoryCluster.SETTINGS,
+                ManualClock.startingAt(0),
+                RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+                joiner -> true);
+        empty.receive(new RaftMessage.AppendRequest(LEADER, 3, 10, 3, List.of(), 10));
+        empty.ready();
+        empty.requestJoin(List.of(gone));
+        assertThat(empty.ready().messages()).extracting(Ready.Outbound::to).containsExactly(gone, LEADER);
+        empty.requestJoin(List.of(LEADER));
+        assertThat(empty.ready().messages()).extracting(Ready.Outbound::to).containsExactly(LEADER);
+    }
+
     /** A delayed snapshot truncated acknowledged entries (simulation seed 4964). */
     @Test
     void delayed_snapshot_does_not_truncate_later_entries() {
