Control group: a box that is catching up does not keep silent members in the group

A box that lags behind for long, or that asks again and again and is given up each time, kept them as voters and the majority high.

Change: the removal no longer waits for a joining box. A box that already holds the log is still added first.

MembershipChangesTest#silent_member_is_removed_while_another_box_catches_up failed before, 1 of 1.

--- a/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -10,8 +10,9 @@
 /**
  * Decides on the leader which member to add or remove next, one change at a time.
  *
- * <p>A box that lost its disk replaces its former member. A new box is added first; unresponsive members are removed only
- * afterwards, and only while a majority is responsive and the group remains large enough for the losses that it tolerates.
+ * <p>A box that lost its disk replaces its former member. A new box that holds the log is added before unresponsive members
+ * are removed, and these only while a majority is responsive and the group remains large enough for the losses that it
+ * tolerates.
  *
  * <p>MembershipChanges is mutable and owned by one {@link RaftNode}.
  */
@@ -102,8 +103,7 @@
                 .sorted(Comparator.comparingLong(progress::lastContactMillis).thenComparing(Comparator.naturalOrder()))
                 .toList();
         int responsive = members.size() - silent.size();
-        boolean removable =
-                learner == null && members.size() > settings.minMembers() && 2 * responsive > members.size();
+        boolean removable = members.size() > settings.minMembers() && 2 * responsive > members.size();
         if (removable && !overdue.isEmpty()) {
             report(MembershipEvent.Kind.REMOVED, overdue.get(0), members, nowMillis);
             return Optional.of(without(members, overdue.get(0)));
--- a/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
@@ -72,6 +72,16 @@
                 .isEmpty();
     }
 
+    /** Guards against a box that never catches up, or keeps asking to join, and so keeps silent members in the group. */
+    @Test
+    void silent_member_is_removed_while_another_box_catches_up() {
+        List<Member> members = groupWithTwoSilent();
+        changes.addLearner(member("z"), 1, NOW);
+        assertThat(changes.nextAdmission(members, 1, NOW)).isEmpty();
+        assertThat(changes.nextRemoval(members, members.subList(1, members.size()), NOW))
+                .hasValueSatisfying(remaining -> assertThat(remaining).doesNotContain(silent));
+    }
+
     /** Guards against acknowledged entries being on no more disks than may be lost. */
     @Test
     void group_that_tolerates_two_losses_keeps_five_members() {
