Control group: operators see the members, their last contact and what the group tolerates

Change: GET /group at the operators' address and `bankturn group` list the members as the asked process knows them, whether it is one itself, and, at the leader, how long each has been silent and how many further losses the group tolerates. The member loop answers it, so it holds after a restart too.

--- a/cli/src/main/java/org/bankturn/cli/BankturnTool.java
+++ b/cli/src/main/java/org/bankturn/cli/BankturnTool.java
@@ -17,7 +17,8 @@
             StatusCommand.class,
             HistoryCommand.class,
             WatchCommand.class,
-            EvacuateCommand.class
+            EvacuateCommand.class,
+            GroupCommand.class
         })
 public final class BankturnTool {
     private static final String HELP = "help";
--- a/cli/src/main/java/org/bankturn/cli/TextRenderer.java
+++ b/cli/src/main/java/org/bankturn/cli/TextRenderer.java
@@ -126,6 +126,28 @@
         return text.toString();
     }
 
+    /** Renders the answer to {@code GET /group}. */
+    static String group(JsonNode answer) {
+        StringBuilder text = new StringBuilder(answer.path("process").asText());
+        text.append(answer.path("leads").asBoolean() ? " leads" : " does not lead");
+        text.append(answer.path("member").asBoolean() ? "" : ", is no member");
+        text.append(answer.has("leader") ? ", leader " + answer.get("leader").asText() : ", no leader known");
+        text.append(", term ").append(answer.path("term").asLong()).append('\n');
+        answer.path("members").forEach(member -> text.append(groupMember(member)));
+        if (answer.has("tolerableLosses")) {
+            text.append("further losses tolerated: ")
+                    .append(answer.get("tolerableLosses").asInt())
+                    .append('\n');
+        }
+        return text.toString();
+    }
+
+    private static String groupMember(JsonNode member) {
+        JsonNode silent = member.get("silentMillis");
+        return "member  " + member.path("address").asText()
+                + (silent == null ? "" : "  last contact " + silent.asLong() + " ms ago") + '\n';
+    }
+
     private static String shorten(String digest) {
         return digest.substring(0, Math.min(SHORT_DIGEST_LENGTH, digest.length()));
     }
--- a/cli/src/test/java/org/bankturn/cli/BankturnToolTest.java
+++ b/cli/src/test/java/org/bankturn/cli/BankturnToolTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -18,6 +20,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class BankturnToolTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
     private static final Path EXAMPLES = Path.of("..", "examples");
 
     @TempDir
@@ -78,6 +82,23 @@
         }
     }
 
+    /** Guards against a missing member, or a process that is no member, that nothing shows. */
+    @Test
+    void group_members_are_shown_with_their_last_contact_and_the_losses_tolerated() throws IOException {
+        JsonNode leader = JSON.readTree("""
+                {"process": "a:1", "member": true, "leads": true, "leader": "a:1", "term": 3, "tolerableLosses": 0,
+                 "members": [{"address": "a:1", "silentMillis": 0}, {"address": "b:1", "silentMillis": 2100}]}""");
+        assertThat(TextRenderer.group(leader)).isEqualTo("""
+                        a:1 leads, leader a:1, term 3
+                        member  a:1  last contact 0 ms ago
+                        member  b:1  last contact 2100 ms ago
+                        further losses tolerated: 0
+                        """);
+        JsonNode outside = JSON.readTree("""
+                {"process": "c:1", "member": false, "leads": false, "term": 0, "members": []}""");
+        assertThat(TextRenderer.group(outside)).isEqualTo("c:1 does not lead, is no member, no leader known, term 0\n");
+    }
+
     @Test
     void no_answering_address_exits_with_unreachable() {
         assertThat(BankturnTool.run("show", "--addresses", "127.0.0.1:1,127.0.0.1:2"))
--- a/core/src/main/java/org/bankturn/agreement/RaftNode.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftNode.java
@@ -163,6 +163,11 @@
         return role == Role.LEADER ? membershipChanges.silentMembers(peers(), clock.millis()) : List.of();
     }
 
+    /** Returns the time since this leader last heard from a member, 0 for itself. */
+    public long silentMillis(Member member) {
+        return member.equals(self) ? 0 : clock.millis() - progress.lastContactMillis(member);
+    }
+
     /** Returns how many members besides the silent ones may be lost before this leader has no majority. */
     public int tolerableLosses() {
         int members = members().size();
--- a/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/ControlCall.java
@@ -38,6 +38,9 @@
     /** Lists the evacuated data halls. */
     record ListEvacuations() implements ControlCall {}
 
+    /** Lists the members of the control group. */
+    record ListMembers() implements ControlCall {}
+
     /** A request that matches no known call. */
     record Unknown() implements ControlCall {}
 
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -127,6 +127,11 @@
         return loop.query(() -> query.apply(state));
     }
 
+    /** Reads the state of the Raft node on the member's thread. */
+    public <T> CompletableFuture<T> inspect(Function<RaftNode, T> query) {
+        return loop.query(() -> query.apply(loop.raftNode()));
+    }
+
     /** Transfers leadership and stops the thread. */
     public void stop() {
         loop.stop(SUBMISSION_MILLIS);
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -260,7 +260,7 @@
 
     /** Parses the calls that are served in addition to those of the platform. */
     private static Optional<ControlCall> ownCall(HttpHead head) {
-        return SuspectCalls.read(head).or(() -> EvacuationCalls.read(head));
+        return SuspectCalls.read(head).or(() -> EvacuationCalls.read(head)).or(() -> MemberListing.read(head));
     }
 
     private void record(ControlCall call, ControlAnswer answer, long tookMillis) {
@@ -311,6 +311,9 @@
         if (call instanceof ControlCall.ListEvacuations) {
             return evacuations.list(isFresh());
         }
+        if (call instanceof ControlCall.ListMembers) {
+            return ask(member.inspect(MemberListing::list)).map(ControlAnswer.Document::new);
+        }
         if (call instanceof ControlCall.Malformed malformed) {
             return Promise.of(new ControlAnswer.Refused(malformed.reason()));
         }
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -213,6 +213,25 @@
         assertThat(seen.get().targets()).doesNotContainKey("relay-1");
     }
 
+    /** Guards against a member that is missing while nothing shows it. */
+    @Test
+    void leader_lists_the_members_and_the_losses_that_the_group_tolerates() throws Exception {
+        assertThat(untilAccepted(0, "/put", "7")).isEqualTo(200);
+        String listed = "";
+        while (!listed.contains("\"tolerableLosses\":1")) {
+            for (int box = 0; box < BOXES; box++) {
+                listed = send(box, "/group", "GET", "").body();
+                if (listed.contains("\"leads\":true")) {
+                    break;
+                }
+            }
+        }
+        for (Address seed : seeds) {
+            assertThat(listed).contains("{\"address\":\"" + seed + "\",\"silentMillis\":");
+        }
+        assertThat(new String(metrics.metricsText(), StandardCharsets.UTF_8)).contains("bankturn_group_members 3.0");
+    }
+
     // ---- evacuations
 
     /** Guards against an order that is acknowledged at one box and never reaches the followers of another one. */
