Gateway: a response cut by the crash of a leaving target is not complete

The callers get 200 with the seal and half of the body, framed as complete, also for a booking.

Cause: CrashDetector.isAlive took every leaving target for alive, so the end of its connection counted as the end of its response. The check was left out because a leaving target may have ended as planned right after its response.

Ruled out: the end that is not noticed (the gateway counts it, bankturn_close_delimited_responses_total), and a probe that is accepted (the address refuses connections; without the notice the same crash gives 502).

Change: a leaving target is probed like any other. If it refuses, its response is whole only if its departure is published within 500 ms after the end of the connection: a target deregisters after its last response and before it ends; one that crashes says nothing. A departure published before the end of the connection shows nothing and does not count. Otherwise the request is treated as broken off, and tried elsewhere if it may.

Tests: CloseDelimitedResponseTest, the three on crashes of leaving targets failed before (3 of 3 cases), and pass; two more hold what must go on: whole while the target lives, whole if it deregistered and ended. CrashingRequest, CrashingPromptPart (gateway, group, soak), GatewayTest, BrokenAnswerTest pass.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -44,6 +44,7 @@
     private final DecisionLog log;
     private final ServingMetrics metrics;
     private final CrashProbe probe;
+    private final DepartureMonitor departures;
     private final Consumer<PublicationCommand> controlGroup;
     private final Runnable onCondemned;
     private final InterruptedRequests interruptedRequests;
@@ -100,6 +101,7 @@
                 connections,
                 target -> onTargetEnded(target.id()),
                 target -> interruptedRequests.markAlive(target.id()));
+        this.departures = DepartureMonitor.on(reactor);
         this.controlGroup = controlGroup;
         this.onCondemned = onCondemned;
         this.trialRequester = TrialRequester.of(
@@ -168,6 +170,7 @@
 
     /** Applies the published suspects and targets. */
     void update(PublishedState published) {
+        departures.update(published.targets().keySet());
         interruptedRequests.findReplaced(published.targets().values()).forEach(this::onTargetEnded);
         // most publications change targets only, and processing many suspects is expensive
         if (!Objects.equals(published.suspects(), lastPublished)) {
@@ -227,14 +230,13 @@
     /**
      * Determines whether a target lives that ended a connection without a fault.
      *
-     * @return a promise of true if the target accepts a connection or is draining, not null
+     * @return a promise of true if the target accepts a connection, or was leaving and has ended as planned, not null
      */
     Promise<Boolean> isAlive(TargetSighting target) {
-        if (target.draining()) {
-            return Promise.of(true);
-        }
         boolean crashesExpected = !suspects.isEmpty() || !promptParts.isEmpty() || !interruptedRequests.isEmpty();
-        return probe.acceptsConnections(target, crashesExpected);
+        return probe.acceptsConnections(target, crashesExpected)
+                .then(accepts ->
+                        accepts || !target.draining() ? Promise.of(accepts) : departures.awaitDeparture(target.id()));
     }
 
     /** Delays a request that one more crash would condemn until the undecided probes have finished. */
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -3,10 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.bankturn.service.RequestKind;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against the end of a crashed target's connection that is taken for the end of its response. */
 class CloseDelimitedResponseTest extends GatewayFixture {
@@ -55,6 +58,63 @@
         assertThat(call("POST", "one", "body")).contains("data: a").endsWith(LAST_CHUNK);
     }
 
+    /** Guards against a crash while a target leaves that is taken for the planned end of its response. */
+    @ParameterizedTest
+    @EnumSource(names = {"UNSAFE", "IDEMPOTENT"})
+    void a_response_cut_by_the_crash_of_a_leaving_target_is_not_complete_for_its_caller(RequestKind kind)
+            throws Exception {
+        publish(kind, 1, leavingTarget(kind, BEGUN_RESPONSE, ScriptedTarget::crash));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void a_stream_cut_by_the_crash_of_a_leaving_target_is_not_complete_for_its_caller() throws Exception {
+        publish(RequestKind.STREAM, 1, leavingTarget(RequestKind.STREAM, BEGUN_STREAM, ScriptedTarget::crash));
+        assertThat(call("POST", "one", "body")).contains("data: a").doesNotEndWith(LAST_CHUNK);
+    }
+
+    @Test
+    void a_response_is_complete_while_its_leaving_target_lives() throws Exception {
+        publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, "\r\n\r\nwhole", target -> {}));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+    }
+
+    /** Guards against a whole response being discarded because its target ended, as planned, right after it. */
+    @Test
+    void a_response_is_complete_if_its_leaving_target_has_deregistered_and_ended() throws Exception {
+        publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, "\r\n\r\nwhole", target -> {
+            target.crash();
+            awaitEndOfConnection();
+            publishLeaving(RequestKind.UNSAFE, target, true);
+        }));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+    }
+
+    private void awaitEndOfConnection() {
+        while (!new String(metrics.metricsText(), StandardCharsets.UTF_8)
+                .contains("bankturn_close_delimited_responses_total{service=\"chat\"}")) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** What a target does after it has written its response. */
+    @FunctionalInterface
+    private interface End {
+        void end(ScriptedTarget target) throws IOException;
+    }
+
+    /** Returns a target that announces that it leaves while it responds, and then ends in the given way. */
+    private ScriptedTarget leavingTarget(RequestKind kind, String text, End end) throws IOException {
+        ScriptedTarget[] self = new ScriptedTarget[1];
+        self[0] = register(new ScriptedTarget((number, id, socket) -> {
+            publishLeaving(kind, self[0], false);
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + text);
+            end.end(self[0]);
+            return false;
+        }));
+        return self[0];
+    }
+
     /** Returns a target that begins its response and crashes if no other target crashed before it. */
     private ScriptedTarget crashingAfter(String text) throws IOException {
         ScriptedTarget[] self = new ScriptedTarget[1];
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -187,6 +187,18 @@
         update(new PublishedState(1, configuration, List.of(), sightings, suspects, confirmed), clock.millis());
     }
 
+    /** Publishes that a target leaves, or has left, a service whose routes have one attempt. */
+    void publishLeaving(RequestKind kind, ScriptedTarget target, boolean gone) {
+        Service service = new Service("chat", "/health", 100, null, null, null, null);
+        String id = "t-" + target.address();
+        Map<String, TargetSighting> sightings = new HashMap<>();
+        if (!gone) {
+            sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, true, -1, 2));
+        }
+        ServingConfiguration configuration = configuration(kind, 1, 2_000, service);
+        update(new PublishedState(2, configuration, List.of(), sightings, List.of(), confirmed), clock.millis());
+    }
+
     static ServingConfiguration configuration(RequestKind kind, int attempts, long timeoutMillis, Service service) {
         Route route = new Route(
                 "r", "h", "/x/", kind, timeoutMillis, 300, 0, List.of(new WeightedService("chat", 1)), attempts, false);
