Gateway: a probe that a crashing process still accepts does not make a cut response whole

Cause: a process that is killed closes its connections and its port one after the other. A probe between the two is accepted. The second probe, 150 ms later, was made only while targets were known to crash, so never for the first one that does.

Weighed: a second probe only for leaving targets (the other cases stay); a request for the health of the target, whose answer would prove that it lives (one more request for each such response, at the target's cost); any byte from the target on another connection (nothing to hear from an idle target). Now both probes are always made. A response without length reaches its caller 150 ms later than before; others are not touched.

Tests: ..._if_its_target_closes_its_port_late and ..._if_its_leaving_target_ closes_its_port_late let the port close after one more connection; the latter failed before (1 of 1); the former was not run against the single probe by itself. All 13 of the class pass.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -230,11 +230,10 @@
     /**
      * Determines whether a target lives that ended a connection without a fault.
      *
-     * @return a promise of true if the target accepts a connection, or was leaving and has ended as planned, not null
+     * @return a promise of true if the target accepts connections, or was leaving and has ended as planned, not null
      */
     Promise<Boolean> isAlive(TargetSighting target) {
-        boolean crashesExpected = !suspects.isEmpty() || !promptParts.isEmpty() || !interruptedRequests.isEmpty();
-        return probe.acceptsConnections(target, crashesExpected)
+        return probe.acceptsConnections(target)
                 .then(accepts ->
                         accepts || !target.draining() ? Promise.of(accepts) : departures.awaitDeparture(target.id()));
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
@@ -100,25 +100,22 @@
     }
 
     /**
-     * Returns a promise of true if a target accepts a connection; a connection without an outcome is tried once more.
+     * Returns a promise of true if a target accepts a connection now and another one after a delay; a connection without an
+     * outcome is tried once more.
      *
      * @param target the target, not null
-     * @param thorough true to require that it accepts another one after a delay
      */
-    Promise<Boolean> acceptsConnections(TargetSighting target, boolean thorough) {
+    Promise<Boolean> acceptsConnections(TargetSighting target) {
         return connect(target, ACCEPT_TIMEOUT_MILLIS)
                 .then(failure -> {
                     boolean undecided = failure != null && !isRefused(failure);
                     return undecided ? connect(target, ACCEPT_TIMEOUT_MILLIS) : Promise.of(failure);
                 })
-                .then(failure -> {
-                    if (failure != null || !thorough) {
-                        return Promise.of(failure == null);
-                    }
-                    return Promises.delay(SECOND_PROBE_DELAY_MILLIS)
-                            .then(() -> connect(target, ACCEPT_TIMEOUT_MILLIS))
-                            .map(second -> second == null);
-                });
+                .then(failure -> failure != null
+                        ? Promise.of(false)
+                        : Promises.delay(SECOND_PROBE_DELAY_MILLIS)
+                                .then(() -> connect(target, ACCEPT_TIMEOUT_MILLIS))
+                                .map(second -> second == null));
     }
 
     /** Returns a promise of the connect failure, null if the target accepts the connection. */
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -73,6 +73,22 @@
         assertThat(call("POST", "one", "body")).contains("data: a").doesNotEndWith(LAST_CHUNK);
     }
 
+    /** Guards against a probe that a crashing process still accepts, as it closes its port after its connections. */
+    @Test
+    void a_response_is_not_complete_if_its_target_closes_its_port_late() throws Exception {
+        publish(RequestKind.UNSAFE, 1, endingAfter(BEGUN_RESPONSE, target -> {}, ScriptedTarget::crashWithLatePort));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void a_response_is_not_complete_if_its_leaving_target_closes_its_port_late() throws Exception {
+        publish(
+                RequestKind.UNSAFE,
+                1,
+                leavingTarget(RequestKind.UNSAFE, BEGUN_RESPONSE, ScriptedTarget::crashWithLatePort));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
     @Test
     void a_response_is_complete_while_its_leaving_target_lives() throws Exception {
         publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, "\r\n\r\nwhole", target -> {}));
@@ -97,19 +113,23 @@
         }
     }
 
-    /** What a target does after it has written its response. */
+    /** What a target does before or after it has written its response. */
     @FunctionalInterface
-    private interface End {
-        void end(ScriptedTarget target) throws IOException;
+    private interface TargetAction {
+        void run(ScriptedTarget target) throws IOException;
+    }
+
+    /** Returns a target that announces that it leaves while it responds, and then acts in the given way. */
+    private ScriptedTarget leavingTarget(RequestKind kind, String text, TargetAction after) throws IOException {
+        return endingAfter(text, target -> publishLeaving(kind, target, false), after);
     }
 
-    /** Returns a target that announces that it leaves while it responds, and then ends in the given way. */
-    private ScriptedTarget leavingTarget(RequestKind kind, String text, End end) throws IOException {
+    private ScriptedTarget endingAfter(String text, TargetAction before, TargetAction after) throws IOException {
         ScriptedTarget[] self = new ScriptedTarget[1];
         self[0] = register(new ScriptedTarget((number, id, socket) -> {
-            publishLeaving(kind, self[0], false);
+            before.run(self[0]);
             ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + text);
-            end.end(self[0]);
+            after.run(self[0]);
             return false;
         }));
         return self[0];
