Gateway: the departure of a leaving target counts from the end of its connection on

Seen: CloseDelimitedResponseTest#a_response_is_complete_if_its_leaving_ target_has_deregistered_and_ended failed in 1 of 1 run of a loop beside load: since both probes are always made, the departure may be published between them, and what was published before the wait did not count.

Change: whether the target is still published is read as its connection ends; a departure published from then on counts, one from before does not (a_response_is_not_complete_if_its_target_had_deregistered_before_it_ended).

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -233,9 +233,9 @@
      * @return a promise of true if the target accepts connections, or was leaving and has ended as planned, not null
      */
     Promise<Boolean> isAlive(TargetSighting target) {
+        boolean mayDepart = target.draining() && departures.isPublished(target.id());
         return probe.acceptsConnections(target)
-                .then(accepts ->
-                        accepts || !target.draining() ? Promise.of(accepts) : departures.awaitDeparture(target.id()));
+                .then(accepts -> accepts || !mayDepart ? Promise.of(accepts) : departures.awaitDeparture(target.id()));
     }
 
     /** Delays a request that one more crash would condemn until the undecided probes have finished. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
@@ -37,17 +37,18 @@
         departed.forEach((target, promise) -> complete(target, promise, true));
     }
 
+    /** Returns true if the departure of a target has not been published yet. */
+    boolean isPublished(String target) {
+        return published.contains(target);
+    }
+
     /**
      * Waits for the departure of a target.
      *
-     * @return a promise of true if the departure is published in time, of false if it is not, or was published before, not
-     *     null
+     * @return a promise of true if the departure has been published, or is in time, not null
      */
     Promise<Boolean> awaitDeparture(String target) {
-        if (!published.contains(target)) {
-            return Promise.of(false);
-        }
-        return awaited.computeIfAbsent(target, this::await);
+        return isPublished(target) ? awaited.computeIfAbsent(target, this::await) : Promise.of(true);
     }
 
     private SettablePromise<Boolean> await(String target) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -106,6 +106,22 @@
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
     }
 
+    /** Guards against a departure that was published before its target crashed and is taken for its planned end. */
+    @Test
+    void a_response_is_not_complete_if_its_target_had_deregistered_before_it_ended() throws Exception {
+        publish(
+                RequestKind.UNSAFE,
+                1,
+                endingAfter(
+                        BEGUN_RESPONSE,
+                        target -> {
+                            publishLeaving(RequestKind.UNSAFE, target, false);
+                            publishLeaving(RequestKind.UNSAFE, target, true);
+                        },
+                        ScriptedTarget::crash));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
     private void awaitEndOfConnection() {
         while (!new String(metrics.metricsText(), StandardCharsets.UTF_8)
                 .contains("bankturn_close_delimited_responses_total{service=\"chat\"}")) {
