--- a/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
@@ -10,8 +10,8 @@
 /**
  * Tells a target that ended as planned from one that crashed while it was leaving.
  *
- * <p>A target deregisters after its last response and before a planned end, so its departure is published soon after that
- * response; a target that crashes says nothing. DepartureMonitor is confined to its reactor's thread.
+ * <p>A target has itself removed after its last response and before a planned end, so its departure is published soon after
+ * that response; a target that crashes says nothing. DepartureMonitor is confined to its reactor's thread.
  */
 final class DepartureMonitor {
     /** The time within which a departure is published; a control process answers its watchers every 300 ms or sooner. */
