Gateway: the decision about a response without length is logged

Callers of review/3 got 200 with half of a body. Whether a response that only the end of its connection delimits is taken for complete was logged only once it had been forwarded, and without the reason, so that three hypotheses could not be told apart: the target's address accepted connections, the target's departure was published, or neither was asked. A line `response_end` now tells the outcome, the reason and how long the decision took. No decision is changed.

A process that binds the address of a killed leaving target and never answers: broken, reason "accepts connections". The same without a notice of leaving: broken. A second replica that binds the address of a killed leaving target: broken, and here the reason is "departed": its registration removes the killed one, and the removal is taken for the planned end. Held: crashes without a successor, with and without a notice, also after a deregistration; planned ends whole.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -288,7 +288,7 @@
     public void onEndOfConnection() {
         endedAtClose = true;
         gateway.metrics().responseEndedAtClose(request.service().name());
-        gateway.crashDetector().isAlive(target.sighting()).whenResult(alive -> {
+        gateway.crashDetector().isAlive(target.sighting(), request).whenResult(alive -> {
             if (alive) {
                 onComplete();
             } else {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -41,6 +41,7 @@
 
     private final String process;
     private final Eventloop reactor;
+    private final Clock clock;
     private final DecisionLog log;
     private final ServingMetrics metrics;
     private final CrashProbe probe;
@@ -92,6 +93,7 @@
             Runnable onCondemned) {
         this.process = process;
         this.reactor = reactor;
+        this.clock = clock;
         this.log = log;
         this.metrics = metrics;
         this.interruptedRequests = InterruptedRequests.of(clock);
@@ -232,10 +234,34 @@
      *
      * @return a promise of true if the target accepts connections, or was leaving and has ended as planned, not null
      */
-    Promise<Boolean> isAlive(TargetSighting target) {
+    Promise<Boolean> isAlive(TargetSighting target, ForwardedRequest request) {
+        long endMillis = clock.millis();
         boolean mayDepart = target.draining() && departures.isPublished(target.id());
-        return probe.acceptsConnections(target)
-                .then(accepts -> accepts || !mayDepart ? Promise.of(accepts) : departures.awaitDeparture(target.id()));
+        return probe.acceptsConnections(target).then(accepts -> {
+            if (accepts) {
+                return decideEnd(target, request, endMillis, true, "accepts connections");
+            }
+            if (!mayDepart) {
+                return decideEnd(target, request, endMillis, false, "accepts no connections");
+            }
+            return departures
+                    .awaitDeparture(target.id())
+                    .then(departed ->
+                            decideEnd(target, request, endMillis, departed, departed ? "departed" : "did not depart"));
+        });
+    }
+
+    /** Records whether a response that only the end of its connection delimits is complete. */
+    private Promise<Boolean> decideEnd(
+            TargetSighting target, ForwardedRequest request, long endMillis, boolean complete, String reason) {
+        log.line(DecisionKind.RESPONSE_END)
+                .with(DecisionField.REQUEST, request.metadata().id())
+                .with(DecisionField.TARGET, target.id())
+                .with(DecisionField.OUTCOME, complete ? "complete" : "cut")
+                .with(DecisionField.REASON, reason)
+                .with(DecisionField.TOOK_MS, clock.millis() - endMillis)
+                .write();
+        return Promise.of(complete);
     }
 
     /** Delays a request that one more crash would condemn until the undecided probes have finished. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -32,6 +32,8 @@
     RETRIED,
     /** A stream was resumed at another target. */
     RESUMED,
+    /** A response that only the end of its connection delimits was taken as complete or as cut. */
+    RESPONSE_END,
     /** A caller disconnected before its response was complete. */
     CANCELLED,
     /** A caller's connection ended before its request was received, or before its response was delivered. */
