Gateway: an address that accepts connections does not make a cut response complete

What callers saw: 200 with the seal and half of a body, framed as complete, also for a booking, after the target that wrote it had been killed.

Cause: a response that only the end of its connection delimits counted as complete if the target's address accepted two connections 150 ms apart. A connection is accepted by the kernel or by whoever holds the address by then: a successor, a listener that outlives the connections of a killed process, a process that hangs. None of them says anything of the process that wrote the response.

Ruled out: a missed notice of leaving (the line is the same with and without it), a late answer of another request.

Change: after the end of the connection the target is asked who it is, by the health request that control processes already use, on a new connection. Only an answer that names the incarnation makes the response complete; refused, another name, or nothing within 2 s (asked again every 50 ms where nothing was told) count as a crash. Why a new connection: a pooled one may bring a late answer. Weighed: `/report` names nobody (400 from plain services); a deregistration or heartbeat comes too late for a target that stays. The health dialect moves to an interface of its own, shared with the resolution of address conflicts, and names the host.

Requests for each: one health request, before two connections without one.

ScriptedTarget answers health requests as a target does.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -283,13 +283,12 @@
         target.firstEventReceived(predicted, firstEventMillis);
     }
 
-    /** Completes the response only if the target lives, since a crash ends its connections in the same way. */
+    /** Completes the response only if the target has not crashed, since a crash ends its connections in the same way. */
     @Override
     public void onEndOfConnection() {
         endedAtClose = true;
-        gateway.metrics().responseEndedAtClose(request.service().name());
-        gateway.crashDetector().isAlive(target.sighting(), request).whenResult(alive -> {
-            if (alive) {
+        gateway.completenessCheck().isComplete(target.sighting(), request).whenResult(complete -> {
+            if (complete) {
                 onComplete();
             } else {
                 onFailure(TransportFailure.CLOSED);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -41,11 +41,9 @@
 
     private final String process;
     private final Eventloop reactor;
-    private final Clock clock;
     private final DecisionLog log;
     private final ServingMetrics metrics;
     private final CrashProbe probe;
-    private final DepartureMonitor departures;
     private final Consumer<PublicationCommand> controlGroup;
     private final Runnable onCondemned;
     private final InterruptedRequests interruptedRequests;
@@ -93,7 +91,6 @@
             Runnable onCondemned) {
         this.process = process;
         this.reactor = reactor;
-        this.clock = clock;
         this.log = log;
         this.metrics = metrics;
         this.interruptedRequests = InterruptedRequests.of(clock);
@@ -103,7 +100,6 @@
                 connections,
                 target -> onTargetEnded(target.id()),
                 target -> interruptedRequests.markAlive(target.id()));
-        this.departures = DepartureMonitor.on(reactor);
         this.controlGroup = controlGroup;
         this.onCondemned = onCondemned;
         this.trialRequester = TrialRequester.of(
@@ -172,7 +168,6 @@
 
     /** Applies the published suspects and targets. */
     void update(PublishedState published) {
-        departures.update(published.targets().keySet());
         interruptedRequests.findReplaced(published.targets().values()).forEach(this::onTargetEnded);
         // most publications change targets only, and processing many suspects is expensive
         if (!Objects.equals(published.suspects(), lastPublished)) {
@@ -229,41 +224,6 @@
         return probe.probe(target).then(() -> awaitCertainty(request));
     }
 
-    /**
-     * Determines whether a target lives that ended a connection without a fault.
-     *
-     * @return a promise of true if the target accepts connections, or was leaving and has ended as planned, not null
-     */
-    Promise<Boolean> isAlive(TargetSighting target, ForwardedRequest request) {
-        long endMillis = clock.millis();
-        boolean mayDepart = target.draining() && departures.isPublished(target.id());
-        return probe.acceptsConnections(target).then(accepts -> {
-            if (accepts) {
-                return decideEnd(target, request, endMillis, true, "accepts connections");
-            }
-            if (!mayDepart) {
-                return decideEnd(target, request, endMillis, false, "accepts no connections");
-            }
-            return departures
-                    .awaitDeparture(target.id())
-                    .then(departed ->
-                            decideEnd(target, request, endMillis, departed, departed ? "departed" : "did not depart"));
-        });
-    }
-
-    /** Records whether a response that only the end of its connection delimits is complete. */
-    private Promise<Boolean> decideEnd(
-            TargetSighting target, ForwardedRequest request, long endMillis, boolean complete, String reason) {
-        log.line(DecisionKind.RESPONSE_END)
-                .with(DecisionField.REQUEST, request.metadata().id())
-                .with(DecisionField.TARGET, target.id())
-                .with(DecisionField.OUTCOME, complete ? "complete" : "cut")
-                .with(DecisionField.REASON, reason)
-                .with(DecisionField.TOOK_MS, clock.millis() - endMillis)
-                .write();
-        return Promise.of(complete);
-    }
-
     /** Delays a request that one more crash would condemn until the undecided probes have finished. */
     private Promise<Void> awaitCertainty(ForwardedRequest request) {
         boolean certain =
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
@@ -2,7 +2,6 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.Map;
@@ -24,9 +23,6 @@
     /** Connect timeout of a probe, which bounds how long an interrupted request waits; a path between regions takes 6 ms. */
     private static final long PROBE_TIMEOUT_MILLIS = 100;
 
-    /** Connect timeout where a probe without an outcome costs a response; that of connections for requests. */
-    private static final long ACCEPT_TIMEOUT_MILLIS = 400;
-
     /** The time after which both probes of a target have an outcome. */
     static final long DECISION_MILLIS = SECOND_PROBE_DELAY_MILLIS + PROBE_TIMEOUT_MILLIS;
 
@@ -99,25 +95,6 @@
         });
     }
 
-    /**
-     * Returns a promise of true if a target accepts a connection now and another one after a delay; a connection without an
-     * outcome is tried once more.
-     *
-     * @param target the target, not null
-     */
-    Promise<Boolean> acceptsConnections(TargetSighting target) {
-        return connect(target, ACCEPT_TIMEOUT_MILLIS)
-                .then(failure -> {
-                    boolean undecided = failure != null && !isRefused(failure);
-                    return undecided ? connect(target, ACCEPT_TIMEOUT_MILLIS) : Promise.of(failure);
-                })
-                .then(failure -> failure != null
-                        ? Promise.of(false)
-                        : Promises.delay(SECOND_PROBE_DELAY_MILLIS)
-                                .then(() -> connect(target, ACCEPT_TIMEOUT_MILLIS))
-                                .map(second -> second == null));
-    }
-
     /** Returns a promise of the connect failure, null if the target accepts the connection. */
     private Promise<Exception> connect(TargetSighting target, long timeoutMillis) {
         return TargetConnection.connect(
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.daemon.http.HealthDialect;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.HttpListener;
 import org.bankturn.daemon.http.SendQueueLimits;
@@ -79,6 +80,7 @@
     private final LoadPoller loadPoller;
     private final PermitExchange permits;
     private final CrashDetector crashDetector;
+    private final CompletenessCheck completenessCheck;
     private final Set<ForwardedRequest> inFlight = new LinkedHashSet<>();
     private final long startedMillis;
     private PublishedState published = PublishedState.EMPTY;
@@ -91,6 +93,7 @@
      *
      * @param settings the settings, not null
      * @param dialect maps metadata to header fields, not null
+     * @param health the format of health requests to targets, not null
      * @param reactor the event loop, not null
      * @param clients calls other processes, not null
      * @param controlGroup receives commands for the control group, not null
@@ -101,18 +104,20 @@
     public static Gateway of(
             GatewaySettings settings,
             RequestDialect dialect,
+            HealthDialect health,
             Eventloop reactor,
             NodeClients clients,
             Consumer<PublicationCommand> controlGroup,
             Clock clock,
             DecisionLog log,
             ServingMetrics metrics) {
-        return new Gateway(settings, dialect, reactor, clients, controlGroup, clock, log, metrics);
+        return new Gateway(settings, dialect, health, reactor, clients, controlGroup, clock, log, metrics);
     }
 
     private Gateway(
             GatewaySettings settings,
             RequestDialect dialect,
+            HealthDialect health,
             Eventloop reactor,
             NodeClients clients,
             Consumer<PublicationCommand> controlGroup,
@@ -140,6 +145,8 @@
         metrics.registerSlowEnginesGauge(targets::slowEngines);
         this.crashDetector = CrashDetector.of(
                 settings.process(), reactor, clock, log, metrics, connections, controlGroup, this::stopCondemned);
+        this.completenessCheck = CompletenessCheck.of(
+                new IncarnationCheck.Dependencies(reactor, clock, health, connections), log, metrics);
         this.callers = HttpListener.create(
                 reactor,
                 clock,
@@ -186,6 +193,7 @@
         loadPoller.update(newer, gatewaysInDataHall());
         permits.update(addresses(gateways()));
         crashDetector.update(newer);
+        completenessCheck.update(newer);
     }
 
     private void reportEvacuations(PublishedState newer) {
@@ -419,6 +427,10 @@
         return crashDetector;
     }
 
+    CompletenessCheck completenessCheck() {
+        return completenessCheck;
+    }
+
     /** Registers a request in flight. */
     void requestStarted(ForwardedRequest request) {
         inFlight.add(request);
--- a/daemon/src/main/java/org/bankturn/daemon/group/AddressConflictResolver.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/AddressConflictResolver.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.bankturn.daemon.http.HealthDialect;
 import org.bankturn.daemon.http.PooledHttpClient;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
@@ -33,7 +34,7 @@
 
     private final NioReactor reactor;
     private final Clock clock;
-    private final ControlDialect dialect;
+    private final HealthDialect dialect;
     private final DecisionLog log;
     private final long minIntervalMillis;
     private final Map<String, Long> firstHeardMillis = new LinkedHashMap<>();
@@ -49,12 +50,12 @@
      * @param heartbeatMillis the heartbeat interval of targets
      */
     static AddressConflictResolver of(
-            NioReactor reactor, Clock clock, ControlDialect dialect, DecisionLog log, long heartbeatMillis) {
+            NioReactor reactor, Clock clock, HealthDialect dialect, DecisionLog log, long heartbeatMillis) {
         return new AddressConflictResolver(reactor, clock, dialect, log, heartbeatMillis);
     }
 
     private AddressConflictResolver(
-            NioReactor reactor, Clock clock, ControlDialect dialect, DecisionLog log, long heartbeatMillis) {
+            NioReactor reactor, Clock clock, HealthDialect dialect, DecisionLog log, long heartbeatMillis) {
         this.reactor = reactor;
         this.clock = clock;
         this.dialect = dialect;
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -17,6 +17,7 @@
 import org.bankturn.agreement.Snapshot;
 import org.bankturn.codec.DeflateCodec;
 import org.bankturn.daemon.group.GroupMember.Outcome;
+import org.bankturn.daemon.http.HealthDialect;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.HttpListener;
 import org.bankturn.daemon.http.ServerExchange;
@@ -91,6 +92,7 @@
      * @param settings the settings of the process, not null
      * @param seeds supplies the currently configured node addresses, not null
      * @param dialect the HTTP format of operators and targets, not null
+     * @param health the HTTP format of health requests to targets, not null
      * @param format parses operators' documents, not null
      * @param reactor the reactor, not null
      * @param clock the clock, not null
@@ -101,18 +103,20 @@
             GroupSettings settings,
             Supplier<List<Address>> seeds,
             ControlDialect dialect,
+            HealthDialect health,
             DocumentFormat format,
             Eventloop reactor,
             Clock clock,
             DecisionLog log,
             ServingMetrics metrics) {
-        return new GroupNode(settings, seeds, dialect, format, reactor, clock, log, metrics);
+        return new GroupNode(settings, seeds, dialect, health, format, reactor, clock, log, metrics);
     }
 
     private GroupNode(
             GroupSettings settings,
             Supplier<List<Address>> seeds,
             ControlDialect dialect,
+            HealthDialect health,
             DocumentFormat format,
             Eventloop reactor,
             Clock clock,
@@ -155,7 +159,7 @@
         this.reads = DocumentReads.of(reactor, clients, member);
         this.targetWatch = TargetLivenessMonitor.of(reactor, clients, member, log, clock, settings.heartbeatMillis());
         AddressConflictResolver addresses =
-                AddressConflictResolver.of(reactor, clock, dialect, log, settings.heartbeatMillis());
+                AddressConflictResolver.of(reactor, clock, health, log, settings.heartbeatMillis());
         this.targetCalls =
                 TargetCallHandler.of(reactor, member, targetWatch, addresses, format, this::isFresh, this::change);
         this.evacuations = EvacuationOrders.of(reactor, member, settings.regions(), this::submit);
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -8,6 +8,9 @@
     ADDRESS,
     /** The response that was given. */
     ANSWER,
+
+    /** The name that the process at a target's address gave, empty if it gave none. */
+    ANSWERED_BY,
     /** The endings of the attempts at a request, in order. */
     ATTEMPTS,
     /** The class, method and line of the code that threw an error. */
@@ -26,6 +29,12 @@
     CALL,
     /** The check or condition that decided. */
     CAUSE,
+    /** What the check of an incarnation at its address has shown. */
+    CHECK,
+
+    /** The number of health requests sent to a target's address. */
+    CHECKS,
+
     /** The time for which a target counts as cold, in milliseconds. */
     COLD_MS,
     /** True if the publication was confirmed by a control process in contact with a majority. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -93,6 +93,7 @@
     private final Counter suspects;
     private final Counter unreadablePromptParts;
     private final Counter closeDelimitedResponses;
+    private final Counter incarnationChecks;
     private final Counter unreadableReports;
     private final Counter targetNotices;
     private final Counter permits;
@@ -150,6 +151,8 @@
         unreadablePromptParts = counter("unreadable_prompt_parts", "Parts of prompts that could not be read.");
         closeDelimitedResponses = counter(
                 "close_delimited_responses", "Responses ended by their connection alone, by service.", "service");
+        incarnationChecks = counter(
+                "incarnation_checks", "Checks which incarnation is at a target's address, by outcome.", "outcome");
         blockedRequests =
                 gauge("condemned_requests", "Requests that are sent to no target because targets ended under them.");
         blockedPromptParts = gauge(
@@ -352,6 +355,11 @@
         closeDelimitedResponses.labelValues(service).inc();
     }
 
+    /** Counts a check which incarnation is at a target's address. */
+    public void incarnationChecked(String outcome) {
+        incarnationChecks.labelValues(outcome).inc();
+    }
+
     /** Sets the number of requests blocked because targets crashed while processing them. */
     public void setBlockedRequests(int requests) {
         blockedRequests.set(requests);
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -135,7 +135,15 @@
         });
         ChangeSubmitter submitter = ChangeSubmitter.of(reactor, clients, follower::controlProcess, log);
         gateway = Gateway.of(
-                gatewaySettings(), dialects.requests(), reactor, clients, submitter::submit, clock, log, metrics);
+                gatewaySettings(),
+                dialects.requests(),
+                dialects.health(),
+                reactor,
+                clients,
+                submitter::submit,
+                clock,
+                log,
+                metrics);
         gateway.start();
         follower.start();
         announceRelay(clients, follower);
@@ -230,6 +238,7 @@
                         settings.bounds().toleratedLosses()),
                 this::seeds,
                 dialects.control(),
+                dialects.health(),
                 dialects.document(),
                 reactor,
                 clock,
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.bankturn.service.RequestKind;
 import org.junit.jupiter.api.Test;
@@ -89,6 +90,110 @@
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
     }
 
+    /** Guards against an address that accepts connections being taken for a target that lives. */
+    @ParameterizedTest
+    @EnumSource(names = {"UNSAFE", "IDEMPOTENT"})
+    void a_response_is_not_complete_while_its_target_accepts_connections_and_answers_none(RequestKind kind)
+            throws Exception {
+        publishWithTimeout(kind, endingAfter(BEGUN_RESPONSE, target -> {}, ScriptedTarget::hang));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void a_response_is_not_complete_while_its_leaving_target_accepts_connections_and_answers_none() throws Exception {
+        publishWithTimeout(RequestKind.UNSAFE, leavingTarget(RequestKind.UNSAFE, BEGUN_RESPONSE, ScriptedTarget::hang));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against a successor at a crashed target's address being taken for that target. */
+    @ParameterizedTest
+    @EnumSource(names = {"UNSAFE", "IDEMPOTENT"})
+    void a_response_cut_by_a_crash_is_not_complete_for_its_caller_if_a_successor_has_the_address(RequestKind kind)
+            throws Exception {
+        publish(kind, 1, endingAfter(BEGUN_RESPONSE, target -> {}, this::crashAndStartSuccessor));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void a_stream_cut_between_two_events_is_not_complete_for_its_caller_if_a_successor_has_the_address()
+            throws Exception {
+        publish(RequestKind.STREAM, 1, endingAfter(BEGUN_STREAM, target -> {}, this::crashAndStartSuccessor));
+        assertThat(call("POST", "one", "body")).contains("data: a").doesNotEndWith(LAST_CHUNK);
+    }
+
+    @Test
+    void a_response_cut_by_the_crash_of_a_leaving_target_is_not_complete_if_a_successor_has_the_address()
+            throws Exception {
+        publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, BEGUN_RESPONSE, this::crashAndStartSuccessor));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against an answer that its sender did not live to complete being taken for a sign of life. */
+    @Test
+    void a_response_is_not_complete_if_its_target_crashes_before_it_names_itself() throws Exception {
+        ScriptedTarget target = endingAfter(BEGUN_RESPONSE, each -> {}, each -> {});
+        target.onCheck((expected, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nNam");
+            target.crash();
+            return false;
+        });
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against a sign of life of a target being used for a response that it ended only later. */
+    @Test
+    void a_response_cut_by_a_crash_is_not_complete_although_another_one_was_complete_before() throws Exception {
+        ScriptedTarget target = endingAfter("", each -> {}, each -> {}, "\r\n\r\nwhole", BEGUN_RESPONSE);
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+        target.onCheck((expected, socket) -> {
+            target.crash();
+            return false;
+        });
+        assertThat(call("POST", "two", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against a target without a free slot being taken for one that has crashed. */
+    @Test
+    void a_response_is_complete_although_its_target_answers_late() throws Exception {
+        CountDownLatch freeSlot = new CountDownLatch(1);
+        ScriptedTarget target = endingAfter("\r\n\r\nwhole", each -> {}, each -> {});
+        target.onCheck((expected, socket) -> {
+            await(freeSlot, 500);
+            ScriptedTarget.write(socket, ScriptedTarget.answerOf(expected));
+            return true;
+        });
+        publishWithTimeout(RequestKind.UNSAFE, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+    }
+
+    @Test
+    void a_response_is_complete_although_its_target_first_rejects_the_check() throws Exception {
+        ScriptedTarget target = endingAfter("\r\n\r\nwhole", each -> {}, each -> {});
+        target.onCheck((expected, socket) -> {
+            boolean first = target.checks.size() == 1;
+            ScriptedTarget.write(
+                    socket,
+                    first
+                            ? "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                            : ScriptedTarget.answerOf(expected));
+            return true;
+        });
+        publishWithTimeout(RequestKind.UNSAFE, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+        assertThat(target.checks).hasSize(2);
+    }
+
+    /** Guards against a response without length that costs more than one health request. */
+    @Test
+    void a_response_costs_one_health_request_while_its_target_lives() throws Exception {
+        ScriptedTarget target = closingAfter("\r\n\r\nwhole");
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200");
+        assertThat(target.checks).containsExactly("t-" + target.address());
+    }
+
     @Test
     void a_response_is_complete_while_its_leaving_target_lives() throws Exception {
         publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, "\r\n\r\nwhole", target -> {}));
@@ -140,17 +245,30 @@
         return endingAfter(text, target -> publishLeaving(kind, target, false), after);
     }
 
-    private ScriptedTarget endingAfter(String text, TargetAction before, TargetAction after) throws IOException {
+    /** Returns a target that writes a response, the given one or one after the other, and then acts in the given way. */
+    private ScriptedTarget endingAfter(String text, TargetAction before, TargetAction after, String... inTurn)
+            throws IOException {
         ScriptedTarget[] self = new ScriptedTarget[1];
         self[0] = register(new ScriptedTarget((number, id, socket) -> {
             before.run(self[0]);
-            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + text);
+            String next = inTurn.length == 0 ? text : inTurn[number - 1];
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + next);
             after.run(self[0]);
             return false;
         }));
         return self[0];
     }
 
+    private void crashAndStartSuccessor(ScriptedTarget target) throws IOException {
+        target.crash();
+        register(target.successor("t-successor", (number, id, socket) -> false));
+    }
+
+    /** Publishes a target whose route has one attempt and time for a check that ends undecided. */
+    private void publishWithTimeout(RequestKind kind, ScriptedTarget target) {
+        publish(kind, 1, 4_000, List.of(target.address()));
+    }
+
     /** Returns a target that begins its response and crashes if no other target crashed before it. */
     private ScriptedTarget crashingAfter(String text) throws IOException {
         ScriptedTarget[] self = new ScriptedTarget[1];
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.bankturn.crash.Suspect;
+import org.bankturn.daemon.http.PlainHealthDialect;
 import org.bankturn.daemon.observe.CapturedLog;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
@@ -98,6 +99,7 @@
                         stopTimeoutMillis(),
                         regions()),
                 new PlainDialect(),
+                new PlainHealthDialect(),
                 reactor,
                 NodeClients.on(reactor, clock, ConnectionObserver.NONE),
                 publicationCommands::add,
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayGroup.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayGroup.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.bankturn.daemon.http.PlainHealthDialect;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.LogFile;
 import org.bankturn.daemon.observe.ServingMetrics;
@@ -71,6 +72,7 @@
                 new GatewaySettings(
                         process, "north", callers, FreeAddresses.next(), node, UNLIMITED_RETRIES, 1_000, 20_000),
                 new PlainDialect(),
+                new PlainHealthDialect(),
                 reactor,
                 NodeClients.on(reactor, clock, ConnectionObserver.NONE),
                 command -> {},
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.bankturn.daemon.http.PlainHealthDialect;
 
 /** A target on loopback that answers each request with a script given by the test. */
 public final class ScriptedTarget implements AutoCloseable {
@@ -19,9 +20,14 @@
     private final Script script;
     private final List<Socket> open = new CopyOnWriteArrayList<>();
     private volatile boolean portClosesLate;
+    private volatile boolean hangs;
+    private volatile CheckScript checkScript = ScriptedTarget::nameExpected;
     public final List<String> heads = new CopyOnWriteArrayList<>();
     public final List<String> bodies = new CopyOnWriteArrayList<>();
 
+    /** The names that health requests expected of the target. */
+    final List<String> checks = new CopyOnWriteArrayList<>();
+
     /** Answers one request on its connection. */
     @FunctionalInterface
     public interface Script {
@@ -29,14 +35,49 @@
         boolean answer(int number, String id, Socket socket) throws IOException;
     }
 
+    /** Answers a health request on its connection. */
+    @FunctionalInterface
+    public interface CheckScript {
+        /** Writes an answer; returns false to close the connection. */
+        boolean answer(String expectedName, Socket socket) throws IOException;
+    }
+
     public ScriptedTarget(Script script) throws IOException {
+        this(script, 0);
+    }
+
+    private ScriptedTarget(Script script, int port) throws IOException {
         this.script = script;
-        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         Thread acceptor = new Thread(this::accept, "scripted-target");
         acceptor.setDaemon(true);
         acceptor.start();
     }
 
+    /** Returns a target with another name that takes over the address of one that has crashed. */
+    ScriptedTarget successor(String name, Script successorScript) throws IOException {
+        return new ScriptedTarget(successorScript, server.getLocalPort()).onCheck((expected, socket) -> {
+            write(socket, answerOf(name));
+            return true;
+        });
+    }
+
+    /** Answers health requests with a script; without one, the target names itself as is expected of it. */
+    ScriptedTarget onCheck(CheckScript script) {
+        checkScript = script;
+        return this;
+    }
+
+    private static boolean nameExpected(String expectedName, Socket socket) throws IOException {
+        write(socket, answerOf(expectedName));
+        return true;
+    }
+
+    /** Returns the answer to a health request of the target with a name. */
+    static String answerOf(String name) {
+        return "HTTP/1.1 200 OK\r\n" + PlainHealthDialect.NAME + ": " + name + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
     public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
@@ -44,14 +85,22 @@
     /** Simulates a process crash: closes all connections and refuses new ones. */
     public void crash() throws IOException {
         server.close();
-        for (Socket socket : open) {
-            socket.close();
-        }
+        closeConnections();
     }
 
     /** Simulates a process crash that closes its port only after one more connection. */
     public void crashWithLatePort() throws IOException {
         portClosesLate = true;
+        closeConnections();
+    }
+
+    /** Simulates a process that closes its connections and hangs: its port accepts connections, and nothing answers. */
+    void hang() throws IOException {
+        hangs = true;
+        closeConnections();
+    }
+
+    private void closeConnections() throws IOException {
         for (Socket socket : open) {
             socket.close();
         }
@@ -75,6 +124,9 @@
                     crash();
                     return;
                 }
+                if (hangs) {
+                    continue;
+                }
                 Thread thread = new Thread(() -> serve(socket), "scripted-connection");
                 thread.setDaemon(true);
                 thread.start();
@@ -92,6 +144,14 @@
                 if (head == null) {
                     return;
                 }
+                String expectedName = field(head, PlainHealthDialect.EXPECTED);
+                if (!expectedName.isEmpty()) {
+                    checks.add(expectedName);
+                    if (checkScript.answer(expectedName, socket)) {
+                        continue;
+                    }
+                    return;
+                }
                 String body = new String(input.readNBytes(length(head)), StandardCharsets.ISO_8859_1);
                 int number;
                 synchronized (heads) {
--- a/daemon/src/test/java/org/bankturn/daemon/group/AddressConflictResolverTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/AddressConflictResolverTest.java
@@ -6,6 +6,7 @@
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
 import java.util.Optional;
+import org.bankturn.daemon.http.PlainHealthDialect;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.FreeAddresses;
@@ -23,7 +24,7 @@
     private final ManualClock clock = ManualClock.startingAt(1_000_000);
     private final Eventloop reactor = Eventloop.create();
     private final AddressConflictResolver resolver = AddressConflictResolver.of(
-            reactor, clock, new PlainControlDialect(), DecisionLog.start("test", clock), HEARTBEAT_MILLIS);
+            reactor, clock, new PlainHealthDialect(), DecisionLog.start("test", clock), HEARTBEAT_MILLIS);
     private HttpServer server;
 
     @AfterEach
--- a/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/GroupNodeTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
+import org.bankturn.daemon.http.PlainHealthDialect;
 import org.bankturn.daemon.observe.CapturedLog;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
@@ -429,6 +430,7 @@
                         GroupSettings.DEFAULT_TOLERATED_LOSSES),
                 () -> seeds,
                 new PlainControlDialect(),
+                new PlainHealthDialect(),
                 new NumberedDocument(),
                 reactor,
                 clock,
--- a/daemon/src/test/java/org/bankturn/daemon/group/PlainControlDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/PlainControlDialect.java
@@ -2,8 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
-import org.bankturn.daemon.http.HttpField;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.registry.TargetSighting;
 
@@ -37,16 +35,6 @@
         return HttpHead.response(status, List.of());
     }
 
-    @Override
-    public HttpHead healthProbe(String healthPath, String name) {
-        return HttpHead.request("GET", healthPath, List.of(new HttpField("Expected", name)));
-    }
-
-    @Override
-    public Optional<Boolean> identifies(String name, HttpHead answer) {
-        return answer.field("Name").map(name::equals);
-    }
-
     @Override
     public byte[] body(ControlAnswer answer) {
         return answer instanceof ControlAnswer.Document document
--- a/daemon/src/test/java/org/bankturn/daemon/group/SilentConnectionsTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/SilentConnectionsTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
+import org.bankturn.daemon.http.PlainHealthDialect;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.LogFile;
 import org.bankturn.daemon.observe.ServingMetrics;
@@ -145,6 +146,7 @@
                         1_000),
                 this::nodeAddresses,
                 new PlainControlDialect(),
+                new PlainHealthDialect(),
                 new NumberedDocument(),
                 reactor,
                 clock,
--- a/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
@@ -13,6 +13,7 @@
 import org.bankturn.daemon.gateway.PlainDialect;
 import org.bankturn.daemon.gateway.ScriptedTarget;
 import org.bankturn.daemon.group.PlainControlDialect;
+import org.bankturn.daemon.http.PlainHealthDialect;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.daemon.settings.ProcessRole;
@@ -113,8 +114,12 @@
                 1_000_000,
                 BOUNDS,
                 RegionMap.NONE);
-        Dialects dialects =
-                new Dialects(format(), new PlainDialect(), new PlainControlDialect(), new PlainWeightsDialect());
+        Dialects dialects = new Dialects(
+                format(),
+                new PlainDialect(),
+                new PlainControlDialect(),
+                new PlainHealthDialect(),
+                new PlainWeightsDialect());
         ServingProcess process = ServingProcess.of(settings, new UnchangedSettings(settings), dialects);
         process.start().join();
         return process;
