Gateway tests: a scripted target that has crashed accepts no connection any more

CloseDelimitedResponseTest#a_response_is_not_complete_if_its_target_had_deregistered_before_it_ended failed once (200 with the cut body), in a run beside another build. Cause, in the test double: closing a server socket does not stop an accept that is in progress, so the next connection could still be accepted and its health request answered, by a target that had crashed. A killed process cannot do that.

The target notes its crash before it closes anything and closes a connection that is accepted afterwards. The check of the test is unchanged.

--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -21,6 +21,7 @@
     private final List<Socket> open = new CopyOnWriteArrayList<>();
     private volatile boolean portClosesLate;
     private volatile boolean hangs;
+    private volatile boolean crashed;
     private volatile CheckScript checkScript = ScriptedTarget::nameExpected;
     public final List<String> heads = new CopyOnWriteArrayList<>();
     public final List<String> bodies = new CopyOnWriteArrayList<>();
@@ -84,6 +85,7 @@
 
     /** Simulates a process crash: closes all connections and refuses new ones. */
     public void crash() throws IOException {
+        crashed = true;
         server.close();
         closeConnections();
     }
@@ -119,6 +121,11 @@
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
+                // closing the server does not stop an accept that is in progress
+                if (crashed) {
+                    socket.close();
+                    return;
+                }
                 open.add(socket);
                 if (portClosesLate) {
                     crash();
