Gateway: the removal of a leaving target does not make its cut response complete

Cause: a leaving target that refuses connections was taken for one that ended as planned once its departure was published, and any removal counted as departure. The control group also removes a target whose heartbeats are missed and one whose address another incarnation registers, and the publication did not tell which.

Change: an update names which of the removed targets deregistered (`deregistered`, left out while empty, so that messages of earlier builds are read as before; without it no departure is known). Only a deregistration published after the end of the connection counts, also one published while the target is still being asked; each response waits its whole 500 ms, where a second one shared what was left of the first one's.

The fixture publishes removal and deregistration apart.

--- a/core/src/main/java/org/bankturn/publication/PublicationState.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationState.java
@@ -218,9 +218,8 @@
                 .filter(each -> full || each.changedIndex() > haveIndex)
                 .map(TargetRecord::sighting)
                 .toList();
-        List<String> removed = registry.content().departures().stream()
+        List<Departure> removed = registry.content().departures().stream()
                 .filter(each -> !full && each.index() > haveIndex)
-                .map(Departure::id)
                 .toList();
         byte[] changedDocument = full || documentIndex > haveIndex ? document : null;
         List<Suspect> changedSuspects =
@@ -233,10 +232,11 @@
                 changedDocument,
                 weights(),
                 changed,
-                removed,
+                removed.stream().map(Departure::id).toList(),
                 changedSuspects,
                 full,
                 evacuations(),
-                changedParts);
+                changedParts,
+                removed.stream().filter(Departure::byItself).map(Departure::id).toList());
     }
 }
--- a/core/src/test/java/org/bankturn/publication/PublicationStateTest.java
+++ b/core/src/test/java/org/bankturn/publication/PublicationStateTest.java
@@ -44,6 +44,20 @@
         assertThat(update.whole()).isFalse();
     }
 
+    /** Guards against a crashed target whose address another one has registered being taken for one that left. */
+    @Test
+    void an_update_names_the_removed_targets_that_deregistered() {
+        state.apply(1, new PublicationCommand.RecordTarget(sighting("left", 1), Evidence.UNDISPUTED));
+        state.apply(2, new PublicationCommand.RecordTarget(sighting("silent", 1), Evidence.UNDISPUTED));
+        state.apply(3, new PublicationCommand.RecordTarget(sighting("replaced", 1), Evidence.UNDISPUTED));
+        state.apply(4, new PublicationCommand.RemoveTarget("left", true));
+        state.apply(5, new PublicationCommand.RemoveTarget("silent", false));
+        state.apply(6, new PublicationCommand.RecordTarget(successorOf("replaced"), Evidence.SETTLED));
+        PublicationUpdate update = state.updateSince(3);
+        assertThat(update.gone()).containsExactlyInAnyOrder("left", "silent", "replaced");
+        assertThat(update.deregistered()).containsExactly("left");
+    }
+
     @Test
     void a_follower_without_state_gets_a_full_update() {
         state.apply(1, new PublicationCommand.PutDocument(1, new byte[] {1}));
@@ -114,6 +128,10 @@
         assertThat(PublicationState.restore(new byte[0]).index()).isZero();
     }
 
+    private static TargetSighting successorOf(String id) {
+        return new TargetSighting(id + "-successor", "chat", id + ":80", "north", 4, false, 1, 1);
+    }
+
     private static TargetSighting sighting(String id, long sequence) {
         return new TargetSighting(id, "chat", id + ":80", "north", 4, false, 1, sequence);
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
@@ -14,7 +14,7 @@
  *
  * <p>A crash ends connections as a complete response does. Such a response is therefore complete only if its target shows,
  * after the end of the connection, that it has not crashed: by an answer that names its incarnation, or, if it was leaving,
- * by having itself removed. Without either in time the response counts as cut.
+ * by its deregistration. Without either in time the response counts as cut.
  *
  * <p>CompletenessCheck is confined to its reactor's thread.
  */
@@ -47,7 +47,7 @@
 
     /** Applies the published targets. */
     void update(PublishedState published) {
-        departures.update(published.targets().keySet());
+        departures.update(published);
     }
 
     /**
@@ -61,6 +61,7 @@
         metrics.responseEndedAtClose(request.service().name());
         Decision decision = new Decision(target, request, checks.clock().millis());
         boolean mayDepart = target.draining() && departures.isPublished(target.id());
+        long updates = departures.updates();
         return IncarnationCheck.start(checks, target, request.service().healthPath(), ANSWER_TIMEOUT_MILLIS)
                 .result()
                 .then(result -> {
@@ -71,9 +72,9 @@
                                 result.outcome().label());
                     }
                     return departures
-                            .awaitDeparture(target.id())
+                            .awaitDeparture(target.id(), updates)
                             .then(departed ->
-                                    decision.make(result, departed, departed ? "departed" : "did not depart"));
+                                    decision.make(result, departed, departed ? "deregistered" : "did not deregister"));
                 });
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
@@ -3,23 +3,36 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
-import java.util.HashMap;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.bankturn.daemon.publication.PublishedState;
 
 /**
  * Tells a target that ended as planned from one that crashed while it was leaving.
  *
- * <p>A target has itself removed after its last response and before a planned end, so its departure is published soon after
- * that response; a target that crashes says nothing. DepartureMonitor is confined to its reactor's thread.
+ * <p>A target deregisters after its last response and before a planned end, so its deregistration is published soon after
+ * that response; a target that crashes says nothing. Its removal alone shows nothing: a crashed target is removed, too,
+ * once its heartbeats are missed or another target registers its address.
+ *
+ * <p>DepartureMonitor is confined to its reactor's thread.
  */
 final class DepartureMonitor {
     /** The time within which a departure is published; a control process answers its watchers every 300 ms or sooner. */
     static final long PUBLICATION_MILLIS = 500;
 
+    /** Exceeds the number of targets that deregister while responses await the outcome of a check. */
+    private static final int MAX_DEREGISTERED = 512;
+
     private final Eventloop reactor;
-    private final Map<String, SettablePromise<Boolean>> awaited = new HashMap<>();
+    private final Map<String, Long> deregistered = new LinkedHashMap<>();
+    private final List<Waiter> waiters = new ArrayList<>();
     private Set<String> published = Set.of();
+    private long updates;
+
+    private record Waiter(String target, SettablePromise<Boolean> departed) {}
 
     static DepartureMonitor on(Eventloop reactor) {
         return new DepartureMonitor(reactor);
@@ -29,37 +42,49 @@
         this.reactor = reactor;
     }
 
-    /** Applies the ids of the published targets. */
-    void update(Set<String> targets) {
-        published = targets;
-        Map<String, SettablePromise<Boolean>> departed = new HashMap<>(awaited);
-        departed.keySet().removeAll(targets);
-        departed.forEach((target, promise) -> complete(target, promise, true));
+    /** Returns the number of publications received so far. */
+    long updates() {
+        return updates;
     }
 
-    /** Returns true if the departure of a target has not been published yet. */
+    /** Returns true if the removal of a target has not been published yet. */
     boolean isPublished(String target) {
         return published.contains(target);
     }
 
+    /** Applies the published targets and deregistrations. */
+    void update(PublishedState newer) {
+        updates++;
+        published = newer.targets().keySet();
+        newer.deregistered().forEach(target -> deregistered.put(target, updates));
+        while (deregistered.size() > MAX_DEREGISTERED) {
+            deregistered.remove(deregistered.keySet().iterator().next());
+        }
+        List<Waiter> departed = waiters.stream()
+                .filter(each -> newer.deregistered().contains(each.target()))
+                .toList();
+        departed.forEach(each -> complete(each, true));
+    }
+
     /**
-     * Waits for the departure of a target.
+     * Waits for the deregistration of a target.
      *
-     * @return a promise of true if the departure has been published, or is in time, not null
+     * @param target the target, not null
+     * @param since the number of publications received before those that count
+     * @return a promise of true if a publication that counts contains the deregistration, or one in time does, not null
      */
-    Promise<Boolean> awaitDeparture(String target) {
-        return isPublished(target) ? awaited.computeIfAbsent(target, this::await) : Promise.of(true);
-    }
-
-    private SettablePromise<Boolean> await(String target) {
-        SettablePromise<Boolean> promise = new SettablePromise<>();
-        reactor.delayBackground(PUBLICATION_MILLIS, () -> complete(target, promise, false));
-        return promise;
+    Promise<Boolean> awaitDeparture(String target, long since) {
+        if (deregistered.getOrDefault(target, 0L) > since) {
+            return Promise.of(true);
+        }
+        Waiter waiter = new Waiter(target, new SettablePromise<>());
+        waiters.add(waiter);
+        reactor.delayBackground(PUBLICATION_MILLIS, () -> complete(waiter, false));
+        return waiter.departed();
     }
 
-    private void complete(String target, SettablePromise<Boolean> promise, boolean departed) {
-        if (awaited.remove(target, promise)) {
-            promise.set(departed);
-        }
+    private void complete(Waiter waiter, boolean departed) {
+        waiters.remove(waiter);
+        waiter.departed().trySet(departed);
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublishedState.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublishedState.java
@@ -30,6 +30,7 @@
  *     may be the recovered state of a restarted control process, and newer changes may be committed
  * @param evacuations the last evacuation order of every data hall that had one, not null
  * @param suspectParts the prompt parts of requests during which targets crashed, not null
+ * @param deregistered the incarnations that the last update removed at their own request, not null
  */
 public record PublishedState(
         long index,
@@ -39,7 +40,8 @@
         List<Suspect> suspects,
         boolean confirmed,
         List<HallEvacuation> evacuations,
-        List<SuspectPart> suspectParts) {
+        List<SuspectPart> suspectParts,
+        Set<String> deregistered) {
     /** The state of a process that has not received any update. */
     public static final PublishedState EMPTY = new PublishedState(0, null, List.of(), Map.of(), List.of(), false);
 
@@ -50,6 +52,20 @@
         suspects = List.copyOf(suspects);
         evacuations = List.copyOf(evacuations);
         suspectParts = List.copyOf(suspectParts);
+        deregistered = Set.copyOf(deregistered);
+    }
+
+    /** Returns a state whose last update removed no target at its own request. */
+    public PublishedState(
+            long index,
+            ServingConfiguration configuration,
+            List<NamedWeights> weights,
+            Map<String, TargetSighting> targets,
+            List<Suspect> suspects,
+            boolean confirmed,
+            List<HallEvacuation> evacuations,
+            List<SuspectPart> suspectParts) {
+        this(index, configuration, weights, targets, suspects, confirmed, evacuations, suspectParts, Set.of());
     }
 
     /** Returns a state without suspect prompt parts. */
@@ -111,7 +127,8 @@
                 suspectsAfter(update),
                 confirmed,
                 update.evacuations() == null ? evacuations : update.evacuations(),
-                suspectPartsAfter(update));
+                suspectPartsAfter(update),
+                Set.copyOf(update.deregistered()));
     }
 
     private List<SuspectPart> suspectPartsAfter(PublicationUpdate update) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -206,7 +206,32 @@
         publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, "\r\n\r\nwhole", target -> {
             target.crash();
             awaitEndOfConnection();
-            publishLeaving(RequestKind.UNSAFE, target, true);
+            publishDeregistered(RequestKind.UNSAFE, target);
+        }));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+    }
+
+    /** Guards against the removal of a crashed target, such as by its successor, being taken for its planned end. */
+    @Test
+    void a_response_cut_by_the_crash_of_a_leaving_target_is_not_complete_although_the_target_is_removed()
+            throws Exception {
+        publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, BEGUN_RESPONSE, target -> {
+            target.crash();
+            awaitEndOfConnection();
+            publishRemoved(RequestKind.UNSAFE);
+        }));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against a deregistration that is published during the check of its target being missed. */
+    @Test
+    void a_response_is_complete_if_its_leaving_target_deregisters_before_the_check_ends() throws Exception {
+        publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, "\r\n\r\nwhole", target -> {
+            target.onCheck((expected, socket) -> {
+                publishDeregistered(RequestKind.UNSAFE, target);
+                target.crash();
+                return false;
+            });
         }));
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
     }
@@ -220,8 +245,8 @@
                 endingAfter(
                         BEGUN_RESPONSE,
                         target -> {
-                            publishLeaving(RequestKind.UNSAFE, target, false);
-                            publishLeaving(RequestKind.UNSAFE, target, true);
+                            publishLeaving(RequestKind.UNSAFE, target);
+                            publishDeregistered(RequestKind.UNSAFE, target);
                         },
                         ScriptedTarget::crash));
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
@@ -242,7 +267,7 @@
 
     /** Returns a target that announces that it leaves while it responds, and then acts in the given way. */
     private ScriptedTarget leavingTarget(RequestKind kind, String text, TargetAction after) throws IOException {
-        return endingAfter(text, target -> publishLeaving(kind, target, false), after);
+        return endingAfter(text, target -> publishLeaving(kind, target), after);
     }
 
     /** Returns a target that writes a response, the given one or one after the other, and then acts in the given way. */
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -189,16 +190,39 @@
         update(new PublishedState(1, configuration, List.of(), sightings, suspects, confirmed), clock.millis());
     }
 
-    /** Publishes that a target leaves, or has left, a service whose routes have one attempt. */
-    void publishLeaving(RequestKind kind, ScriptedTarget target, boolean gone) {
-        Service service = new Service("chat", "/health", 100, null, null, null, null);
+    /** Publishes that a target leaves a service whose routes have one attempt. */
+    void publishLeaving(RequestKind kind, ScriptedTarget target) {
         String id = "t-" + target.address();
-        Map<String, TargetSighting> sightings = new HashMap<>();
-        if (!gone) {
-            sightings.put(id, new TargetSighting(id, "chat", target.address(), "north", 4, true, -1, 2));
-        }
-        ServingConfiguration configuration = configuration(kind, 1, 2_000, service);
-        update(new PublishedState(2, configuration, List.of(), sightings, List.of(), confirmed), clock.millis());
+        TargetSighting leaving = new TargetSighting(id, "chat", target.address(), "north", 4, true, -1, 2);
+        publishTargets(2, kind, Map.of(id, leaving), Set.of());
+    }
+
+    /** Publishes that no target is left, since the given one deregistered. */
+    void publishDeregistered(RequestKind kind, ScriptedTarget target) {
+        publishTargets(3, kind, Map.of(), Set.of("t-" + target.address()));
+    }
+
+    /** Publishes that no target is left, since the last one was removed without its request. */
+    void publishRemoved(RequestKind kind) {
+        publishTargets(3, kind, Map.of(), Set.of());
+    }
+
+    private void publishTargets(
+            long index, RequestKind kind, Map<String, TargetSighting> sightings, Set<String> deregistered) {
+        Service service = new Service("chat", "/health", 100, null, null, null, null);
+        ServingConfiguration configuration = configuration(kind, 1, 4_000, service);
+        update(
+                new PublishedState(
+                        index,
+                        configuration,
+                        List.of(),
+                        sightings,
+                        List.of(),
+                        confirmed,
+                        List.of(),
+                        List.of(),
+                        deregistered),
+                clock.millis());
     }
 
     static ServingConfiguration configuration(RequestKind kind, int attempts, long timeoutMillis, Service service) {
--- a/daemon/src/test/java/org/bankturn/daemon/publication/PublicationFollowerTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/publication/PublicationFollowerTest.java
@@ -120,7 +120,7 @@
 
     private static PublicationUpdate update(long index) {
         return new PublicationUpdate(
-                index, 0, null, List.of(), List.of(), List.of(), List.of(), false, List.of(), List.of());
+                index, 0, null, List.of(), List.of(), List.of(), List.of(), false, List.of(), List.of(), List.of());
     }
 
     private void listen(Address control) throws IOException {
--- a/daemon/src/test/java/org/bankturn/daemon/publication/PublishedStateTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/publication/PublishedStateTest.java
@@ -23,12 +23,43 @@
     void an_update_of_an_earlier_version_ends_no_evacuation() {
         PublishedState started = PublishedState.EMPTY.after(update(1, new HallEvacuation("north", true, 1)), null);
         PublicationUpdate earlier =
-                new PublicationUpdate(2, 0, null, List.of(), List.of(), List.of(), List.of(), true, null, null);
+                new PublicationUpdate(2, 0, null, List.of(), List.of(), List.of(), List.of(), true, null, null, null);
         assertThat(started.after(earlier, null).evacuatedHalls()).containsExactly("north");
     }
 
     private static PublicationUpdate update(long index, HallEvacuation... evacuations) {
         return new PublicationUpdate(
-                index, 0, null, List.of(), List.of(), List.of(), List.of(), false, List.of(evacuations), List.of());
+                index,
+                0,
+                null,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                false,
+                List.of(evacuations),
+                List.of(),
+                List.of());
+    }
+
+    /** Guards against a deregistration of an earlier update being taken for one of the last update. */
+    @Test
+    void a_state_names_the_targets_that_its_last_update_removed_at_their_own_request() {
+        PublicationUpdate removal = new PublicationUpdate(
+                1,
+                0,
+                null,
+                List.of(),
+                List.of(),
+                List.of("a", "b"),
+                List.of(),
+                false,
+                List.of(),
+                List.of(),
+                List.of("b"));
+        PublishedState after = PublishedState.EMPTY.after(removal, null);
+        assertThat(after.deregistered()).containsExactly("b");
+        assertThat(after.confirm().deregistered()).isEmpty();
+        assertThat(after.after(update(2), null).deregistered()).isEmpty();
     }
 }
