Gateway: a successor that accepts connections does not clear a crash under a request

CrashProbe took two accepted connections, 150 ms apart, for a target that lives (`markAlive`), which takes its crash out of the count until the successor's first heartbeat is published, up to a heartbeat interval later; a successor under the same address was never told from its predecessor.

Change: the probe asks for the incarnation. Refused, or another incarnation: crashed at once. The incarnation itself, twice, 150 ms apart as before: alive. No answer that names its sender: undecided, as a connection without an outcome was before. The answer counts only for interruptions recorded before its request was sent; a later one starts another check (InterruptedRequestsTest; before, one sign of life cleared both). An interrupted request still waits only until the address accepts or refuses, and 250 ms if one more crash would condemn it. One line `health` a check.

Price: an interruption costs two health requests on two connections, before two connections.

--- a/core/src/main/java/org/bankturn/crash/InterruptedRequests.java
+++ b/core/src/main/java/org/bankturn/crash/InterruptedRequests.java
@@ -29,6 +29,7 @@
         private final Map<RequestFingerprint, InterruptedRequest> requests = new LinkedHashMap<>();
         private final TargetSighting target;
         private final long firstMillis;
+        private int count;
         private boolean crashed;
         private boolean alive;
 
@@ -81,6 +82,12 @@
         return interruptions != null && interruptions.crashed;
     }
 
+    /** Returns the number of recent interruptions at a target. */
+    public int interruptionCount(String target) {
+        Interruptions interruptions = targets.get(target);
+        return interruptions == null ? 0 : interruptions.count;
+    }
+
     /** Returns the targets that interrupted a request and of which neither a crash nor survival is known, not null. */
     public List<String> findUndecided(RequestFingerprint request) {
         return findUndecided(requests ->
@@ -111,6 +118,7 @@
         Interruptions interruptions =
                 targets.computeIfAbsent(target.id(), key -> new Interruptions(target, clock.millis()));
         interruptions.alive = false;
+        interruptions.count++;
         if (interruptions.requests.size() < MAX_REQUESTS_PER_TARGET) {
             interruptions.requests.put(request.fingerprint(), request);
         }
@@ -132,12 +140,20 @@
         return interrupted;
     }
 
-    /** Records that a target accepts connections some time after an interruption. */
-    public void markAlive(String target) {
+    /**
+     * Records that a target was running after an interruption.
+     *
+     * @param target the target, not null
+     * @param interruptionCount the number of interruptions that had been recorded by then
+     * @return false if it interrupted further requests since, of which this shows nothing
+     */
+    public boolean markAlive(String target, int interruptionCount) {
         Interruptions interruptions = targets.get(target);
-        if (interruptions != null) {
-            interruptions.alive = true;
+        if (interruptions == null) {
+            return true;
         }
+        interruptions.alive = interruptions.count == interruptionCount;
+        return interruptions.alive;
     }
 
     /** Records that requests completed; their earlier interruptions no longer count. */
--- a/core/src/test/java/org/bankturn/crash/InterruptedRequestsTest.java
+++ b/core/src/test/java/org/bankturn/crash/InterruptedRequestsTest.java
@@ -48,11 +48,21 @@
                 .containsExactly("t1");
     }
 
+    /** Guards against a sign of life from before an interruption clearing the target of it. */
+    @Test
+    void a_target_that_was_alive_before_its_last_interruption_is_undecided() {
+        interruptedRequests.recordInterruption(TARGET, ONE);
+        int interruptions = interruptedRequests.interruptionCount("t1");
+        interruptedRequests.recordInterruption(TARGET, OTHER);
+        assertThat(interruptedRequests.markAlive("t1", interruptions)).isFalse();
+        assertThat(interruptedRequests.findUndecided(OTHER.fingerprint())).containsExactly("t1");
+    }
+
     @Test
     void an_alive_target_is_undecided_only_after_a_further_interruption() {
         interruptedRequests.recordInterruption(TARGET, ONE);
         assertThat(interruptedRequests.findUndecided(ONE.fingerprint())).containsExactly("t1");
-        interruptedRequests.markAlive("t1");
+        assertThat(interruptedRequests.markAlive("t1", 1)).isTrue();
         assertThat(interruptedRequests.findUndecided(ONE.fingerprint())).isEmpty();
         interruptedRequests.recordInterruption(TARGET, ONE);
         assertThat(interruptedRequests.findUndecided(ONE.fingerprint())).containsExactly("t1");
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -32,7 +32,7 @@
  * Detects targets that crash while running a request and reports them to the control group, so that all gateways stop
  * requests that crash their targets.
  *
- * <p>After a lost connection the target is probed. Completed requests are reported as well, which clears them of suspicion.
+ * <p>After a lost connection the target is checked. Completed requests are reported as well, which clears them of suspicion.
  * CrashDetector is confined to its reactor's thread.
  */
 final class CrashDetector {
@@ -64,7 +64,7 @@
      * @param clock the clock, not null
      * @param log the decision log, not null
      * @param metrics the metrics, not null
-     * @param connections the pool that receives connections opened by probes, not null
+     * @param checks what checks of incarnations need, not null
      * @param controlGroup receives commands for the control group, not null
      * @param onCondemned runs when further requests are condemned, not null
      */
@@ -74,10 +74,10 @@
             Clock clock,
             DecisionLog log,
             ServingMetrics metrics,
-            TargetConnectionPool connections,
+            IncarnationCheck.Dependencies checks,
             Consumer<PublicationCommand> controlGroup,
             Runnable onCondemned) {
-        return new CrashDetector(process, reactor, clock, log, metrics, connections, controlGroup, onCondemned);
+        return new CrashDetector(process, reactor, clock, log, metrics, checks, controlGroup, onCondemned);
     }
 
     private CrashDetector(
@@ -86,7 +86,7 @@
             Clock clock,
             DecisionLog log,
             ServingMetrics metrics,
-            TargetConnectionPool connections,
+            IncarnationCheck.Dependencies checks,
             Consumer<PublicationCommand> controlGroup,
             Runnable onCondemned) {
         this.process = process;
@@ -94,12 +94,7 @@
         this.log = log;
         this.metrics = metrics;
         this.interruptedRequests = InterruptedRequests.of(clock);
-        this.probe = CrashProbe.of(
-                reactor,
-                clock,
-                connections,
-                target -> onTargetEnded(target.id()),
-                target -> interruptedRequests.markAlive(target.id()));
+        this.probe = CrashProbe.of(checks, log, metrics, interruptedRequests, target -> onTargetEnded(target.id()));
         this.controlGroup = controlGroup;
         this.onCondemned = onCondemned;
         this.trialRequester = TrialRequester.of(
@@ -221,7 +216,7 @@
             onTargetEnded(target.id());
             return Promise.complete();
         }
-        return probe.probe(target).then(() -> awaitCertainty(request));
+        return probe.probe(target, request.service().healthPath()).then(() -> awaitCertainty(request));
     }
 
     /** Delays a request that one more crash would condemn until the undecided probes have finished. */
@@ -244,7 +239,7 @@
 
     /** Evaluates the outcome of connecting to a target; a refused connection means that it has crashed. */
     void onConnectResult(TargetSighting target, Exception failure) {
-        if (CrashProbe.isRefused(failure)) {
+        if (IncarnationCheck.isRefused(failure)) {
             onTargetEnded(target.id());
         }
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
@@ -1,117 +1,134 @@
 package org.bankturn.daemon.gateway;
 
-import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
-import java.net.ConnectException;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.bankturn.daemon.http.TargetConnection;
-import org.bankturn.daemon.settings.Address;
+import org.bankturn.crash.InterruptedRequests;
+import org.bankturn.daemon.gateway.IncarnationCheck.Result;
+import org.bankturn.daemon.observe.DecisionField;
+import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.DecisionLog;
+import org.bankturn.daemon.observe.ServingMetrics;
 import org.bankturn.registry.TargetSighting;
-import org.bankturn.time.Clock;
 
 /**
- * Connects to targets that closed a connection: an address that refuses connections belongs to a crashed process.
+ * Checks targets that closed a connection: one has crashed if its address refuses connections or another incarnation
+ * answers there, and lives if it answers itself.
  *
- * <p>Connections that a target accepts are kept for requests. CrashProbe is confined to its reactor's thread.
+ * <p>CrashProbe is confined to its reactor's thread.
  */
 final class CrashProbe {
-    /** Delay before the second probe; a crashing process may close its port after its connections. */
-    private static final long SECOND_PROBE_DELAY_MILLIS = 150;
+    /** How long a request that one more crash would condemn waits for the checks of its targets. */
+    static final long DECISION_MILLIS = 250;
 
-    /** Connect timeout of a probe, which bounds how long an interrupted request waits; a path between regions takes 6 ms. */
-    private static final long PROBE_TIMEOUT_MILLIS = 100;
+    /** Delay before a target that answered is checked again; a crashing process may answer others before it ends. */
+    private static final long SECOND_CHECK_DELAY_MILLIS = 150;
 
-    /** The time after which both probes of a target have an outcome. */
-    static final long DECISION_MILLIS = SECOND_PROBE_DELAY_MILLIS + PROBE_TIMEOUT_MILLIS;
+    /** The time after which a check ends undecided. */
+    private static final long CHECK_TIMEOUT_MILLIS = 250;
 
-    private final Eventloop reactor;
-    private final Clock clock;
-    private final TargetConnectionPool connections;
-    private final Consumer<TargetSighting> onRefused;
-    private final Consumer<TargetSighting> onAlive;
-    private final Map<String, Promise<Void>> pending = new HashMap<>();
+    private final IncarnationCheck.Dependencies checks;
+    private final DecisionLog log;
+    private final ServingMetrics metrics;
+    private final InterruptedRequests interruptedRequests;
+    private final Consumer<TargetSighting> onEnded;
+    private final Map<String, Probe> running = new HashMap<>();
 
     /**
      * Returns a probe, not null.
      *
-     * @param reactor the event loop, not null
-     * @param clock the clock, not null
-     * @param connections the pool that receives connections that targets accept, not null
-     * @param onRefused runs whenever a target refuses a connection, not null
-     * @param onAlive runs when a target accepts the second connection, too, not null
+     * @param checks what checks of incarnations need, not null
+     * @param log the decision log, not null
+     * @param metrics the metrics, not null
+     * @param interruptedRequests learns which targets live, not null
+     * @param onEnded runs whenever a target is found to have ended, not null
      */
     static CrashProbe of(
-            Eventloop reactor,
-            Clock clock,
-            TargetConnectionPool connections,
-            Consumer<TargetSighting> onRefused,
-            Consumer<TargetSighting> onAlive) {
-        return new CrashProbe(reactor, clock, connections, onRefused, onAlive);
+            IncarnationCheck.Dependencies checks,
+            DecisionLog log,
+            ServingMetrics metrics,
+            InterruptedRequests interruptedRequests,
+            Consumer<TargetSighting> onEnded) {
+        return new CrashProbe(checks, log, metrics, interruptedRequests, onEnded);
     }
 
     private CrashProbe(
-            Eventloop reactor,
-            Clock clock,
-            TargetConnectionPool connections,
-            Consumer<TargetSighting> onRefused,
-            Consumer<TargetSighting> onAlive) {
-        this.reactor = reactor;
-        this.clock = clock;
-        this.connections = connections;
-        this.onRefused = onRefused;
-        this.onAlive = onAlive;
+            IncarnationCheck.Dependencies checks,
+            DecisionLog log,
+            ServingMetrics metrics,
+            InterruptedRequests interruptedRequests,
+            Consumer<TargetSighting> onEnded) {
+        this.checks = checks;
+        this.log = log;
+        this.metrics = metrics;
+        this.interruptedRequests = interruptedRequests;
+        this.onEnded = onEnded;
     }
 
     /**
-     * Probes a target now and, unless it refuses the connection, once more after a delay; a probe in progress is joined.
+     * Checks a target after an interruption was recorded, twice if it answers; one check of a target runs at a time.
      *
-     * @return a promise that completes with the first probe, not null
+     * @param target the target, not null
+     * @param healthPath the health path of its service, not null
+     * @return a promise that completes once the target has accepted or refused a connection, not null
      */
-    Promise<Void> probe(TargetSighting target) {
-        Promise<Void> joined = pending.get(target.id());
-        if (joined != null) {
-            return joined;
-        }
-        Promise<Void> first = connect(target, PROBE_TIMEOUT_MILLIS).then(failure -> {
-            pending.remove(target.id());
-            if (!isRefused(failure)) {
-                reactor.delayBackground(SECOND_PROBE_DELAY_MILLIS, () -> probeAgain(target));
-            }
-            return Promise.complete();
-        });
-        if (!first.isComplete()) {
-            pending.put(target.id(), first);
-        }
-        return first;
+    Promise<Void> probe(TargetSighting target, String healthPath) {
+        Probe probe = running.get(target.id());
+        return (probe == null ? start(target, healthPath, false) : probe).check.contact();
     }
 
-    private void probeAgain(TargetSighting target) {
-        connect(target, PROBE_TIMEOUT_MILLIS).whenResult(failure -> {
-            if (failure == null) {
-                onAlive.accept(target);
-            }
-        });
+    private Probe start(TargetSighting target, String healthPath, boolean second) {
+        Probe probe = new Probe(target, healthPath, second);
+        running.put(target.id(), probe);
+        probe.check.contact().whenResult(probe::onContact);
+        probe.check.result().whenResult(probe::onResult);
+        return probe;
     }
 
-    /** Returns a promise of the connect failure, null if the target accepts the connection. */
-    private Promise<Exception> connect(TargetSighting target, long timeoutMillis) {
-        return TargetConnection.connect(
-                        reactor, clock, Address.parse(target.address()).toSocketAddress(), timeoutMillis)
-                .then((opened, failure) -> {
-                    if (opened != null) {
-                        connections.release(target.id(), opened);
-                    }
-                    if (isRefused(failure)) {
-                        onRefused.accept(target);
-                    }
-                    return Promise.of(failure);
-                });
-    }
+    /** A check of a target that is running. */
+    private final class Probe {
+        private final TargetSighting target;
+        private final String healthPath;
+        private final boolean second;
+        private final IncarnationCheck check;
+        private final long startMillis;
+        private int interruptionsAtContact;
+
+        Probe(TargetSighting target, String healthPath, boolean second) {
+            this.target = target;
+            this.healthPath = healthPath;
+            this.second = second;
+            this.startMillis = checks.clock().millis();
+            this.check = IncarnationCheck.start(checks, target, healthPath, CHECK_TIMEOUT_MILLIS);
+        }
+
+        /** Runs before the health request is sent; its answer shows nothing of a later interruption. */
+        private void onContact() {
+            interruptionsAtContact = interruptedRequests.interruptionCount(target.id());
+        }
 
-    /** Returns true if a failure to connect means that no process listens on the address. */
-    static boolean isRefused(Exception connectFailure) {
-        return connectFailure instanceof ConnectException;
+        private void onResult(Result result) {
+            metrics.incarnationChecked(result.outcome().label());
+            log.line(DecisionKind.HEALTH)
+                    .with(DecisionField.TARGET, target.id())
+                    .with(DecisionField.REASON, "connection lost")
+                    .with(DecisionField.CHECK, result.outcome().label())
+                    .with(DecisionField.ANSWERED_BY, result.sender().orElse(""))
+                    .with(DecisionField.CHECKS, result.requests())
+                    .with(DecisionField.TOOK_MS, checks.clock().millis() - startMillis)
+                    .write();
+            if (result.outcome().showsLife() && !second) {
+                checks.reactor().delayBackground(SECOND_CHECK_DELAY_MILLIS, () -> start(target, healthPath, true));
+                return;
+            }
+            running.remove(target.id());
+            if (result.outcome().showsEnd()) {
+                onEnded.accept(target);
+            } else if (result.outcome().showsLife()
+                    && !interruptedRequests.markAlive(target.id(), interruptionsAtContact)) {
+                start(target, healthPath, false);
+            }
+        }
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -143,10 +143,10 @@
         metrics.registerHeldBackGauge(targets::heldBackCounts);
         targets.slowStarts().setListener(this::recordColdTarget);
         metrics.registerSlowEnginesGauge(targets::slowEngines);
+        IncarnationCheck.Dependencies checks = new IncarnationCheck.Dependencies(reactor, clock, health, connections);
         this.crashDetector = CrashDetector.of(
-                settings.process(), reactor, clock, log, metrics, connections, controlGroup, this::stopCondemned);
-        this.completenessCheck = CompletenessCheck.of(
-                new IncarnationCheck.Dependencies(reactor, clock, health, connections), log, metrics);
+                settings.process(), reactor, clock, log, metrics, checks, controlGroup, this::stopCondemned);
+        this.completenessCheck = CompletenessCheck.of(checks, log, metrics);
         this.callers = HttpListener.create(
                 reactor,
                 clock,
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -285,8 +285,7 @@
     }
 
     private void crashAndStartSuccessor(ScriptedTarget target) throws IOException {
-        target.crash();
-        register(target.successor("t-successor", (number, id, socket) -> false));
+        register(target.crashAndSucceed("t-successor", (number, id, socket) -> false));
     }
 
     /** Publishes a target whose route has one attempt and time for a check that ends undecided. */
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingRequestTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingRequestTest.java
@@ -32,6 +32,23 @@
         assertThat(call("POST", "sound", "other")).startsWith("HTTP/1.1 200");
     }
 
+    /** Guards against a successor at a crashed target's address being taken for a sign of life of that target. */
+    @Test
+    void a_request_that_crashed_three_targets_is_sent_to_no_other_although_their_addresses_accept_connections()
+            throws Exception {
+        ScriptedTarget[] targets = new ScriptedTarget[SENDS_PER_CALL * CALLS];
+        for (int index = 0; index < targets.length; index++) {
+            targets[index] = register(CrashingTarget.crashingOnWithSuccessor(CRASHING_BODY, crashedTargets));
+        }
+        publish(RequestKind.IDEMPOTENT, SENDS_PER_CALL, targets);
+        for (int call = 0; call < CALLS; call++) {
+            call("POST", "r" + call, CRASHING_BODY);
+        }
+        assertThat(crashedTargets.get()).isEqualTo(CRASHES_TO_CONDEMN);
+        assertThat(call("POST", "last", CRASHING_BODY)).startsWith("HTTP/1.1 429");
+        assertThat(call("POST", "sound", "other")).startsWith("HTTP/1.1 200");
+    }
+
     @Test
     void targets_that_reset_connections_but_stay_up_do_not_condemn_a_request() throws Exception {
         ScriptedTarget[] targets = new ScriptedTarget[SENDS_PER_CALL * CALLS];
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CrashingTarget.java
@@ -1,6 +1,7 @@
 package org.bankturn.daemon.gateway;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -28,6 +29,30 @@
         return self[0];
     }
 
+    /**
+     * Returns a target on loopback whose address another one, which answers all requests, takes over when it crashes.
+     *
+     * @param crashingBody the body of requests that crash it, not null
+     * @param crashes incremented when it crashes, not null
+     */
+    static ScriptedTarget crashingOnWithSuccessor(String crashingBody, AtomicInteger crashes) throws IOException {
+        ScriptedTarget[] self = new ScriptedTarget[1];
+        self[0] = new ScriptedTarget((number, id, socket) -> {
+            if (self[0].bodies.get(number - 1).equals(crashingBody)) {
+                crashes.incrementAndGet();
+                self[0].crashAndSucceed("successor", CrashingTarget::answerOk);
+                return false;
+            }
+            return answerOk(number, id, socket);
+        });
+        return self[0];
+    }
+
+    private static boolean answerOk(int number, String id, Socket socket) throws IOException {
+        ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok");
+        return true;
+    }
+
     /**
      * Returns a target on loopback, not null.
      *
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -55,12 +56,27 @@
         acceptor.start();
     }
 
-    /** Returns a target with another name that takes over the address of one that has crashed. */
-    ScriptedTarget successor(String name, Script successorScript) throws IOException {
-        return new ScriptedTarget(successorScript, server.getLocalPort()).onCheck((expected, socket) -> {
-            write(socket, answerOf(name));
+    /** Simulates a process crash after which another target listens on the address before any connection has ended. */
+    ScriptedTarget crashAndSucceed(String successorName, Script successorScript) throws IOException {
+        crashed = true;
+        server.close();
+        ScriptedTarget successor = successor(successorScript).onCheck((expected, socket) -> {
+            write(socket, answerOf(successorName));
             return true;
         });
+        closeConnections();
+        return successor;
+    }
+
+    private ScriptedTarget successor(Script successorScript) throws IOException {
+        while (true) {
+            try {
+                return new ScriptedTarget(successorScript, server.getLocalPort());
+            } catch (BindException e) {
+                // an accept in progress keeps the address for a moment
+                Thread.onSpinWait();
+            }
+        }
     }
 
     /** Answers health requests with a script; without one, the target names itself as is expected of it. */
