Gateway: a target that restarted under its name is not taken for its former start

What callers would see: 200 with half of a body, if a target that names its starts by a start time (`born`) crashes within a response without length and its next start answers the check under the same name.

Cause: a health answer gives the name alone, so it does not tell one start of a target from the next; where names are not unique, it is no evidence of the incarnation. Ruled out as means: `/report` (plain services have none), the next heartbeat (up to 1.2 s later, or more), waiting.

Change: where a target's name is not unique, the question is asked on a connection that was opened before the end of the response was seen; only its first owner can answer there. It is opened when such a response begins, and, once one target of a service has delimited a response in this way, with each request to a target of it, since a short response ends before a connection can be opened. Without such a connection, or if it fails, the response counts as cut, and a probe of an interrupted request stays undecided. Targets with unique names are checked as before.

--- a/core/src/main/java/org/bankturn/registry/TargetSighting.java
+++ b/core/src/main/java/org/bankturn/registry/TargetSighting.java
@@ -70,6 +70,11 @@
         return bornMillis == 0 ? name : name + START_TIME_SEPARATOR + bornMillis;
     }
 
+    /** Returns true if no other incarnation has the same name; an answer under that name is then this incarnation's. */
+    public boolean hasUniqueName() {
+        return name.equals(id);
+    }
+
     /** Returns true if this is a later incarnation of the same target as {@code other}. */
     public boolean isLaterStartOf(TargetSighting other) {
         return name.equals(other.name) && bornMillis > other.bornMillis;
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -47,6 +47,7 @@
     private final ByteArrayOutputStream content = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter();
     private TargetConnection connection;
+    private WitnessConnection witness;
     private StallDetector stallDetector;
     private HttpHead responseHead;
     private ResponseMetadata response;
@@ -100,6 +101,7 @@
             return;
         }
         connection = opened;
+        witness = gateway.completenessCheck().prepareForResponse(target.sighting());
         sentMillis = now();
         knownIndex = gateway.publishedIndex();
         request.markSent();
@@ -179,6 +181,9 @@
         if (!parsed.isMisdirected()) {
             applyNotice(parsed);
         }
+        if (connection.responseEndsAtClose()) {
+            witness = gateway.completenessCheck().prepareForEnd(target.sighting(), witness);
+        }
         return true;
     }
 
@@ -287,13 +292,15 @@
     @Override
     public void onEndOfConnection() {
         endedAtClose = true;
-        gateway.completenessCheck().isComplete(target.sighting(), request).whenResult(complete -> {
-            if (complete) {
-                onComplete();
-            } else {
-                onFailure(TransportFailure.CLOSED);
-            }
-        });
+        gateway.completenessCheck()
+                .isComplete(target.sighting(), request, witness)
+                .whenResult(complete -> {
+                    if (complete) {
+                        onComplete();
+                    } else {
+                        onFailure(TransportFailure.CLOSED);
+                    }
+                });
     }
 
     @Override
@@ -457,6 +464,9 @@
         if (connection == null) {
             return;
         }
+        if (witness != null) {
+            witness.release();
+        }
         stallDetector.stop();
         if (ending.isResponseComplete()) {
             gateway.connections().release(targetId(), connection);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CheckOutcome.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CheckOutcome.java
@@ -10,7 +10,7 @@
     REPLACED,
     /** The address refused the connection: no process listens there. */
     REFUSED,
-    /** No answer that identifies its sender arrived in time. */
+    /** No answer that identifies its sender arrived in time, or another start of the target may have sent it. */
     UNDECIDED;
 
     /** Returns true if the incarnation lives. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
@@ -1,7 +1,10 @@
 package org.bankturn.daemon.gateway;
 
 import io.activej.promise.Promise;
+import java.util.HashSet;
+import java.util.Set;
 import org.bankturn.daemon.gateway.IncarnationCheck.Result;
+import org.bankturn.daemon.http.TargetConnection;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
@@ -27,6 +30,9 @@
     private final ServingMetrics metrics;
     private final DepartureMonitor departures;
 
+    /** The services with targets that may restart under their names and whose responses ended with their connections. */
+    private final Set<String> closeDelimiting = new HashSet<>();
+
     /**
      * Returns a check that no published state was applied to, not null.
      *
@@ -50,19 +56,48 @@
         departures.update(published);
     }
 
+    /**
+     * Opens a connection to a target that a request is about to be sent to, if its response may need one.
+     *
+     * @return the connection, null if none is needed
+     */
+    WitnessConnection prepareForResponse(TargetSighting target) {
+        boolean mayNeedWitness = !target.hasUniqueName() && closeDelimiting.contains(target.service());
+        return mayNeedWitness ? WitnessConnection.open(checks, target) : null;
+    }
+
+    /**
+     * Opens a connection to a target that has begun a response which only the end of its connection delimits, if it needs
+     * one and none was opened before.
+     *
+     * @param target the target, not null
+     * @param prepared what {@link #prepareForResponse} returned, may be null
+     * @return the connection, null if none is needed
+     */
+    WitnessConnection prepareForEnd(TargetSighting target, WitnessConnection prepared) {
+        if (target.hasUniqueName() || prepared != null) {
+            return prepared;
+        }
+        closeDelimiting.add(target.service());
+        return WitnessConnection.open(checks, target);
+    }
+
     /**
      * Determines whether a response whose connection has just ended is complete.
      *
      * @param target the target that sent it, not null
      * @param request the request, not null
+     * @param witness what {@link #prepareForEnd} returned, may be null
      * @return a promise of true if it is complete, not null
      */
-    Promise<Boolean> isComplete(TargetSighting target, ForwardedRequest request) {
+    Promise<Boolean> isComplete(TargetSighting target, ForwardedRequest request, WitnessConnection witness) {
         metrics.responseEndedAtClose(request.service().name());
         Decision decision = new Decision(target, request, checks.clock().millis());
         boolean mayDepart = target.draining() && departures.isPublished(target.id());
         long updates = departures.updates();
-        return IncarnationCheck.start(checks, target, request.service().healthPath(), ANSWER_TIMEOUT_MILLIS)
+        String healthPath = request.service().healthPath();
+        TargetConnection earlier = witness == null ? null : witness.take();
+        return IncarnationCheck.start(checks, target, healthPath, earlier, ANSWER_TIMEOUT_MILLIS)
                 .result()
                 .then(result -> {
                     if (result.outcome().showsLife() || !mayDepart) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/IncarnationCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/IncarnationCheck.java
@@ -32,6 +32,7 @@
     private final Dependencies dependencies;
     private final TargetSighting target;
     private final String healthPath;
+    private final TargetConnection witness;
     private final long endMillis;
     private final SettablePromise<Void> contact = new SettablePromise<>();
     private final SettablePromise<Result> result = new SettablePromise<>();
@@ -68,16 +69,44 @@
      */
     static IncarnationCheck start(
             Dependencies dependencies, TargetSighting target, String healthPath, long timeoutMillis) {
-        IncarnationCheck check = new IncarnationCheck(dependencies, target, healthPath, timeoutMillis);
+        return start(dependencies, target, healthPath, null, timeoutMillis);
+    }
+
+    /**
+     * Starts a check.
+     *
+     * @param dependencies what it needs, not null
+     * @param target the incarnation, not null
+     * @param healthPath the health path of its service, not null
+     * @param witness a connection that the incarnation is known to have accepted, null if there is none
+     * @param timeoutMillis the time after which the check ends undecided
+     */
+    static IncarnationCheck start(
+            Dependencies dependencies,
+            TargetSighting target,
+            String healthPath,
+            TargetConnection witness,
+            long timeoutMillis) {
+        IncarnationCheck check = new IncarnationCheck(dependencies, target, healthPath, witness, timeoutMillis);
         dependencies.reactor().delayBackground(timeoutMillis, check::timeOut);
-        check.connect();
+        if (witness == null) {
+            check.connect();
+        } else {
+            check.ask(witness);
+        }
         return check;
     }
 
-    private IncarnationCheck(Dependencies dependencies, TargetSighting target, String healthPath, long timeoutMillis) {
+    private IncarnationCheck(
+            Dependencies dependencies,
+            TargetSighting target,
+            String healthPath,
+            TargetConnection witness,
+            long timeoutMillis) {
         this.dependencies = dependencies;
         this.target = target;
         this.healthPath = healthPath;
+        this.witness = witness;
         this.endMillis = dependencies.clock().millis() + timeoutMillis;
     }
 
@@ -121,14 +150,18 @@
         } else if (failure != null) {
             retry();
         } else {
-            connection = opened;
-            contact.trySet(null);
-            requests++;
-            HttpHead probe = dependencies.dialect().healthProbe(healthPath, target.name());
-            opened.send(probe.with("Host", target.address()).encode(), false, this);
+            ask(opened);
         }
     }
 
+    private void ask(TargetConnection opened) {
+        connection = opened;
+        contact.trySet(null);
+        requests++;
+        HttpHead probe = dependencies.dialect().healthProbe(healthPath, target.name());
+        opened.send(probe.with("Host", target.address()).encode(), false, this);
+    }
+
     private void retry() {
         dependencies.reactor().delayBackground(RETRY_DELAY_MILLIS, this::connect);
     }
@@ -136,12 +169,19 @@
     @Override
     public boolean onHead(HttpHead answer) {
         Optional<Boolean> same = dependencies.dialect().identifies(target.name(), answer);
-        same.ifPresent(isSame -> finish(
-                isSame ? CheckOutcome.ANSWERED : CheckOutcome.REPLACED,
-                dependencies.dialect().sender(answer)));
+        same.ifPresent(
+                isSame -> finish(outcomeOf(isSame), dependencies.dialect().sender(answer)));
         return true;
     }
 
+    private CheckOutcome outcomeOf(boolean sameName) {
+        if (!sameName) {
+            return CheckOutcome.REPLACED;
+        }
+        boolean sameIncarnation = target.hasUniqueName() || connection == witness;
+        return sameIncarnation ? CheckOutcome.ANSWERED : CheckOutcome.UNDECIDED;
+    }
+
     @Override
     public void onBodyPart(byte[] bytes) {
         // the head alone identifies the sender
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -91,6 +91,11 @@
         return responseCount;
     }
 
+    /** Returns true if only the end of the connection delimits the response that is being received. */
+    public boolean responseEndsAtClose() {
+        return body != null && body.endsAtClose();
+    }
+
     /** Returns true if the connection is closed. */
     public boolean isClosed() {
         return closed;
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -3,6 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -154,6 +158,98 @@
         assertThat(call("POST", "two", "body")).startsWith("HTTP/1.1 502");
     }
 
+    @Test
+    void a_response_that_ends_with_a_reset_is_not_complete() throws Exception {
+        ScriptedTarget target = register(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + BEGUN_RESPONSE);
+            ScriptedTarget.reset(socket);
+            return false;
+        }));
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    /** A target that closes a connection with unread bytes resets it. */
+    @Test
+    void a_response_that_ends_before_its_request_was_read_is_not_complete() throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread acceptor = new Thread(() -> beginResponseUnread(server));
+            acceptor.start();
+            publishWithTimeout(RequestKind.UNSAFE, "127.0.0.1:" + server.getLocalPort());
+            assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+            acceptor.join();
+        }
+    }
+
+    /** Accepts a connection, begins a response and closes both, without having read the request. */
+    private static void beginResponseUnread(ServerSocket server) {
+        try (server;
+                Socket socket = server.accept()) {
+            assertThat(socket.getInputStream().read()).isPositive();
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: one" + BEGUN_RESPONSE);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Guards against a connection that its target closes in one direction only, and then crashes. */
+    @Test
+    void a_half_closed_response_is_complete_only_while_its_target_lives() throws Exception {
+        ScriptedTarget target = endingAfter("", each -> {}, each -> {}, "\r\n\r\nwhole", BEGUN_RESPONSE);
+        target.closeOutputOnly();
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+        target.onCheck((expected, socket) -> {
+            target.crash();
+            return false;
+        });
+        assertThat(call("POST", "two", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void a_response_without_a_byte_of_its_body_is_complete_only_while_its_target_lives() throws Exception {
+        ScriptedTarget target = endingAfter("\r\n\r\n", each -> {}, each -> {});
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200");
+        target.onCheck((expected, socket) -> {
+            target.crash();
+            return false;
+        });
+        assertThat(call("POST", "two", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    @Test
+    void a_connection_that_ends_before_the_response_begins_is_no_response() throws Exception {
+        publish(RequestKind.UNSAFE, 1, register(new ScriptedTarget((number, id, socket) -> false)));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against a target that was not known to leave being taken for one that ended as planned. */
+    @Test
+    void a_response_cut_by_a_crash_is_not_complete_if_the_gateway_was_not_told_that_the_target_leaves()
+            throws Exception {
+        publish(RequestKind.UNSAFE, 1, endingAfter(BEGUN_RESPONSE, target -> {}, target -> {
+            target.crash();
+            awaitEndOfConnection();
+            publishDeregistered(RequestKind.UNSAFE, target);
+        }));
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
+    /** Guards against a deregistration that comes after the response was given up. */
+    @Test
+    void a_response_is_not_complete_if_the_deregistration_of_its_target_is_published_too_late() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        ScriptedTarget target = leavingTarget(RequestKind.UNSAFE, BEGUN_RESPONSE, each -> {
+            each.crash();
+            await(answered);
+            publishDeregistered(RequestKind.UNSAFE, each);
+        });
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+        answered.countDown();
+    }
+
     /** Guards against a target without a free slot being taken for one that has crashed. */
     @Test
     void a_response_is_complete_although_its_target_answers_late() throws Exception {
@@ -290,7 +386,11 @@
 
     /** Publishes a target whose route has one attempt and time for a check that ends undecided. */
     private void publishWithTimeout(RequestKind kind, ScriptedTarget target) {
-        publish(kind, 1, 4_000, List.of(target.address()));
+        publishWithTimeout(kind, target.address());
+    }
+
+    private void publishWithTimeout(RequestKind kind, String address) {
+        publish(kind, 1, 4_000, List.of(address));
     }
 
     /** Returns a target that begins its response and crashes if no other target crashed before it. */
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -22,6 +22,7 @@
     private final List<Socket> open = new CopyOnWriteArrayList<>();
     private volatile boolean portClosesLate;
     private volatile boolean hangs;
+    private volatile boolean closesOutputOnly;
     private volatile boolean crashed;
     private volatile CheckScript checkScript = ScriptedTarget::nameExpected;
     public final List<String> heads = new CopyOnWriteArrayList<>();
@@ -95,6 +96,11 @@
         return "HTTP/1.1 200 OK\r\n" + PlainHealthDialect.NAME + ": " + name + "\r\nContent-Length: 0\r\n\r\n";
     }
 
+    /** Returns the number of connections accepted so far. */
+    int connectionCount() {
+        return open.size();
+    }
+
     public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
@@ -112,6 +118,11 @@
         closeConnections();
     }
 
+    /** Ends connections by closing their output, and goes on reading. */
+    void closeOutputOnly() {
+        closesOutputOnly = true;
+    }
+
     /** Simulates a process that closes its connections and hangs: its port accepts connections, and nothing answers. */
     void hang() throws IOException {
         hangs = true;
@@ -183,7 +194,10 @@
                     number = heads.size();
                 }
                 if (!script.answer(number, field(head, "id"), socket)) {
-                    return;
+                    if (!closesOutputOnly) {
+                        return;
+                    }
+                    socket.shutdownOutput();
                 }
             }
         } catch (IOException e) {
