--- a/core/src/main/java/org/bankturn/publication/PublicationUpdate.java
+++ b/core/src/main/java/org/bankturn/publication/PublicationUpdate.java
@@ -20,7 +20,7 @@
  * @param evacuations the last evacuation order of every data hall that had one; null if sent by an earlier version, which
  *     does not know them
  * @param suspectParts the added, changed or cleared suspect prompt parts, not null
- * @param deregistered those in {@code gone} that were removed at their own request, not null; a removed target may as well
+ * @param left those in {@code gone} that were removed at their own request, not null; a removed target may as well
  *     have fallen silent, or another one may have registered its address
  */
 public record PublicationUpdate(
@@ -34,12 +34,12 @@
         boolean whole,
         List<HallEvacuation> evacuations,
         @JsonInclude(JsonInclude.Include.NON_EMPTY) List<SuspectPart> suspectParts,
-        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<String> deregistered) {
-    /** Treats missing suspects, suspect parts and deregistrations, as sent by earlier versions, as empty lists. */
+        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<String> left) {
+    /** Treats missing suspects, suspect parts and departures, as sent by earlier versions, as empty lists. */
     public PublicationUpdate {
         suspects = suspects == null ? List.of() : List.copyOf(suspects);
         evacuations = evacuations == null ? null : List.copyOf(evacuations);
         suspectParts = suspectParts == null ? List.of() : List.copyOf(suspectParts);
-        deregistered = deregistered == null ? List.of() : List.copyOf(deregistered);
+        left = left == null ? List.of() : List.copyOf(left);
     }
 }
--- a/core/src/test/java/org/bankturn/publication/PublicationStateTest.java
+++ b/core/src/test/java/org/bankturn/publication/PublicationStateTest.java
@@ -46,7 +46,7 @@
 
     /** Guards against a crashed target whose address another one has registered being taken for one that left. */
     @Test
-    void an_update_names_the_removed_targets_that_deregistered() {
+    void an_update_names_the_removed_targets_that_left_at_their_own_request() {
         state.apply(1, new PublicationCommand.RecordTarget(sighting("left", 1), Evidence.UNDISPUTED));
         state.apply(2, new PublicationCommand.RecordTarget(sighting("silent", 1), Evidence.UNDISPUTED));
         state.apply(3, new PublicationCommand.RecordTarget(sighting("replaced", 1), Evidence.UNDISPUTED));
@@ -55,7 +55,7 @@
         state.apply(6, new PublicationCommand.RecordTarget(successorOf("replaced"), Evidence.SETTLED));
         PublicationUpdate update = state.updateSince(3);
         assertThat(update.gone()).containsExactlyInAnyOrder("left", "silent", "replaced");
-        assertThat(update.deregistered()).containsExactly("left");
+        assertThat(update.left()).containsExactly("left");
     }
 
     @Test
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
@@ -17,7 +17,7 @@
  *
  * <p>A crash ends connections as a complete response does. Such a response is therefore complete only if its target shows,
  * after the end of the connection, that it has not crashed: by an answer that names its incarnation, or, if it was leaving,
- * by its deregistration. Without either in time the response counts as cut.
+ * by having itself removed. Without either in time the response counts as cut.
  *
  * <p>CompletenessCheck is confined to its reactor's thread.
  */
@@ -108,8 +108,7 @@
                     }
                     return departures
                             .awaitDeparture(target.id(), updates)
-                            .then(departed ->
-                                    decision.make(result, departed, departed ? "deregistered" : "did not deregister"));
+                            .then(departed -> decision.make(result, departed, departed ? "left" : "did not leave"));
                 });
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
@@ -13,7 +13,7 @@
 /**
  * Tells a target that ended as planned from one that crashed while it was leaving.
  *
- * <p>A target deregisters after its last response and before a planned end, so its deregistration is published soon after
+ * <p>A target has itself removed after its last response and before a planned end, so that it left is published soon after
  * that response; a target that crashes says nothing. Its removal alone shows nothing: a crashed target is removed, too,
  * once its heartbeats are missed or another target registers its address.
  *
@@ -23,11 +23,11 @@
     /** The time within which a departure is published; a control process answers its watchers every 300 ms or sooner. */
     static final long PUBLICATION_MILLIS = 500;
 
-    /** Exceeds the number of targets that deregister while responses await the outcome of a check. */
-    private static final int MAX_DEREGISTERED = 512;
+    /** Exceeds the number of targets that leave while responses await the outcome of a check. */
+    private static final int MAX_LEFT = 512;
 
     private final Eventloop reactor;
-    private final Map<String, Long> deregistered = new LinkedHashMap<>();
+    private final Map<String, Long> left = new LinkedHashMap<>();
     private final List<Waiter> waiters = new ArrayList<>();
     private Set<String> published = Set.of();
     private long updates;
@@ -52,29 +52,29 @@
         return published.contains(target);
     }
 
-    /** Applies the published targets and deregistrations. */
+    /** Applies the published targets and those that left. */
     void update(PublishedState newer) {
         updates++;
         published = newer.targets().keySet();
-        newer.deregistered().forEach(target -> deregistered.put(target, updates));
-        while (deregistered.size() > MAX_DEREGISTERED) {
-            deregistered.remove(deregistered.keySet().iterator().next());
+        newer.left().forEach(target -> left.put(target, updates));
+        while (left.size() > MAX_LEFT) {
+            left.remove(left.keySet().iterator().next());
         }
         List<Waiter> departed = waiters.stream()
-                .filter(each -> newer.deregistered().contains(each.target()))
+                .filter(each -> newer.left().contains(each.target()))
                 .toList();
         departed.forEach(each -> complete(each, true));
     }
 
     /**
-     * Waits for the deregistration of a target.
+     * Waits until a target has left at its own request.
      *
      * @param target the target, not null
      * @param since the number of publications received before those that count
-     * @return a promise of true if a publication that counts contains the deregistration, or one in time does, not null
+     * @return a promise of true if a publication that counts says so, or one in time does, not null
      */
     Promise<Boolean> awaitDeparture(String target, long since) {
-        if (deregistered.getOrDefault(target, 0L) > since) {
+        if (left.getOrDefault(target, 0L) > since) {
             return Promise.of(true);
         }
         Waiter waiter = new Waiter(target, new SettablePromise<>());
--- a/daemon/src/main/java/org/bankturn/daemon/publication/PublishedState.java
+++ b/daemon/src/main/java/org/bankturn/daemon/publication/PublishedState.java
@@ -30,7 +30,7 @@
  *     may be the recovered state of a restarted control process, and newer changes may be committed
  * @param evacuations the last evacuation order of every data hall that had one, not null
  * @param suspectParts the prompt parts of requests during which targets crashed, not null
- * @param deregistered the incarnations that the last update removed at their own request, not null
+ * @param left the incarnations that the last update removed at their own request, not null
  */
 public record PublishedState(
         long index,
@@ -41,7 +41,7 @@
         boolean confirmed,
         List<HallEvacuation> evacuations,
         List<SuspectPart> suspectParts,
-        Set<String> deregistered) {
+        Set<String> left) {
     /** The state of a process that has not received any update. */
     public static final PublishedState EMPTY = new PublishedState(0, null, List.of(), Map.of(), List.of(), false);
 
@@ -52,7 +52,7 @@
         suspects = List.copyOf(suspects);
         evacuations = List.copyOf(evacuations);
         suspectParts = List.copyOf(suspectParts);
-        deregistered = Set.copyOf(deregistered);
+        left = Set.copyOf(left);
     }
 
     /** Returns a state whose last update removed no target at its own request. */
@@ -128,7 +128,7 @@
                 confirmed,
                 update.evacuations() == null ? evacuations : update.evacuations(),
                 suspectPartsAfter(update),
-                Set.copyOf(update.deregistered()));
+                Set.copyOf(update.left()));
     }
 
     private List<SuspectPart> suspectPartsAfter(PublicationUpdate update) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -231,19 +231,19 @@
         publish(RequestKind.UNSAFE, 1, endingAfter(BEGUN_RESPONSE, target -> {}, target -> {
             target.crash();
             awaitEndOfConnection();
-            publishDeregistered(RequestKind.UNSAFE, target);
+            publishLeft(RequestKind.UNSAFE, target);
         }));
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
     }
 
-    /** Guards against a deregistration that comes after the response was given up. */
+    /** Guards against a departure that is published after the response was given up. */
     @Test
-    void a_response_is_not_complete_if_the_deregistration_of_its_target_is_published_too_late() throws Exception {
+    void a_response_is_not_complete_if_the_departure_of_its_target_is_published_too_late() throws Exception {
         CountDownLatch answered = new CountDownLatch(1);
         ScriptedTarget target = leavingTarget(RequestKind.UNSAFE, BEGUN_RESPONSE, each -> {
             each.crash();
             await(answered);
-            publishDeregistered(RequestKind.UNSAFE, each);
+            publishLeft(RequestKind.UNSAFE, each);
         });
         publish(RequestKind.UNSAFE, 1, target);
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
@@ -302,7 +302,7 @@
         publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, "\r\n\r\nwhole", target -> {
             target.crash();
             awaitEndOfConnection();
-            publishDeregistered(RequestKind.UNSAFE, target);
+            publishLeft(RequestKind.UNSAFE, target);
         }));
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
     }
@@ -319,12 +319,12 @@
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
     }
 
-    /** Guards against a deregistration that is published during the check of its target being missed. */
+    /** Guards against a departure that is published during the check of its target being missed. */
     @Test
-    void a_response_is_complete_if_its_leaving_target_deregisters_before_the_check_ends() throws Exception {
+    void a_response_is_complete_if_its_leaving_target_has_left_before_the_check_ends() throws Exception {
         publish(RequestKind.UNSAFE, 1, leavingTarget(RequestKind.UNSAFE, "\r\n\r\nwhole", target -> {
             target.onCheck((expected, socket) -> {
-                publishDeregistered(RequestKind.UNSAFE, target);
+                publishLeft(RequestKind.UNSAFE, target);
                 target.crash();
                 return false;
             });
@@ -342,7 +342,7 @@
                         BEGUN_RESPONSE,
                         target -> {
                             publishLeaving(RequestKind.UNSAFE, target);
-                            publishDeregistered(RequestKind.UNSAFE, target);
+                            publishLeft(RequestKind.UNSAFE, target);
                         },
                         ScriptedTarget::crash));
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -197,31 +197,22 @@
         publishTargets(2, kind, Map.of(id, leaving), Set.of());
     }
 
-    /** Publishes that no target is left, since the given one deregistered. */
-    void publishDeregistered(RequestKind kind, ScriptedTarget target) {
+    /** Publishes that no target is registered any more, since the given one left. */
+    void publishLeft(RequestKind kind, ScriptedTarget target) {
         publishTargets(3, kind, Map.of(), Set.of("t-" + target.address()));
     }
 
-    /** Publishes that no target is left, since the last one was removed without its request. */
+    /** Publishes that no target is registered any more, since the last one was removed without its request. */
     void publishRemoved(RequestKind kind) {
         publishTargets(3, kind, Map.of(), Set.of());
     }
 
-    private void publishTargets(
-            long index, RequestKind kind, Map<String, TargetSighting> sightings, Set<String> deregistered) {
+    private void publishTargets(long index, RequestKind kind, Map<String, TargetSighting> sightings, Set<String> left) {
         Service service = new Service("chat", "/health", 100, null, null, null, null);
         ServingConfiguration configuration = configuration(kind, 1, 4_000, service);
         update(
                 new PublishedState(
-                        index,
-                        configuration,
-                        List.of(),
-                        sightings,
-                        List.of(),
-                        confirmed,
-                        List.of(),
-                        List.of(),
-                        deregistered),
+                        index, configuration, List.of(), sightings, List.of(), confirmed, List.of(), List.of(), left),
                 clock.millis());
     }
 
--- a/daemon/src/test/java/org/bankturn/daemon/publication/PublishedStateTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/publication/PublishedStateTest.java
@@ -42,7 +42,7 @@
                 List.of());
     }
 
-    /** Guards against a deregistration of an earlier update being taken for one of the last update. */
+    /** Guards against a departure of an earlier update being taken for one of the last update. */
     @Test
     void a_state_names_the_targets_that_its_last_update_removed_at_their_own_request() {
         PublicationUpdate removal = new PublicationUpdate(
@@ -58,8 +58,8 @@
                 List.of(),
                 List.of("b"));
         PublishedState after = PublishedState.EMPTY.after(removal, null);
-        assertThat(after.deregistered()).containsExactly("b");
-        assertThat(after.confirm().deregistered()).isEmpty();
-        assertThat(after.after(update(2), null).deregistered()).isEmpty();
+        assertThat(after.left()).containsExactly("b");
+        assertThat(after.confirm().left()).isEmpty();
+        assertThat(after.after(update(2), null).left()).isEmpty();
     }
 }
