Gateway: a target that asks to be left alone is not asked for its identity

A target that has asked this gateway to back off, limits its rate, is cold or stands in an evacuated hall wants no request, and one that turns a check away with a back-off was asked again 50 ms later, up to 40 times in 2 s.

Change: the check of an interrupted request asks nothing of a target that is held back; its address may still refuse, which shows a crash, and else the check is undecided. An answer with a back-off is honoured: no further question before its end, undecided at once if that is after the check. Without one the pause doubles from 50 ms, six questions at most in 2 s.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -353,6 +353,11 @@
         return target.sighting().id();
     }
 
+    /** Returns true if the target, or the evacuation of its data hall, does not hold requests back. */
+    boolean mayAskTarget() {
+        return target.heldBack(now()).isEmpty();
+    }
+
     /** Returns what a crash of the target interrupts, not null. */
     InterruptedRequest interrupted() {
         return new InterruptedRequest(
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -203,10 +203,15 @@
     /**
      * Handles a connection lost while a target ran a request.
      *
+     * @param target the target, not null
+     * @param request the request, not null
+     * @param interrupted what a crash would have interrupted, not null
+     * @param mayAsk false if the target has asked for fewer requests, or for none
      * @return a promise that completes once it is known, or cannot be known soon, whether the target has crashed, not
      *     null
      */
-    Promise<Void> onConnectionLost(TargetSighting target, ForwardedRequest request, InterruptedRequest interrupted) {
+    Promise<Void> onConnectionLost(
+            TargetSighting target, ForwardedRequest request, InterruptedRequest interrupted, boolean mayAsk) {
         if (target.draining()) {
             // a connection closed by a planned shutdown is not held against the request
             return Promise.complete();
@@ -216,7 +221,8 @@
             onTargetEnded(target.id());
             return Promise.complete();
         }
-        return probe.probe(target, request.service().healthPath()).then(() -> awaitCertainty(request));
+        return probe.probe(target, mayAsk ? request.service().healthPath() : null)
+                .then(() -> awaitCertainty(request));
     }
 
     /** Delays a request that one more crash would condemn until the undecided probes have finished. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
@@ -70,7 +70,7 @@
      * Checks a target after an interruption was recorded, twice if it answers; one check of a target runs at a time.
      *
      * @param target the target, not null
-     * @param healthPath the health path of its service, not null
+     * @param healthPath the health path of its service, null if the target must not be asked
      * @return a promise that completes once the target has accepted or refused a connection, not null
      */
     Promise<Void> probe(TargetSighting target, String healthPath) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -173,7 +173,7 @@
     void onConnectionLost(Attempt lost, String reason) {
         TargetSighting target = lost.sighting();
         gateway.crashDetector()
-                .onConnectionLost(target, this, lost.interrupted())
+                .onConnectionLost(target, this, lost.interrupted(), lost.mayAskTarget())
                 .whenResult(() -> retryOrGiveUp(target, reason));
     }
 
@@ -181,8 +181,8 @@
     void onStalled(Attempt stalled, String reason) {
         if (inFlight.becameSilent(stalled)) {
             stallRecorded = false;
-            Promise<Void> unused =
-                    gateway.crashDetector().onConnectionLost(stalled.sighting(), this, stalled.interrupted());
+            Promise<Void> unused = gateway.crashDetector()
+                    .onConnectionLost(stalled.sighting(), this, stalled.interrupted(), stalled.mayAskTarget());
         }
         // a trial is sent to one target only
         if (!trial) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/IncarnationCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/IncarnationCheck.java
@@ -26,8 +26,8 @@
     /** Connect timeout; a path between regions takes 6 ms. */
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
 
-    /** The pause after a connection or an answer that showed nothing, such as that of a target without free slots. */
-    private static final long RETRY_DELAY_MILLIS = 50;
+    /** The first pause after a connection or an answer that showed nothing; doubles, so as not to add to an overload. */
+    private static final long FIRST_RETRY_DELAY_MILLIS = 50;
 
     private final Dependencies dependencies;
     private final TargetSighting target;
@@ -38,6 +38,8 @@
     private final SettablePromise<Result> result = new SettablePromise<>();
     private TargetConnection connection;
     private CheckOutcome outcome;
+    private long retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
+    private long backOffMillis;
     private int requests;
 
     /**
@@ -64,7 +66,8 @@
      *
      * @param dependencies what it needs, not null
      * @param target the incarnation, not null
-     * @param healthPath the health path of its service, not null
+     * @param healthPath the health path of its service; null if the target must not be asked, which leaves the check
+     *     undecided unless the address refuses the connection
      * @param timeoutMillis the time after which the check ends undecided
      */
     static IncarnationCheck start(
@@ -77,7 +80,7 @@
      *
      * @param dependencies what it needs, not null
      * @param target the incarnation, not null
-     * @param healthPath the health path of its service, not null
+     * @param healthPath the health path of its service, null if the target must not be asked
      * @param witness a connection that the incarnation is known to have accepted, null if there is none
      * @param timeoutMillis the time after which the check ends undecided
      */
@@ -155,19 +158,31 @@
     }
 
     private void ask(TargetConnection opened) {
-        connection = opened;
         contact.trySet(null);
+        if (healthPath == null) {
+            dependencies.connections().release(target.id(), opened);
+            finish(CheckOutcome.UNDECIDED, Optional.empty());
+            return;
+        }
+        connection = opened;
         requests++;
         HttpHead probe = dependencies.dialect().healthProbe(healthPath, target.name());
         opened.send(probe.with("Host", target.address()).encode(), false, this);
     }
 
     private void retry() {
-        dependencies.reactor().delayBackground(RETRY_DELAY_MILLIS, this::connect);
+        long delayMillis = Math.max(retryDelayMillis, backOffMillis);
+        retryDelayMillis *= 2;
+        if (now() + delayMillis >= endMillis) {
+            finish(CheckOutcome.UNDECIDED, Optional.empty());
+        } else {
+            dependencies.reactor().delayBackground(delayMillis, this::connect);
+        }
     }
 
     @Override
     public boolean onHead(HttpHead answer) {
+        backOffMillis = dependencies.dialect().backOffMillis(answer);
         Optional<Boolean> same = dependencies.dialect().identifies(target.name(), answer);
         same.ifPresent(
                 isSame -> finish(outcomeOf(isSame), dependencies.dialect().sender(answer)));
--- a/daemon/src/main/java/org/bankturn/daemon/http/HealthDialect.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HealthDialect.java
@@ -17,4 +17,7 @@
 
     /** Returns whether the named target sent an answer, empty if the answer does not identify its sender, not null. */
     Optional<Boolean> identifies(String name, HttpHead answer);
+
+    /** Returns how long the sender of an answer wants no further request, in milliseconds, 0 if it does not say. */
+    long backOffMillis(HttpHead answer);
 }
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/TargetBackOffTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/TargetBackOffTest.java
@@ -4,8 +4,10 @@
 
 import io.activej.promise.Promise;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import org.bankturn.service.RequestKind;
@@ -86,6 +88,66 @@
         assertThat(retryAfterMillis).isBetween(arrivals.get(0) + BACK_OFF_MILLIS - clock.millis(), 2 * BACK_OFF_MILLIS);
     }
 
+    /** Guards against a check of a target whose connections end counting as no request. */
+    @Test
+    void a_target_receives_no_health_request_during_its_back_off() throws Exception {
+        CountDownLatch rejected = new CountDownLatch(1);
+        ScriptedTarget target = register(new ScriptedTarget((number, id, socket) -> {
+            if (id.equals("interrupted")) {
+                await(rejected);
+                ScriptedTarget.reset(socket);
+                return false;
+            }
+            ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 503 Busy\r\nId: " + id + "\r\nNot-Run: 1\r\nBack-Off: " + BACK_OFF_MILLIS
+                            + "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }));
+        publish(RequestKind.UNSAFE, 1, target);
+        CompletableFuture<String> interrupted = CompletableFuture.supplyAsync(() -> callUnchecked("interrupted"));
+        while (target.heads.isEmpty()) {
+            pause();
+        }
+        assertThat(call("POST", "rejected", "")).startsWith("HTTP/1.1 503");
+        rejected.countDown();
+        assertThat(interrupted.join()).startsWith("HTTP/1.1 502");
+        awaitEndOfCheck();
+        assertThat(target.checks).isEmpty();
+    }
+
+    /** Guards against a target that turns a check away being asked again before it wants to be. */
+    @Test
+    void a_target_that_turns_a_check_away_is_not_asked_again_during_its_back_off() throws Exception {
+        ScriptedTarget target = register(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nwhole");
+            return false;
+        }));
+        target.onCheck((expected, socket) -> {
+            ScriptedTarget.write(
+                    socket, "HTTP/1.1 503 Busy\r\nBack-Off: " + BACK_OFF_MILLIS + "\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        });
+        publish(RequestKind.UNSAFE, 1, target);
+        assertThat(call("POST", "one", "")).startsWith("HTTP/1.1 502");
+        assertThat(target.checks).hasSize(1);
+    }
+
+    private void awaitEndOfCheck() {
+        while (!new String(metrics.metricsText(), StandardCharsets.UTF_8)
+                .contains("bankturn_incarnation_checks_total{")) {
+            pause();
+        }
+    }
+
+    private String callUnchecked(String id) {
+        try {
+            return call("POST", id, "");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     void a_leaving_target_receives_no_further_requests() throws Exception {
         publish(RequestKind.IDEMPOTENT, 2, leaving(), slow());
--- a/daemon/src/test/java/org/bankturn/daemon/http/PlainHealthDialect.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/PlainHealthDialect.java
@@ -25,4 +25,9 @@
     public Optional<Boolean> identifies(String name, HttpHead answer) {
         return sender(answer).map(name::equals);
     }
+
+    @Override
+    public long backOffMillis(HttpHead answer) {
+        return answer.field("Back-Off").map(Long::parseLong).orElse(0L);
+    }
 }
