--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -24,7 +24,7 @@
     private volatile boolean hangs;
     private volatile boolean closesOutputOnly;
     private volatile boolean crashed;
-    private volatile CheckScript checkScript = ScriptedTarget::nameExpected;
+    private volatile CheckScript checkScript;
     public final List<String> heads = new CopyOnWriteArrayList<>();
     public final List<String> bodies = new CopyOnWriteArrayList<>();
 
@@ -46,11 +46,12 @@
     }
 
     public ScriptedTarget(Script script) throws IOException {
-        this(script, 0);
+        this(script, 0, ScriptedTarget::nameExpected);
     }
 
-    private ScriptedTarget(Script script, int port) throws IOException {
+    private ScriptedTarget(Script script, int port, CheckScript checkScript) throws IOException {
         this.script = script;
+        this.checkScript = checkScript;
         this.server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         Thread acceptor = new Thread(this::accept, "scripted-target");
         acceptor.setDaemon(true);
@@ -61,18 +62,19 @@
     ScriptedTarget crashAndSucceed(String successorName, Script successorScript) throws IOException {
         crashed = true;
         server.close();
-        ScriptedTarget successor = successor(successorScript).onCheck((expected, socket) -> {
-            write(socket, answerOf(successorName));
-            return true;
-        });
+        ScriptedTarget successor = successor(successorName, successorScript);
         closeConnections();
         return successor;
     }
 
-    private ScriptedTarget successor(Script successorScript) throws IOException {
+    /** Starts another target at the address of this one, which has crashed. */
+    ScriptedTarget successor(String name, Script successorScript) throws IOException {
         while (true) {
             try {
-                return new ScriptedTarget(successorScript, server.getLocalPort());
+                return new ScriptedTarget(successorScript, server.getLocalPort(), (expected, socket) -> {
+                    write(socket, answerOf(name));
+                    return true;
+                });
             } catch (BindException e) {
                 // an accept in progress keeps the address for a moment
                 Thread.onSpinWait();
@@ -148,12 +150,12 @@
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
+                open.add(socket);
                 // closing the server does not stop an accept that is in progress
                 if (crashed) {
                     socket.close();
                     return;
                 }
-                open.add(socket);
                 if (portClosesLate) {
                     crash();
                     return;
