Gateway: a restarted target is told from its former start by a connection from before the request

Cause, traced by the order of events: the connection that was to witness the response was opened when the response began; the target had accepted it and ended the response, and the gateway saw the end before its own side of the connection was established. Thinking on, the order may also be the other way round: a busy gateway that sees a successor's connection established before it sees the end of the predecessor's response would take a cut one for whole. So a connection from the time of the response is no witness.

Change: for targets whose names are not unique, and only once their service has delimited a response by its connection, a connection is established before the request is sent; the check asks on it. It counts as long as it is not closed, where it had to be usable for requests before. Targets with unique names are not concerned.

Besides: checks of targets that broke off requests have a kind of line of their own, `checked`, so that many of them do not displace lines `health`.

RestartedTargetTest states the same three guarantees with the first response as the one that teaches the gateway; ten short responses in a row are whole. It needs no wait for a connection any more.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -82,7 +82,18 @@
                         gateway.clock(),
                         Address.parse(target.sighting().address()).toSocketAddress(),
                         CONNECT_TIMEOUT_MILLIS);
-        connected.whenComplete(this::onConnected);
+        if (gateway.completenessCheck().needsWitness(target.sighting())) {
+            connected.then(this::openWitness).whenComplete(this::onConnected);
+        } else {
+            connected.whenComplete(this::onConnected);
+        }
+    }
+
+    private Promise<TargetConnection> openWitness(TargetConnection opened) {
+        return gateway.completenessCheck().openWitness(target.sighting()).map(established -> {
+            witness = established;
+            return opened;
+        });
     }
 
     private void onConnected(TargetConnection opened, Exception failure) {
@@ -90,6 +101,7 @@
             if (opened != null) {
                 gateway.connections().release(targetId(), opened);
             }
+            releaseWitness();
             return;
         }
         gateway.crashDetector().onConnectResult(target.sighting(), failure);
@@ -101,7 +113,6 @@
             return;
         }
         connection = opened;
-        witness = gateway.completenessCheck().prepareForResponse(target.sighting());
         sentMillis = now();
         knownIndex = gateway.publishedIndex();
         request.markSent();
@@ -182,7 +193,7 @@
             applyNotice(parsed);
         }
         if (connection.responseEndsAtClose()) {
-            witness = gateway.completenessCheck().prepareForEnd(target.sighting(), witness);
+            gateway.completenessCheck().responseBegun(target.sighting());
         }
         return true;
     }
@@ -466,12 +477,10 @@
             promptPending = false;
             target.promptRead(metadata.promptTokens());
         }
+        releaseWitness();
         if (connection == null) {
             return;
         }
-        if (witness != null) {
-            witness.release();
-        }
         stallDetector.stop();
         if (ending.isResponseComplete()) {
             gateway.connections().release(targetId(), connection);
@@ -480,6 +489,12 @@
         }
     }
 
+    private void releaseWitness() {
+        if (witness != null) {
+            witness.release();
+        }
+    }
+
     private long now() {
         return gateway.clock().millis();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
@@ -56,38 +56,29 @@
         departures.update(published);
     }
 
-    /**
-     * Opens a connection to a target that a request is about to be sent to, if its response may need one.
-     *
-     * @return the connection, null if none is needed
-     */
-    WitnessConnection prepareForResponse(TargetSighting target) {
-        boolean mayNeedWitness = !target.hasUniqueName() && closeDelimiting.contains(target.service());
-        return mayNeedWitness ? WitnessConnection.open(checks, target) : null;
+    /** Returns true if a response of the target may need a connection from before its request. */
+    boolean needsWitness(TargetSighting target) {
+        return !target.hasUniqueName() && closeDelimiting.contains(target.service());
     }
 
-    /**
-     * Opens a connection to a target that has begun a response which only the end of its connection delimits, if it needs
-     * one and none was opened before.
-     *
-     * @param target the target, not null
-     * @param prepared what {@link #prepareForResponse} returned, may be null
-     * @return the connection, null if none is needed
-     */
-    WitnessConnection prepareForEnd(TargetSighting target, WitnessConnection prepared) {
-        if (target.hasUniqueName() || prepared != null) {
-            return prepared;
-        }
-        closeDelimiting.add(target.service());
+    /** Opens a connection to a target before a request is sent to it; the promise is of null if that fails. */
+    Promise<WitnessConnection> openWitness(TargetSighting target) {
         return WitnessConnection.open(checks, target);
     }
 
+    /** Records that a response has begun which only the end of its connection delimits. */
+    void responseBegun(TargetSighting target) {
+        if (!target.hasUniqueName()) {
+            closeDelimiting.add(target.service());
+        }
+    }
+
     /**
      * Determines whether a response whose connection has just ended is complete.
      *
      * @param target the target that sent it, not null
      * @param request the request, not null
-     * @param witness what {@link #prepareForEnd} returned, may be null
+     * @param witness a connection from before the request, null if there is none
      * @return a promise of true if it is complete, not null
      */
     Promise<Boolean> isComplete(TargetSighting target, ForwardedRequest request, WitnessConnection witness) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashProbe.java
@@ -110,9 +110,8 @@
 
         private void onResult(Result result) {
             metrics.incarnationChecked(result.outcome().label());
-            log.line(DecisionKind.HEALTH)
+            log.line(DecisionKind.CHECKED)
                     .with(DecisionField.TARGET, target.id())
-                    .with(DecisionField.REASON, "connection lost")
                     .with(DecisionField.CHECK, result.outcome().label())
                     .with(DecisionField.ANSWERED_BY, result.sender().orElse(""))
                     .with(DecisionField.CHECKS, result.requests())
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/WitnessConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/WitnessConnection.java
@@ -6,10 +6,11 @@
 import org.bankturn.registry.TargetSighting;
 
 /**
- * A connection that was opened to a target before the end of its response was seen.
+ * A connection that was established to a target before a request was sent to it.
  *
  * <p>A target may restart under its name, and its answer to a health request does not tell one start from the other. An
- * answer on a connection from before a response ended comes from the start that sent the response.
+ * answer on a connection from before the request comes from the start that received the request: had that one ended,
+ * the connection would have ended as well.
  *
  * <p>WitnessConnection is confined to its reactor's thread.
  */
@@ -19,43 +20,35 @@
     private final IncarnationCheck.Dependencies dependencies;
     private final TargetSighting target;
     private TargetConnection connection;
-    private boolean released;
 
-    /** Opens a connection to a target, not null. */
-    static WitnessConnection open(IncarnationCheck.Dependencies dependencies, TargetSighting target) {
-        WitnessConnection witness = new WitnessConnection(dependencies, target);
-        Promise<TargetConnection> connected = TargetConnection.connect(
-                dependencies.reactor(),
-                dependencies.clock(),
-                Address.parse(target.address()).toSocketAddress(),
-                CONNECT_TIMEOUT_MILLIS);
-        connected.whenResult(witness::onConnected);
-        return witness;
+    /** Connects to a target; the promise is of null if that fails, and the target's responses cannot be confirmed then. */
+    static Promise<WitnessConnection> open(IncarnationCheck.Dependencies dependencies, TargetSighting target) {
+        return TargetConnection.connect(
+                        dependencies.reactor(),
+                        dependencies.clock(),
+                        Address.parse(target.address()).toSocketAddress(),
+                        CONNECT_TIMEOUT_MILLIS)
+                .then(
+                        connection -> Promise.of(new WitnessConnection(dependencies, target, connection)),
+                        failure -> Promise.of(null));
     }
 
-    private WitnessConnection(IncarnationCheck.Dependencies dependencies, TargetSighting target) {
+    private WitnessConnection(
+            IncarnationCheck.Dependencies dependencies, TargetSighting target, TargetConnection connection) {
         this.dependencies = dependencies;
         this.target = target;
+        this.connection = connection;
     }
 
-    private void onConnected(TargetConnection opened) {
-        connection = opened;
-        if (released) {
-            release();
-        }
-    }
-
-    /** Takes the connection, null if it has not been established or was closed. */
+    /** Takes the connection, null if it was closed. */
     TargetConnection take() {
-        TargetConnection taken = connection == null || !connection.isUsable() ? null : connection;
+        TargetConnection taken = connection == null || connection.isClosed() ? null : connection;
         connection = null;
-        released = true;
         return taken;
     }
 
     /** Returns the connection, if it was not taken, to the pool. */
     void release() {
-        released = true;
         if (connection != null) {
             dependencies.connections().release(target.id(), connection);
             connection = null;
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -44,6 +44,8 @@
     CHANGE,
     /** A target was registered, is leaving or was removed. */
     TARGET,
+    /** A target that broke off a request was asked which incarnation it is. */
+    CHECKED,
     /** A target is avoided, or used again. */
     HEALTH,
     /** A target changed its request for lower rate, back-off or draining. */
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/RestartedTargetTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/RestartedTargetTest.java
@@ -5,7 +5,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.bankturn.daemon.publication.PublishedState;
 import org.bankturn.registry.TargetSighting;
 import org.bankturn.service.RequestKind;
@@ -16,42 +16,38 @@
 class RestartedTargetTest extends GatewayFixture {
     private static final String NAME = "replica-7";
     private static final long BORN_MILLIS = 1_700_000_000_000L;
-    private static final String BEGUN_RESPONSE = "\r\n\r\nab";
-    private static final String WHOLE_RESPONSE = "\r\n\r\nwhole";
+    private static final String BODY = "body of a response";
 
-    @Test
-    void a_response_cut_by_a_crash_is_not_complete_although_the_target_has_restarted_at_once() throws Exception {
-        publishNamed(responding(
-                BEGUN_RESPONSE, target -> register(target.crashAndSucceed(NAME, (number, id, socket) -> false))));
-        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
-    }
+    private final AtomicBoolean first = new AtomicBoolean(true);
 
     @Test
-    void a_response_is_complete_while_its_target_lives() throws Exception {
-        publishNamed(responding(WHOLE_RESPONSE, target -> {}));
-        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 200").endsWith("whole");
+    void a_response_cut_by_a_crash_is_not_complete_although_the_target_has_restarted_at_once() throws Exception {
+        ScriptedTarget[] self = new ScriptedTarget[1];
+        self[0] = responding(id -> {
+            if (id.equals("cut")) {
+                register(self[0].crashAndSucceed(NAME, (number, request, socket) -> false));
+            }
+        });
+        publishNamed(self[0]);
+        assertThat(callAfterFirst("cut")).startsWith("HTTP/1.1 502");
     }
 
-    /** Guards against short responses, which end before a further connection is open, all counting as cut. */
+    /** Guards against all responses of such a target counting as cut. */
     @Test
-    void a_short_response_is_complete_once_one_of_its_service_was_delimited_by_its_connection() throws Exception {
-        ScriptedTarget target = register(new ScriptedTarget((number, id, socket) -> {
-            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + WHOLE_RESPONSE);
-            return false;
-        }));
-        publishNamed(target);
-        call("POST", "first", "body");
+    void responses_are_complete_while_their_target_lives() throws Exception {
+        publishNamed(responding(id -> {}));
         for (int number = 0; number < 10; number++) {
-            assertThat(call("POST", "r" + number, "body"))
-                    .startsWith("HTTP/1.1 200")
-                    .endsWith("whole");
+            assertThat(callAfterFirst("r" + number)).startsWith("HTTP/1.1 200").endsWith(BODY);
         }
     }
 
     /** Guards against an answer on a connection that the former start may not have accepted. */
     @Test
-    void a_response_is_not_complete_if_no_connection_from_before_its_end_answers() throws Exception {
-        ScriptedTarget target = responding(WHOLE_RESPONSE, each -> {});
+    void a_response_is_not_complete_if_no_connection_from_before_its_request_answers() throws Exception {
+        ScriptedTarget target = responding(id -> {});
+        publishNamed(target);
+        String unused = callAfterFirst("other");
+        target.checks.clear();
         target.onCheck((expected, socket) -> {
             boolean first = target.checks.size() == 1;
             if (!first) {
@@ -59,30 +55,30 @@
             }
             return !first;
         });
-        publishNamed(target);
-        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+        assertThat(callAfterFirst("one")).startsWith("HTTP/1.1 502");
         assertThat(target.checks).hasSizeGreaterThan(1);
     }
 
-    /** What a target does after it has written its response. */
+    /** Calls after another call has shown that the service's responses end with their connections. */
+    private String callAfterFirst(String id) throws IOException {
+        if (first.getAndSet(false)) {
+            String unused = call("POST", "first", "body");
+        }
+        return call("POST", id, "body");
+    }
+
+    /** What a target does after it has written its response to a request. */
     @FunctionalInterface
     private interface TargetAction {
-        void run(ScriptedTarget target) throws IOException;
+        void run(String id) throws IOException;
     }
 
-    /** Returns a target that writes a response, waits until it has accepted another connection or a second, and acts. */
-    private ScriptedTarget responding(String text, TargetAction after) throws IOException {
-        ScriptedTarget[] self = new ScriptedTarget[1];
-        self[0] = register(new ScriptedTarget((number, id, socket) -> {
-            int connections = self[0].connectionCount();
-            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + text);
-            for (int wait = 0; wait < 500 && self[0].connectionCount() == connections; wait++) {
-                await(new CountDownLatch(1), 2);
-            }
-            after.run(self[0]);
+    private ScriptedTarget responding(TargetAction after) throws IOException {
+        return register(new ScriptedTarget((number, id, socket) -> {
+            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\n" + BODY);
+            after.run(id);
             return false;
         }));
-        return self[0];
     }
 
     private void publishNamed(ScriptedTarget target) {
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -98,11 +98,6 @@
         return "HTTP/1.1 200 OK\r\n" + PlainHealthDialect.NAME + ": " + name + "\r\nContent-Length: 0\r\n\r\n";
     }
 
-    /** Returns the number of connections accepted so far. */
-    int connectionCount() {
-        return open.size();
-    }
-
     public String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
