Gateway: the end of a target is logged, and failed requests hold their fingerprints

Lines failed and cancelled of requests that were sent hold the fingerprint. One line for each target that a gateway found to have ended tells what showed it and how many requests it counts against, 0 included; bankturn_target_ends_total counts them by evidence.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -39,6 +39,9 @@
     /** Observations made within this time are sent together; the requests of a crashed target break off within 8 ms. */
     private static final long REPORT_DELAY_MILLIS = 10;
 
+    /** Exceeds the number of targets that end while connections to them are still attempted. */
+    private static final int MAX_KNOWN_ENDED = 512;
+
     private final String process;
     private final Eventloop reactor;
     private final DecisionLog log;
@@ -53,6 +56,7 @@
     private final Set<RequestFingerprint> condemned = new HashSet<>();
     private final Map<String, Map<RequestFingerprint, InterruptedRequest>> unreportedCrashes = new LinkedHashMap<>();
     private final Set<RequestFingerprint> unreportedCompletions = new LinkedHashSet<>();
+    private final Set<String> knownEnded = new LinkedHashSet<>();
     private List<Suspect> lastPublished = List.of();
     private boolean reportScheduled;
 
@@ -94,7 +98,8 @@
         this.log = log;
         this.metrics = metrics;
         this.interruptedRequests = InterruptedRequests.of(clock);
-        this.probe = CrashProbe.of(checks, log, metrics, interruptedRequests, target -> onTargetEnded(target.id()));
+        this.probe = CrashProbe.of(
+                checks, log, metrics, interruptedRequests, target -> onTargetEnded(target.id(), EndEvidence.CHECKED));
         this.controlGroup = controlGroup;
         this.onCondemned = onCondemned;
         this.trialRequester = TrialRequester.of(
@@ -163,7 +168,9 @@
 
     /** Applies the published suspects and targets. */
     void update(PublishedState published) {
-        interruptedRequests.findReplaced(published.targets().values()).forEach(this::onTargetEnded);
+        interruptedRequests
+                .findReplaced(published.targets().values())
+                .forEach(target -> onTargetEnded(target, EndEvidence.REPLACED));
         // most publications change targets only, and processing many suspects is expensive
         if (!Objects.equals(published.suspects(), lastPublished)) {
             lastPublished = published.suspects();
@@ -218,7 +225,7 @@
         }
         interruptedRequests.recordInterruption(target, interrupted);
         if (interruptedRequests.hasCrashed(target.id())) {
-            onTargetEnded(target.id());
+            onTargetEnded(target.id(), EndEvidence.KNOWN);
             return Promise.complete();
         }
         return probe.probe(target, mayAsk ? request.service().healthPath() : null)
@@ -246,12 +253,13 @@
     /** Evaluates the outcome of connecting to a target; a refused connection means that it has crashed. */
     void onConnectResult(TargetSighting target, Exception failure) {
         if (IncarnationCheck.isRefused(failure)) {
-            onTargetEnded(target.id());
+            onTargetEnded(target.id(), EndEvidence.REFUSED);
         }
     }
 
-    private void onTargetEnded(String target) {
+    private void onTargetEnded(String target, EndEvidence evidence) {
         List<InterruptedRequest> requests = interruptedRequests.recordCrash(target);
+        logEnd(target, evidence, requests.size());
         if (requests.isEmpty()) {
             return;
         }
@@ -265,6 +273,24 @@
         }
     }
 
+    /** Logs the end of a target, once, with the number of requests that it counts against. */
+    private void logEnd(String target, EndEvidence evidence, int requests) {
+        boolean known = !knownEnded.add(target);
+        if (known && requests == 0) {
+            return;
+        }
+        if (knownEnded.size() > MAX_KNOWN_ENDED) {
+            knownEnded.remove(knownEnded.iterator().next());
+        }
+        metrics.targetEnded(evidence.label());
+        log.line(DecisionKind.SUSPECT)
+                .with(DecisionField.EVENT, "end of a target found")
+                .with(DecisionField.TARGET, target)
+                .with(DecisionField.EVIDENCE, evidence.label())
+                .with(DecisionField.REQUESTS, requests)
+                .write();
+    }
+
     private void blame(String target, InterruptedRequest request) {
         suspects.recordCrash(target, request.fingerprint());
         metrics.suspectEvent(ServingMetrics.SUSPECT_BLAMED);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -337,6 +337,9 @@
 
     /** Adds the size of the request, its progress and the endings of its attempts to a line. */
     private void addCircumstances(DecisionLine line) {
+        if (progress.sends() > 0) {
+            line.with(DecisionField.FINGERPRINT, fingerprint());
+        }
         line.with(DecisionField.PROMPT_TOKENS, metadata.promptTokens())
                 .with(DecisionField.PROMPT_PARTS, metadata.promptParts())
                 .with(DecisionField.BODY_BYTES, exchange.body().length)
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -57,6 +57,8 @@
     EVENT,
     /** The number of events forwarded to the caller. */
     EVENTS,
+    /** What showed that a target has ended. */
+    EVIDENCE,
     /** The number of consecutive failures. */
     FAILURES,
     /** A hash that identifies repeated submissions of the same request. */
@@ -117,6 +119,8 @@
     REMAINING_MS,
     /** The request identifier assigned by the caller. */
     REQUEST,
+    /** The number of requests that the event concerns. */
+    REQUESTS,
     /** The number of pieces that were corrupt and were staged again. */
     RESTAGED,
     /** The number of orders that an engine has begun since it started, as an order to it expects. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -91,6 +91,7 @@
     private final Counter loadPolls;
     private final Counter errors;
     private final Counter suspects;
+    private final Counter targetEnds;
     private final Counter unreadablePromptParts;
     private final Counter closeDelimitedResponses;
     private final Counter incarnationChecks;
@@ -147,6 +148,7 @@
         permits = counter("permits", "Permits for rate-limited targets that were asked for, by outcome.", "outcome");
         heldBack = counter(
                 "held_back", "Requests that were not sent to the target chosen for them, by its wish.", "reason");
+        targetEnds = counter("target_ends", "Targets found to have ended, by what showed it.", "evidence");
         suspects = counter("suspects", "Requests under which targets ended, by what became of them.", "event");
         unreadablePromptParts = counter("unreadable_prompt_parts", "Parts of prompts that could not be read.");
         closeDelimitedResponses = counter(
@@ -340,6 +342,11 @@
         heldBack.labelValues(reason).inc();
     }
 
+    /** Counts a target that was found to have ended. */
+    public void targetEnded(String evidence) {
+        targetEnds.labelValues(evidence).inc();
+    }
+
     /** Counts an event of a suspect request; {@code event} is one of the {@code SUSPECT} labels. */
     public void suspectEvent(String event) {
         suspects.labelValues(event).inc();
