--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import org.bankturn.daemon.http.PlainHealthDialect;
 
 /** A target on loopback that answers each request with a script given by the test. */
@@ -109,6 +110,28 @@
         closeConnections();
     }
 
+    /** Simulates a process crash that its open connections do not tell of: they carry nothing any more. */
+    void crashSilently() throws IOException {
+        crashed = true;
+        server.close();
+        awaitForever();
+    }
+
+    /** Waits until the other side closes the connection. */
+    static void awaitClose(Socket socket) throws IOException {
+        while (socket.getInputStream().read() >= 0) {
+            // a further request on the connection is not expected
+        }
+    }
+
+    private static void awaitForever() {
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Simulates a process crash that closes its port only after one more connection. */
     public void crashWithLatePort() throws IOException {
         portClosesLate = true;
