Gateway: a crash counts against the requests that the target may have run, however their attempts ended

Cause: evidence of a crash was recorded only in two of the ways in which an attempt can end, a connection that the target closed and a silence that may be answered by a further attempt. A deadline, a caller that leaves, a silence that may not, a complete response with status 500, older weights and a draining target left nothing behind, and a complete response cleared the request although its target crashed at once. What was recorded was bounded by a count that targets which lived on filled, and by an age that counted from the first interruption.

Change: SentRequests holds every request from its sending until its target has shown life after it can last have run there; each ending of an attempt states by its type what it tells of the run (RunEnd). RunMonitor learns ends of targets from refused connections, checks, successors, crashes that other gateways reported, and checks a target that shows no life 200 ms after an attempt ended, or that closes idle connections right after a complete response. A complete response clears a request 100 ms later, unless its target ended. A target that had itself removed ended as planned. Before a request is sent to a further target it is held, for 250 ms at most, while targets that it may have crashed and that would condemn it are checked.

Evidence: CrashUnseenByAttemptTest, 8 of 8 cases failed before (12 targets crashed in 12 calls, 24 after a 500), all pass: three to six crash, the next call gets 429. Tests of the gateway and of several gateways with a control group: 164 of 164.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -3,7 +3,9 @@
 import io.activej.promise.Promise;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.bankturn.crash.InterruptedRequest;
+import org.bankturn.crash.SentRequest;
 import org.bankturn.daemon.gateway.EventSplitter.Event;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.ResponseListener;
@@ -57,6 +59,8 @@
     private boolean endedAtClose;
     private long sentMillis;
     private long knownIndex;
+    private SentRequest sent;
+    private Promise<Boolean> outlived = Promise.of(false);
     private long firstEventMillis;
     private long lastEventMillis;
 
@@ -104,7 +108,7 @@
             releaseWitness();
             return;
         }
-        gateway.crashDetector().onConnectResult(target.sighting(), failure);
+        gateway.crashDetector().runs().onConnectResult(target.sighting(), failure);
         if (failure != null) {
             onFailure(TransportFailure.NOT_CONNECTED);
             return;
@@ -116,6 +120,7 @@
         sentMillis = now();
         knownIndex = gateway.publishedIndex();
         request.markSent();
+        sent = gateway.crashDetector().runs().onSent(target.sighting(), interrupted(), request.remainingMillis());
         if (request.service().engine() != null) {
             gateway.recordEngineRequest();
         }
@@ -132,8 +137,8 @@
         HttpHead framed =
                 hasBody ? forwarded.with("Content-Length", Integer.toString(exchange.body().length)) : forwarded;
         // started first: a write that fails immediately finishes the attempt before send returns
-        stallDetector =
-                StallDetector.start(gateway, request, choice, connection, this::onStalled, this::onOutdatedWeights);
+        stallDetector = StallDetector.start(
+                gateway, request, choice, connection, sent, this::onStalled, this::onOutdatedWeights);
         connection.send(
                 concatenate(framed, exchange.body()), exchange.head().first().equals("HEAD"), this);
     }
@@ -190,6 +195,7 @@
             target.versionObserved(parsed.weightsVersion());
         }
         if (!parsed.isMisdirected()) {
+            gateway.crashDetector().runs().onData(sent, connection.openedMillis());
             applyNotice(parsed);
         }
         if (connection.responseEndsAtClose()) {
@@ -227,6 +233,9 @@
     @Override
     public void onBodyPart(byte[] bytes) {
         stallDetector.onData();
+        if (!response.isMisdirected()) {
+            gateway.crashDetector().runs().onData(sent, connection.openedMillis());
+        }
         request.onData(this);
         if (!isStreamed()) {
             content.writeBytes(bytes);
@@ -364,15 +373,16 @@
         return target.sighting().id();
     }
 
-    /** Returns true if the target, or the evacuation of its data hall, does not hold requests back. */
-    boolean mayAskTarget() {
-        return target.heldBack(now()).isEmpty();
+    /** Returns what a crash of the target interrupts; the fingerprint is computed when it is needed. */
+    private Supplier<InterruptedRequest> interrupted() {
+        int heldVersion = target.heldVersion();
+        return () -> new InterruptedRequest(
+                request.fingerprint(), metadata.promptParts().shared(), heldVersion, knownIndex);
     }
 
-    /** Returns what a crash of the target interrupts, not null. */
-    InterruptedRequest interrupted() {
-        return new InterruptedRequest(
-                request.fingerprint(), metadata.promptParts().shared(), target.heldVersion(), knownIndex);
+    /** Returns a promise of true if the response was complete and the target has not crashed after it, not null. */
+    Promise<Boolean> outlived() {
+        return outlived;
     }
 
     /** Returns the version of the weights that serves the response, -1 if the target needs none. */
@@ -470,6 +480,9 @@
 
     private void finish(AttemptEnding ending) {
         finished = true;
+        if (sent != null) {
+            outlived = gateway.crashDetector().runs().onEnded(sent, ending.runEnd());
+        }
         request.recordAttempt(summarize(ending));
         request.onAttemptEnded(this);
         target.requestEnded(startedMillis, now());
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/AttemptEnding.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/AttemptEnding.java
@@ -1,39 +1,42 @@
 package org.bankturn.daemon.gateway;
 
 import java.util.Locale;
+import org.bankturn.crash.RunEnd;
 import org.bankturn.daemon.http.TransportFailure;
 
 /** How an attempt at a request ended. */
 enum AttemptEnding {
     /** The target sent a complete response. */
-    ANSWERED(true),
+    ANSWERED(true, RunEnd.COMPLETED),
     /** The target stated that it did not execute the request. */
-    NOT_RUN(true),
+    NOT_RUN(true, RunEnd.NOT_RUN),
     /** The target sent a complete response with a 5xx status. */
-    ERROR_STATUS(true),
+    ERROR_STATUS(true, RunEnd.FAILED),
     /** The target stopped accepting requests before this one was sent. */
-    HELD_BACK(false),
+    HELD_BACK(false, RunEnd.NOT_RUN),
     /** A configuration change excluded the target before the request was sent. */
-    DISALLOWED(false),
+    DISALLOWED(false, RunEnd.NOT_RUN),
     /** The connection could not be established. */
-    NOT_CONNECTED(false),
+    NOT_CONNECTED(false, RunEnd.NOT_RUN),
     /** The target reset the connection. */
-    RESET(false),
+    RESET(false, RunEnd.UNKNOWN),
     /** The target closed the connection before its response was complete. */
-    CLOSED(false),
+    CLOSED(false, RunEnd.UNKNOWN),
     /** The target sent bytes that are not a valid response. */
-    MALFORMED(false),
+    MALFORMED(false, RunEnd.UNKNOWN),
     /** Another attempt delivered the next part of the response while this one was silent. */
-    SUPERSEDED(false),
+    SUPERSEDED(false, RunEnd.UNKNOWN),
     /** The target had not started the request when newer weights became mandatory. */
-    OUTDATED_WEIGHTS(false),
+    OUTDATED_WEIGHTS(false, RunEnd.UNKNOWN),
     /** The gateway ended the attempt while it was in progress. */
-    CANCELLED(false);
+    CANCELLED(false, RunEnd.UNKNOWN);
 
     private final boolean responseComplete;
+    private final RunEnd runEnd;
 
-    AttemptEnding(boolean responseComplete) {
+    AttemptEnding(boolean responseComplete, RunEnd runEnd) {
         this.responseComplete = responseComplete;
+        this.runEnd = runEnd;
     }
 
     static AttemptEnding of(TransportFailure failure) {
@@ -50,6 +53,11 @@
         return responseComplete;
     }
 
+    /** Returns what the ending tells about the run of the request at its target, not null. */
+    RunEnd runEnd() {
+        return runEnd;
+    }
+
     /** Returns the name used in the log, not null. */
     String label() {
         return name().toLowerCase(Locale.ROOT);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CompletenessCheck.java
@@ -9,7 +9,6 @@
 import org.bankturn.daemon.observe.DecisionKind;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.observe.ServingMetrics;
-import org.bankturn.daemon.publication.PublishedState;
 import org.bankturn.registry.TargetSighting;
 
 /**
@@ -34,26 +33,30 @@
     private final Set<String> closeDelimiting = new HashSet<>();
 
     /**
-     * Returns a check that no published state was applied to, not null.
+     * Returns a check, not null.
      *
      * @param checks what checks of incarnations need, not null
+     * @param departures the planned ends of targets, not null
      * @param log the decision log, not null
      * @param metrics the metrics, not null
      */
-    static CompletenessCheck of(IncarnationCheck.Dependencies checks, DecisionLog log, ServingMetrics metrics) {
-        return new CompletenessCheck(checks, log, metrics);
+    static CompletenessCheck of(
+            IncarnationCheck.Dependencies checks,
+            DepartureMonitor departures,
+            DecisionLog log,
+            ServingMetrics metrics) {
+        return new CompletenessCheck(checks, departures, log, metrics);
     }
 
-    private CompletenessCheck(IncarnationCheck.Dependencies checks, DecisionLog log, ServingMetrics metrics) {
+    private CompletenessCheck(
+            IncarnationCheck.Dependencies checks,
+            DepartureMonitor departures,
+            DecisionLog log,
+            ServingMetrics metrics) {
         this.checks = checks;
         this.log = log;
         this.metrics = metrics;
-        this.departures = DepartureMonitor.on(checks.reactor());
-    }
-
-    /** Applies the published targets. */
-    void update(PublishedState published) {
-        departures.update(published);
+        this.departures = departures;
     }
 
     /** Returns true if a response of the target may need a connection from before its request. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/CrashDetector.java
@@ -2,20 +2,20 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.bankturn.crash.EndedTarget;
 import org.bankturn.crash.InterruptedPart;
 import org.bankturn.crash.InterruptedRequest;
-import org.bankturn.crash.InterruptedRequests;
 import org.bankturn.crash.KnownSuspects;
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.crash.Suspect;
@@ -26,37 +26,31 @@
 import org.bankturn.daemon.publication.PublishedState;
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.registry.TargetSighting;
-import org.bankturn.time.Clock;
 
 /**
  * Detects targets that crash while running a request and reports them to the control group, so that all gateways stop
  * requests that crash their targets.
  *
- * <p>After a lost connection the target is checked. Completed requests are reported as well, which clears them of suspicion.
+ * <p>Completed requests are reported as well, which clears them of suspicion.
  * CrashDetector is confined to its reactor's thread.
  */
 final class CrashDetector {
     /** Observations made within this time are sent together; the requests of a crashed target break off within 8 ms. */
     private static final long REPORT_DELAY_MILLIS = 10;
 
-    /** Exceeds the number of targets that end while connections to them are still attempted. */
-    private static final int MAX_KNOWN_ENDED = 512;
-
     private final String process;
     private final Eventloop reactor;
     private final DecisionLog log;
     private final ServingMetrics metrics;
-    private final CrashProbe probe;
+    private final RunMonitor runs;
     private final Consumer<PublicationCommand> controlGroup;
     private final Runnable onCondemned;
-    private final InterruptedRequests interruptedRequests;
     private final TrialRequester<RequestFingerprint> trialRequester;
     private final PromptPartGuard promptParts;
     private final KnownSuspects suspects = KnownSuspects.empty();
     private final Set<RequestFingerprint> condemned = new HashSet<>();
     private final Map<String, Map<RequestFingerprint, InterruptedRequest>> unreportedCrashes = new LinkedHashMap<>();
     private final Set<RequestFingerprint> unreportedCompletions = new LinkedHashSet<>();
-    private final Set<String> knownEnded = new LinkedHashSet<>();
     private List<Suspect> lastPublished = List.of();
     private boolean reportScheduled;
 
@@ -64,57 +58,60 @@
      * Returns a detector without observations, not null.
      *
      * @param process the name of this gateway, not null
-     * @param reactor the event loop, not null
-     * @param clock the clock, not null
+     * @param checks what checks of incarnations need, not null
+     * @param departures the planned ends of targets, not null
+     * @param healthPaths returns the health path of a target's service, null if the target must not be asked, not null
      * @param log the decision log, not null
      * @param metrics the metrics, not null
-     * @param checks what checks of incarnations need, not null
      * @param controlGroup receives commands for the control group, not null
      * @param onCondemned runs when further requests are condemned, not null
      */
     static CrashDetector of(
             String process,
-            Eventloop reactor,
-            Clock clock,
+            IncarnationCheck.Dependencies checks,
+            DepartureMonitor departures,
+            Function<TargetSighting, String> healthPaths,
             DecisionLog log,
             ServingMetrics metrics,
-            IncarnationCheck.Dependencies checks,
             Consumer<PublicationCommand> controlGroup,
             Runnable onCondemned) {
-        return new CrashDetector(process, reactor, clock, log, metrics, checks, controlGroup, onCondemned);
+        return new CrashDetector(process, checks, departures, healthPaths, log, metrics, controlGroup, onCondemned);
     }
 
     private CrashDetector(
             String process,
-            Eventloop reactor,
-            Clock clock,
+            IncarnationCheck.Dependencies checks,
+            DepartureMonitor departures,
+            Function<TargetSighting, String> healthPaths,
             DecisionLog log,
             ServingMetrics metrics,
-            IncarnationCheck.Dependencies checks,
             Consumer<PublicationCommand> controlGroup,
             Runnable onCondemned) {
         this.process = process;
-        this.reactor = reactor;
+        this.reactor = checks.reactor();
         this.log = log;
         this.metrics = metrics;
-        this.interruptedRequests = InterruptedRequests.of(clock);
-        this.probe = CrashProbe.of(
-                checks, log, metrics, interruptedRequests, target -> onTargetEnded(target.id(), EndEvidence.CHECKED));
+        this.runs = RunMonitor.of(checks, departures, healthPaths, log, metrics, this::onCrash);
         this.controlGroup = controlGroup;
         this.onCondemned = onCondemned;
         this.trialRequester = TrialRequester.of(
                 reactor,
-                clock,
+                checks.clock(),
                 log,
                 DecisionField.FINGERPRINT,
                 suspects::findPublished,
                 (request, number, requester) ->
                         controlGroup.accept(new PublicationCommand.TakeTrial(request, number, requester)));
-        this.promptParts = PromptPartGuard.of(reactor, clock, log, metrics, controlGroup);
+        this.promptParts = PromptPartGuard.of(reactor, checks.clock(), log, metrics, controlGroup);
     }
 
     // ---- queries
 
+    /** Returns what follows the requests that were sent to targets, not null. */
+    RunMonitor runs() {
+        return runs;
+    }
+
     /** Returns true if the request must not be sent to any target. */
     boolean isCondemned(ForwardedRequest request) {
         return !request.isTrial()
@@ -168,9 +165,7 @@
 
     /** Applies the published suspects and targets. */
     void update(PublishedState published) {
-        interruptedRequests
-                .findReplaced(published.targets().values())
-                .forEach(target -> onTargetEnded(target, EndEvidence.REPLACED));
+        runs.update(published);
         // most publications change targets only, and processing many suspects is expensive
         if (!Objects.equals(published.suspects(), lastPublished)) {
             lastPublished = published.suspects();
@@ -208,61 +203,51 @@
     }
 
     /**
-     * Handles a connection lost while a target ran a request.
+     * Checks the targets that a request may have crashed, if one more crash would condemn it.
      *
-     * @param target the target, not null
-     * @param request the request, not null
-     * @param interrupted what a crash would have interrupted, not null
-     * @param mayAsk false if the target has asked for fewer requests, or for none
-     * @return a promise that completes once it is known, or cannot be known soon, whether the target has crashed, not
-     *     null
+     * @param request the request, which is about to be sent to a further target, not null
+     * @return a promise that completes once it is known, or cannot be known soon, whether the request is condemned; empty if
+     *     nothing has to be awaited, not null
      */
-    Promise<Void> onConnectionLost(
-            TargetSighting target, ForwardedRequest request, InterruptedRequest interrupted, boolean mayAsk) {
-        if (target.draining()) {
-            // a connection closed by a planned shutdown is not held against the request
-            return Promise.complete();
+    Optional<Promise<Void>> awaitCertainty(ForwardedRequest request) {
+        if (request.isTrial() || !runs.isAnyUndecided()) {
+            return Optional.empty();
         }
-        interruptedRequests.recordInterruption(target, interrupted);
-        if (interruptedRequests.hasCrashed(target.id())) {
-            onTargetEnded(target.id(), EndEvidence.KNOWN);
-            return Promise.complete();
+        Set<TargetSighting> undecided = new LinkedHashSet<>();
+        List<TargetSighting> ofRequest = runs.findUndecided(request.fingerprint());
+        if (couldRepetitionBeCondemned(request, ofRequest)) {
+            undecided.addAll(ofRequest);
         }
-        return probe.probe(target, mayAsk ? request.service().healthPath() : null)
-                .then(() -> awaitCertainty(request));
-    }
-
-    /** Delays a request that one more crash would condemn until the undecided probes have finished. */
-    private Promise<Void> awaitCertainty(ForwardedRequest request) {
-        boolean certain =
-                isCondemned(request) || !(couldRepetitionBeCondemned(request) || couldPartBeCondemned(request));
-        return certain ? Promise.complete() : Promises.delay(CrashProbe.DECISION_MILLIS);
+        for (String part : request.metadata().promptParts().shared()) {
+            List<TargetSighting> ofPart = runs.findUndecided(part);
+            if (promptParts.couldBeCondemned(part, ids(ofPart))) {
+                undecided.addAll(ofPart);
+            }
+        }
+        if (undecided.isEmpty()) {
+            return Optional.empty();
+        }
+        metrics.suspectEvent(ServingMetrics.SUSPECT_HELD);
+        log.line(DecisionKind.SUSPECT)
+                .with(DecisionField.EVENT, "held until targets are checked")
+                .with(DecisionField.REQUEST, request.metadata().id())
+                .with(DecisionField.FINGERPRINT, request.fingerprint())
+                .with(DecisionField.TARGETS, undecided.size())
+                .write();
+        return Optional.of(runs.check(undecided));
     }
 
-    private boolean couldRepetitionBeCondemned(ForwardedRequest request) {
+    private boolean couldRepetitionBeCondemned(ForwardedRequest request, List<TargetSighting> undecided) {
         Set<String> possiblyCrashed = suspects.endedTargetsOf(request.fingerprint());
-        possiblyCrashed.addAll(interruptedRequests.findUndecided(request.fingerprint()));
-        return possiblyCrashed.size() >= Suspect.CONDEMNATION_THRESHOLD;
+        possiblyCrashed.addAll(ids(undecided));
+        return !undecided.isEmpty() && possiblyCrashed.size() >= Suspect.CONDEMNATION_THRESHOLD;
     }
 
-    private boolean couldPartBeCondemned(ForwardedRequest request) {
-        return request.metadata().promptParts().shared().stream()
-                .anyMatch(part -> promptParts.couldBeCondemned(part, interruptedRequests.findUndecided(part)));
+    private static List<String> ids(List<TargetSighting> targets) {
+        return targets.stream().map(TargetSighting::id).toList();
     }
 
-    /** Evaluates the outcome of connecting to a target; a refused connection means that it has crashed. */
-    void onConnectResult(TargetSighting target, Exception failure) {
-        if (IncarnationCheck.isRefused(failure)) {
-            onTargetEnded(target.id(), EndEvidence.REFUSED);
-        }
-    }
-
-    private void onTargetEnded(String target, EndEvidence evidence) {
-        List<InterruptedRequest> requests = interruptedRequests.recordCrash(target);
-        logEnd(target, evidence, requests.size());
-        if (requests.isEmpty()) {
-            return;
-        }
+    private void onCrash(String target, List<InterruptedRequest> requests) {
         requests.forEach(request -> blame(target, request));
         unreportedCrashes.computeIfAbsent(target, key -> new LinkedHashMap<>()).putAll(byFingerprint(requests));
         scheduleReport();
@@ -273,24 +258,6 @@
         }
     }
 
-    /** Logs the end of a target, once, with the number of requests that it counts against. */
-    private void logEnd(String target, EndEvidence evidence, int requests) {
-        boolean known = !knownEnded.add(target);
-        if (known && requests == 0) {
-            return;
-        }
-        if (knownEnded.size() > MAX_KNOWN_ENDED) {
-            knownEnded.remove(knownEnded.iterator().next());
-        }
-        metrics.targetEnded(evidence.label());
-        log.line(DecisionKind.SUSPECT)
-                .with(DecisionField.EVENT, "end of a target found")
-                .with(DecisionField.TARGET, target)
-                .with(DecisionField.EVIDENCE, evidence.label())
-                .with(DecisionField.REQUESTS, requests)
-                .write();
-    }
-
     private void blame(String target, InterruptedRequest request) {
         suspects.recordCrash(target, request.fingerprint());
         metrics.suspectEvent(ServingMetrics.SUSPECT_BLAMED);
@@ -310,18 +277,26 @@
                         InterruptedRequest::fingerprint, each -> each, (one, other) -> other, LinkedHashMap::new));
     }
 
-    /** Records that a request ran to its end, which clears it and the parts of its prompt of suspicion. */
+    /** Clears a request, and the parts of its prompt, of suspicion once its target has outlived the complete response. */
     void onCompleted(ForwardedRequest request, Attempt completed) {
+        completed.outlived().whenResult(outlived -> {
+            if (outlived) {
+                clear(request, completed);
+            }
+        });
+    }
+
+    private void clear(ForwardedRequest request, Attempt completed) {
         promptParts.onCompleted(
                 request.metadata().promptParts(),
                 completed.weightsVersion(),
                 completed.knownIndex(),
                 completed.sentMillis());
-        if (suspects.isEmpty() && interruptedRequests.isEmpty()) {
+        if (suspects.isEmpty() && !runs.isAnyUndecided()) {
             return;
         }
         RequestFingerprint fingerprint = request.fingerprint();
-        interruptedRequests.recordCompletion(List.of(fingerprint));
+        runs.onHarmless(fingerprint);
         if (endedTargetCount(request) == 0) {
             return;
         }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/DepartureMonitor.java
@@ -47,6 +47,11 @@
         return updates;
     }
 
+    /** Returns true if the target is known to have left at its own request. */
+    boolean hasLeft(String target) {
+        return left.containsKey(target);
+    }
+
     /** Returns true if the removal of a target has not been published yet. */
     boolean isPublished(String target) {
         return published.contains(target);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/EndEvidence.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/EndEvidence.java
@@ -10,8 +10,8 @@
     CHECKED,
     /** Another incarnation is published at the address. */
     REPLACED,
-    /** The end was known when a further request was found to be interrupted there. */
-    KNOWN;
+    /** The control group has published that the target crashed, as another gateway found. */
+    REPORTED;
 
     /** Returns the name in logs and metrics, not null. */
     String label() {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -56,6 +56,14 @@
     private RequestFingerprint fingerprint;
     private boolean trial;
     private boolean awaitingTarget;
+    private Certainty certainty = Certainty.NOT_AWAITED;
+
+    /** Whether the next attempt waits for checks of targets that the request may have crashed. */
+    private enum Certainty {
+        NOT_AWAITED,
+        AWAITED,
+        REACHED
+    }
 
     ForwardedRequest(Gateway gateway, ServerExchange exchange, RequestMetadata metadata, Route route, Account account) {
         this.gateway = gateway;
@@ -109,7 +117,7 @@
 
     /** Sends the request to a further target, unless an attempt in flight is not silent. */
     private void sendToNext() {
-        if (exchange.isFinished() || !inFlight.needsFurther()) {
+        if (exchange.isFinished() || !inFlight.needsFurther() || awaitsCertainty()) {
             return;
         }
         NextStep step = gateway.policy().next(progress);
@@ -127,6 +135,23 @@
         }
     }
 
+    /** Returns true if the request waits until it is known whether it must be stopped; that takes a short time at most. */
+    private boolean awaitsCertainty() {
+        if (certainty == Certainty.NOT_AWAITED) {
+            Optional<Promise<Void>> checks = gateway.crashDetector().awaitCertainty(this);
+            checks.ifPresent(this::awaitCertainty);
+        }
+        return certainty == Certainty.AWAITED;
+    }
+
+    private void awaitCertainty(Promise<Void> checks) {
+        certainty = Certainty.AWAITED;
+        checks.whenResult(() -> {
+            certainty = Certainty.REACHED;
+            sendToNext();
+        });
+    }
+
     /** Gives the request up, unless a silent target may still respond. */
     private void giveUpUnlessInFlight(NextStep.GiveUp giveUp) {
         if (inFlight.isEmpty()) {
@@ -164,25 +189,22 @@
         }
         stallReason = null;
         stallRecorded = false;
+        certainty = Certainty.NOT_AWAITED;
         attempt = new Attempt(this, gateway, send.candidate());
         inFlight.started(attempt);
         attempt.start();
     }
 
-    /** Handles a connection lost during the request, once it is known whether the target has crashed. */
+    /** Handles a connection lost during the request, once it is known whether a process listens at the target's address. */
     void onConnectionLost(Attempt lost, String reason) {
         TargetSighting target = lost.sighting();
-        gateway.crashDetector()
-                .onConnectionLost(target, this, lost.interrupted(), lost.mayAskTarget())
-                .whenResult(() -> retryOrGiveUp(target, reason));
+        gateway.crashDetector().runs().onConnectionLost(target).whenResult(() -> retryOrGiveUp(target, reason));
     }
 
     /** Looks for another target beside a stalled one, without waiting to learn whether that one has crashed. */
     void onStalled(Attempt stalled, String reason) {
         if (inFlight.becameSilent(stalled)) {
             stallRecorded = false;
-            Promise<Void> unused = gateway.crashDetector()
-                    .onConnectionLost(stalled.sighting(), this, stalled.interrupted(), stalled.mayAskTarget());
         }
         // a trial is sent to one target only
         if (!trial) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -79,6 +79,7 @@
     private final RequestPolicy policy;
     private final LoadPoller loadPoller;
     private final PermitExchange permits;
+    private final DepartureMonitor departures;
     private final CrashDetector crashDetector;
     private final CompletenessCheck completenessCheck;
     private final Set<ForwardedRequest> inFlight = new LinkedHashSet<>();
@@ -144,9 +145,18 @@
         targets.slowStarts().setListener(this::recordColdTarget);
         metrics.registerSlowEnginesGauge(targets::slowEngines);
         IncarnationCheck.Dependencies checks = new IncarnationCheck.Dependencies(reactor, clock, health, connections);
+        this.departures = DepartureMonitor.on(reactor);
         this.crashDetector = CrashDetector.of(
-                settings.process(), reactor, clock, log, metrics, checks, controlGroup, this::stopCondemned);
-        this.completenessCheck = CompletenessCheck.of(checks, log, metrics);
+                settings.process(),
+                checks,
+                departures,
+                this::healthPathToAsk,
+                log,
+                metrics,
+                controlGroup,
+                this::stopCondemned);
+        connections.setPeerCloseListener(crashDetector.runs()::onIdleConnectionClosed);
+        this.completenessCheck = CompletenessCheck.of(checks, departures, log, metrics);
         this.callers = HttpListener.create(
                 reactor,
                 clock,
@@ -192,8 +202,8 @@
         targets.setEvacuatedHalls(newer.evacuatedHalls());
         loadPoller.update(newer, gatewaysInDataHall());
         permits.update(addresses(gateways()));
+        departures.update(newer);
         crashDetector.update(newer);
-        completenessCheck.update(newer);
     }
 
     private void reportEvacuations(PublishedState newer) {
@@ -238,6 +248,14 @@
                 .write();
     }
 
+    /** Returns the health path of a target's service, null if it is unknown or the target wants no further requests. */
+    private String healthPathToAsk(TargetSighting target) {
+        if (published.configuration() == null || targets.isHeldBack(target.id())) {
+            return null;
+        }
+        return service(target.service()).map(Service::healthPath).orElse(null);
+    }
+
     /** Stops the requests in flight that have become condemned, before they crash their targets. */
     private void stopCondemned() {
         List.copyOf(inFlight).stream().filter(crashDetector::isCondemned).forEach(ForwardedRequest::stopCondemned);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/StallDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/StallDetector.java
@@ -1,6 +1,7 @@
 package org.bankturn.daemon.gateway;
 
 import java.util.Optional;
+import org.bankturn.crash.SentRequest;
 import org.bankturn.daemon.http.TargetConnection;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
@@ -25,6 +26,7 @@
     private final ForwardedRequest request;
     private final Candidate choice;
     private final TargetConnection connection;
+    private final SentRequest sent;
     private final Runnable onStall;
     private final Runnable onOutdatedWeights;
     private final ConnectionReusePolicy.PendingRequest wait;
@@ -42,6 +44,7 @@
      * @param request the request, which is about to be sent, not null
      * @param choice the selected target, not null
      * @param connection the connection used for the request, not null
+     * @param sent the request at the target, not null
      * @param onStall runs, repeatedly while nothing arrives, when the request may be repeated and another target may
      *     take it over, not null
      */
@@ -50,9 +53,11 @@
             ForwardedRequest request,
             Candidate choice,
             TargetConnection connection,
+            SentRequest sent,
             Runnable onStall,
             Runnable onOutdatedWeights) {
-        StallDetector detector = new StallDetector(gateway, request, choice, connection, onStall, onOutdatedWeights);
+        StallDetector detector =
+                new StallDetector(gateway, request, choice, connection, sent, onStall, onOutdatedWeights);
         detector.scheduleCheck(detector.silenceLimitMillis());
         return detector;
     }
@@ -62,12 +67,14 @@
             ForwardedRequest request,
             Candidate choice,
             TargetConnection connection,
+            SentRequest sent,
             Runnable onStall,
             Runnable onOutdatedWeights) {
         this.gateway = gateway;
         this.request = request;
         this.choice = choice;
         this.connection = connection;
+        this.sent = sent;
         this.onStall = onStall;
         this.onOutdatedWeights = onOutdatedWeights;
         this.wait = gateway.connectionTrust().requestSent(targetId());
@@ -158,6 +165,7 @@
             return;
         }
         stallRecorded = true;
+        gateway.crashDetector().runs().onSilence(sent);
         TargetState target = choice.target();
         boolean connectionWorked = connection.hasReceivedResponse() || dataReceived;
         boolean targetResponsive = target.hasRecentActivity(now(), lastDataMillis);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/TargetConnectionPool.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/TargetConnectionPool.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.bankturn.daemon.http.TargetConnection;
 import org.bankturn.routing.ConnectionReusePolicy;
 
@@ -19,11 +20,17 @@
 
     private final ConnectionReusePolicy connectionTrust;
     private final Map<String, Deque<TargetConnection>> idle = new HashMap<>();
+    private Consumer<String> peerCloseListener = target -> {};
 
     TargetConnectionPool(ConnectionReusePolicy connectionTrust) {
         this.connectionTrust = connectionTrust;
     }
 
+    /** Sets what learns of each idle connection that its target has closed, by the incarnation. */
+    void setPeerCloseListener(Consumer<String> listener) {
+        peerCloseListener = listener;
+    }
+
     /** Removes and returns a connection that has been idle for at most the given time, null if there is none. */
     TargetConnection acquire(String target, long nowMillis, long maxIdleMillis) {
         Deque<TargetConnection> connections = idle.getOrDefault(target, new ArrayDeque<>());
@@ -51,6 +58,7 @@
         }
         Deque<TargetConnection> connections = idle.computeIfAbsent(target, key -> new ArrayDeque<>());
         connections.addLast(connection);
+        connection.onIdleClose(() -> peerCloseListener.accept(target));
         if (connections.size() > MAX_IDLE_PER_TARGET) {
             connections.pollFirst().close();
         }
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -26,6 +26,7 @@
     private final Clock clock;
     private final ByteQueue received = new ByteQueue();
     private ResponseListener listener;
+    private Runnable idleCloseListener = () -> {};
     private BodyDecoder body;
     private boolean accepted;
     private boolean noResponseBody;
@@ -120,6 +121,11 @@
         });
     }
 
+    /** Sets what runs when the target closes the connection while no response is awaited. */
+    public void onIdleClose(Runnable idleListener) {
+        idleCloseListener = idleListener;
+    }
+
     /** Closes the connection without notifying the listener. */
     public void close() {
         listener = null;
@@ -178,6 +184,8 @@
         close();
         if (current != null) {
             current.onFailure(failure);
+        } else {
+            idleCloseListener.run();
         }
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -35,6 +35,9 @@
     /** The label of requests in progress at a target when it crashed. */
     public static final String SUSPECT_BLAMED = "blamed";
 
+    /** The label of requests that waited until the targets that they may have crashed were checked. */
+    public static final String SUSPECT_HELD = "held";
+
     /** The label of suspect requests that completed later. */
     public static final String SUSPECT_CLEARED = "cleared";
 
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CrashUnseenByAttemptTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CrashUnseenByAttemptTest.java
@@ -125,7 +125,9 @@
                 crash.run(self[0], id, socket);
                 return false;
             }
-            ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok");
+            EventStream.begin(socket, id);
+            EventStream.writeEvents(socket, 1, EventStream.EVENTS);
+            EventStream.end(socket);
             return true;
         });
         return self[0];
