Gateway: a seeded soak of one request that crashes its targets in ways that no attempt shows

One request reaches targets through three gateways that restart; each target that runs it crashes in one of five ways: it closes the connection, its connections fall silent, it crashes once the attempt is given up, after a complete 500, after a complete 200. Callers leave early, wait 600 ms, or have a deadline of 300 ms. Other targets crash for other reasons, and sound requests are called beside it. Late crashes are bounded by the rule: three, later than 3 s after the third crash.

The parts that the soak of crashing prompt parts has in common with it are a base class now; its checks are the same.

--- a/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/ScriptedTarget.java
@@ -111,14 +111,14 @@
     }
 
     /** Simulates a process crash that its open connections do not tell of: they carry nothing any more. */
-    void crashSilently() throws IOException {
+    public void crashSilently() throws IOException {
         crashed = true;
         server.close();
         awaitForever();
     }
 
     /** Waits until the other side closes the connection. */
-    static void awaitClose(Socket socket) throws IOException {
+    public static void awaitClose(Socket socket) throws IOException {
         while (socket.getInputStream().read() >= 0) {
             // a further request on the connection is not expected
         }
--- a/daemon/src/test/java/org/bankturn/daemon/serving/CrashingPromptPartSoakTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/CrashingPromptPartSoakTest.java
@@ -3,130 +3,33 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.LongStream;
 import org.bankturn.daemon.gateway.CrashingTarget.CrashResponse;
 import org.bankturn.daemon.gateway.ScriptedTarget;
-import org.bankturn.daemon.settings.Address;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
-/**
- * A seeded soak: requests with a crashing prompt part beside sound ones, while gateways restart and targets crash for other
- * reasons, too.
- *
- * <p>The system property {@code bankturn.soak.seeds} sets the number of seeds.
- */
+/** A seeded soak: requests with a crashing prompt part beside sound ones. */
 @Timeout(120)
-class CrashingPromptPartSoakTest extends ServingFixture {
+class CrashingPromptPartSoakTest extends CrashSoakFixture {
     private static final String CRASHING = "bad";
-    private static final int TARGETS = 14;
-    private static final int GATEWAYS = 3;
-    private static final int SOUND_CALLERS = 6;
-    private static final int POPULAR_PARTS = 4;
-    private static final long SOUND_ONLY_MILLIS = 1_500;
-    private static final long RUN_MILLIS = 11_000;
-
-    /** The time after which all processes should know of a crash, and the requests that may still reach a target then. */
-    private static final long CONTACT_MILLIS = 3_000;
-
     private static final int CRASHES_BEFORE_LIMIT = 5;
-    private static final int MAX_LATE_REQUESTS = 3;
 
-    private final List<ScriptedTarget> live = new CopyOnWriteArrayList<>();
-    private final List<Address> gateways = new CopyOnWriteArrayList<>();
-    private final List<Long> crashMillis = new CopyOnWriteArrayList<>();
-    private final List<Outcome> outcomes = new CopyOnWriteArrayList<>();
-    private final List<Throwable> errors = new CopyOnWriteArrayList<>();
-    private final AtomicInteger calls = new AtomicInteger();
-    private long startMillis;
     private CrashResponse crashResponse;
 
-    /** The outcome of a request without the crashing part. */
-    private record Outcome(long sentMillis, boolean served) {}
-
-    static LongStream seeds() {
-        return LongStream.rangeClosed(1, Long.getLong("bankturn.soak.seeds", 2));
-    }
-
     @ParameterizedTest
     @MethodSource("seeds")
     void a_crashing_part_is_stopped_everywhere_and_its_neighbours_are_served(long seed) throws Exception {
         Random random = new Random(seed);
         crashResponse = List.of(CrashResponse.values()).get(random.nextInt(CrashResponse.values().length));
-        for (int target = 0; target < TARGETS; target++) {
-            addTarget();
-        }
-        configure();
-        for (int gateway = 0; gateway < GATEWAYS; gateway++) {
-            gateways.add(startGateway());
-        }
-        startMillis = System.currentTimeMillis();
-        List<Thread> threads = new ArrayList<>();
-        threads.add(started(this::keepTargets));
-        for (int caller = 0; caller < SOUND_CALLERS; caller++) {
-            long own = random.nextLong();
-            threads.add(started(() -> callSound(new Random(own))));
-        }
-        long crashing = random.nextLong();
-        threads.add(started(() -> callCrashing(new Random(crashing))));
-        long disturbing = random.nextLong();
-        threads.add(started(() -> disturb(new Random(disturbing))));
-        for (Thread thread : threads) {
-            thread.join();
-        }
-        check();
-    }
-
-    // ---- checks
-
-    private void check() {
-        assertThat(errors).isEmpty();
-        assertThat(crashMillis).hasSizeGreaterThanOrEqualTo(CRASHES_BEFORE_LIMIT);
-        long fifth = crashMillis.get(CRASHES_BEFORE_LIMIT - 1);
-        long late =
-                crashMillis.stream().filter(at -> at > fifth + CONTACT_MILLIS).count();
-        assertThat(late).as("crashes after %s", crashMillis).isLessThanOrEqualTo(MAX_LATE_REQUESTS);
-        double before = servedShare(0, SOUND_ONLY_MILLIS);
-        double after = servedShare(fifth + 2 * CONTACT_MILLIS - startMillis, RUN_MILLIS);
-        assertThat(after).as("served before: %s", before).isGreaterThan(before / 2);
+        run(random);
+        check(CRASHES_BEFORE_LIMIT);
     }
 
-    private double servedShare(long fromMillis, long untilMillis) {
-        List<Outcome> within = outcomes.stream()
-                .filter(each -> each.sentMillis() >= fromMillis && each.sentMillis() < untilMillis)
-                .toList();
-        assertThat(within).hasSizeGreaterThan(20);
-        return (double) within.stream().filter(Outcome::served).count() / within.size();
-    }
-
-    // ---- the load
-
-    private boolean isRunning() {
-        return System.currentTimeMillis() < startMillis + RUN_MILLIS;
-    }
-
-    private void callSound(Random random) throws IOException {
-        while (isRunning()) {
-            String body = "sound" + calls.incrementAndGet();
-            String parts = "popular" + random.nextInt(POPULAR_PARTS) + "," + body;
-            long sent = System.currentTimeMillis() - startMillis;
-            String response = callSomeGateway(random, parts, body);
-            boolean served = response.startsWith("HTTP/1.1 200");
-            if (served) {
-                assertThat(response).endsWith(body);
-            }
-            outcomes.add(new Outcome(sent, served));
-            pause(10 + random.nextInt(40));
-        }
-    }
-
-    private void callCrashing(Random random) throws IOException {
+    @Override
+    void callCrashing(Random random) throws IOException {
         pause(SOUND_ONLY_MILLIS);
         boolean first = random.nextBoolean();
         while (isRunning()) {
@@ -138,101 +41,20 @@
         }
     }
 
-    /** Calls a gateway; one that is stopping may have closed its port already, as for any caller with an old list. */
-    private String callSomeGateway(Random random, String parts, String body) {
-        try {
-            return exchangeWithParts(gateways.get(random.nextInt(GATEWAYS)), parts, body);
-        } catch (IOException e) {
-            return "not connected";
-        }
-    }
-
-    // ---- failures
-
-    /** Restarts gateways and crashes targets at random times. */
-    private void disturb(Random random) throws Exception {
-        while (isRunning()) {
-            pause(700 + random.nextInt(1_500));
-            if (random.nextBoolean()) {
-                int restarted = random.nextInt(GATEWAYS);
-                Address former = gateways.get(restarted);
-                gateways.set(restarted, startGateway());
-                stopGateway(former);
-            } else {
-                int crashed = 1 + random.nextInt(4);
-                for (int target = 0; target < crashed; target++) {
-                    remove(live.get(random.nextInt(live.size())));
-                }
-            }
-        }
-    }
-
-    /** Replaces crashed targets and sends the heartbeats of the others. */
-    private void keepTargets() throws IOException {
-        long sequence = 1;
-        while (isRunning()) {
-            pause(250);
-            sequence++;
-            while (live.size() < TARGETS) {
-                addTarget();
-            }
-            for (ScriptedTarget target : live) {
-                announceAgain(target, sequence);
-            }
-        }
-    }
-
-    private void addTarget() throws IOException {
+    @Override
+    ScriptedTarget newTarget() throws IOException {
         ScriptedTarget[] self = new ScriptedTarget[1];
         self[0] = new ScriptedTarget((number, id, socket) -> {
             String body = self[0].bodies.get(number - 1);
             if (ScriptedTarget.field(self[0].heads.get(number - 1), "parts").contains(CRASHING)) {
-                crashMillis.add(System.currentTimeMillis());
+                recordCrash();
                 ScriptedTarget.write(socket, crashResponse.text(id));
-                remove(self[0]);
+                removed(self[0]);
+                self[0].crash();
                 return false;
             }
-            pause(20);
-            ScriptedTarget.write(
-                    socket,
-                    "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
-            return true;
+            return answer(id, body, socket);
         });
-        announce(self[0]);
-        live.add(self[0]);
-    }
-
-    private void remove(ScriptedTarget target) throws IOException {
-        live.remove(target);
-        target.crash();
-    }
-
-    // ---- threads
-
-    /** An activity that may throw. */
-    private interface Activity {
-        void run() throws Exception;
-    }
-
-    private Thread started(Activity activity) {
-        Thread thread = new Thread(
-                () -> {
-                    try {
-                        activity.run();
-                    } catch (Exception | AssertionError e) {
-                        errors.add(e);
-                    }
-                },
-                "soak");
-        thread.start();
-        return thread;
-    }
-
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        return self[0];
     }
 }
