Gateway: responses and requests are buffered up to a bound, and streams are split in linear time

Callers' view: one target that sends without end fills the memory of an entry process (96 to 160 MB of heap), and all requests that it carries fail; a request to it ends at its deadline with 504.

Cause: a response that must be whole before it is forwarded, an incomplete event, the trailers, the interim responses and discarded responses had no bound; each part of an event copied and scanned all parts before it; request bodies were bounded one by one, not together.

Total bytes of a response that is not forwarded event by event, trailers (16 kB) and interim responses (16) are bounded. A request body that there is no memory for is answered with 503 and Retry-After before it is read; the rest of it is discarded for a second, so that the answer arrives. Weighed: passing bodies on as they come would need no memory, but a late failure could be neither retried nor answered with its true status; bodies are kept.

The same bound elsewhere: responses to the product's own calls (a 16th of the heap; health answers 64 kB), frames between its processes (128 MB before, a quarter of the heap at most now).

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -7,6 +7,9 @@
 import org.bankturn.crash.InterruptedRequest;
 import org.bankturn.crash.SentRequest;
 import org.bankturn.daemon.gateway.EventSplitter.Event;
+import org.bankturn.daemon.http.BufferBound;
+import org.bankturn.daemon.http.BufferBudget;
+import org.bankturn.daemon.http.BufferKind;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.ResponseListener;
 import org.bankturn.daemon.http.ServerExchange;
@@ -46,8 +49,9 @@
     private final TargetState target;
     private final Candidate choice;
     private final long startedMillis;
-    private final ByteArrayOutputStream content = new ByteArrayOutputStream();
-    private final EventSplitter events = new EventSplitter();
+    private ByteArrayOutputStream content = new ByteArrayOutputStream();
+    private EventSplitter events = new EventSplitter();
+    private BufferBudget.Reservation buffered;
     private TargetConnection connection;
     private WitnessConnection witness;
     private StallDetector stallDetector;
@@ -198,6 +202,7 @@
             gateway.crashDetector().runs().onData(sent, connection.openedMillis());
             applyNotice(parsed);
         }
+        reserve(isStreamed() ? BufferKind.EVENT : BufferKind.RESPONSE);
         if (connection.responseEndsAtClose()) {
             gateway.completenessCheck().responseBegun(target.sighting());
         }
@@ -238,12 +243,43 @@
         }
         request.onData(this);
         if (!isStreamed()) {
-            content.writeBytes(bytes);
+            addContent(bytes);
             return;
         }
         for (Event event : events.add(bytes)) {
             forward(event);
         }
+        if (!finished) {
+            boolean unused = isWithinBound(events.remainingBytes());
+        }
+    }
+
+    private void reserve(BufferKind kind) {
+        if (buffered == null) {
+            buffered = gateway.buffers().newReservation(kind);
+        }
+    }
+
+    private void addContent(byte[] bytes) {
+        if (isWithinBound(content.size() + (long) bytes.length)) {
+            content.writeBytes(bytes);
+        }
+    }
+
+    /** Ends the attempt, and returns false, if a message of the given size must not be buffered. */
+    private boolean isWithinBound(long size) {
+        BufferBound exceeded = buffered.growTo(size);
+        if (exceeded == null) {
+            return true;
+        }
+        gateway.recordOversized(buffered.kind(), exceeded, metadata.id(), targetId(), size);
+        onFailure(TransportFailure.TOO_LARGE);
+        return false;
+    }
+
+    @Override
+    public long maxResponseBytes() {
+        return response != null && isStreamed() ? Long.MAX_VALUE : gateway.maxResponseBytes();
     }
 
     private boolean isStreamed() {
@@ -328,7 +364,7 @@
         if (finished) {
             return;
         }
-        boolean endsWithinEvent = isStreamed() && events.remainder().length > 0;
+        boolean endsWithinEvent = isStreamed() && events.remainingBytes() > 0;
         if (endsWithinEvent) {
             onFailure(TransportFailure.CLOSED);
             return;
@@ -450,7 +486,11 @@
             request.onConnectFailure();
             return;
         }
-        request.onConnectionLost(this, failure.name());
+        if (failure == TransportFailure.TOO_LARGE) {
+            request.onResponseTooLarge(this);
+        } else {
+            request.onConnectionLost(this, failure.name());
+        }
     }
 
     /** Ends the attempt if it is in progress. */
@@ -491,6 +531,9 @@
             target.promptRead(metadata.promptTokens());
         }
         releaseWitness();
+        if (buffered != null) {
+            buffered.release();
+        }
         if (connection == null) {
             return;
         }
@@ -499,6 +542,9 @@
             gateway.connections().release(targetId(), connection);
         } else {
             connection.close();
+            // the request may refer to this attempt while a further one is in progress
+            content = new ByteArrayOutputStream(0);
+            events = new EventSplitter();
         }
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/AttemptEnding.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/AttemptEnding.java
@@ -24,6 +24,8 @@
     CLOSED(false, RunEnd.UNKNOWN),
     /** The target sent bytes that are not a valid response. */
     MALFORMED(false, RunEnd.UNKNOWN),
+    /** The target sent more than the gateway buffers. */
+    TOO_LARGE(false, RunEnd.UNKNOWN),
     /** Another attempt delivered the next part of the response while this one was silent. */
     SUPERSEDED(false, RunEnd.UNKNOWN),
     /** The target had not started the request when newer weights became mandatory. */
@@ -45,6 +47,7 @@
             case RESET -> RESET;
             case CLOSED -> CLOSED;
             case MALFORMED -> MALFORMED;
+            case TOO_LARGE -> TOO_LARGE;
         };
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/EventSplitter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/EventSplitter.java
@@ -1,16 +1,27 @@
 package org.bankturn.daemon.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
-/** Splits a text/event-stream into complete events; mutable and not thread-safe. */
+/**
+ * Splits a text/event-stream into complete events; mutable and not thread-safe.
+ *
+ * <p>Each byte is examined once and copied a bounded number of times, however long an event is.
+ */
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final int INITIAL_BYTES = 1_024;
 
-    private byte[] buffer = new byte[0];
+    private byte[] buffer = new byte[INITIAL_BYTES];
+    private int size;
+
+    /** The number of bytes that are known not to end an event. */
+    private int examined;
+
+    private boolean lineEmpty = true;
+    private boolean anyLine;
 
     /**
      * A complete event.
@@ -22,44 +33,56 @@
 
     /** Adds bytes and returns the events that they complete. */
     List<Event> add(byte[] bytes) {
-        byte[] all = buffer.length == 0 ? bytes : concatenate(buffer, bytes);
+        append(bytes);
         List<Event> events = new ArrayList<>();
         int start = 0;
-        int end = findEventEnd(all, start);
-        while (end > 0) {
-            byte[] event = Arrays.copyOfRange(all, start, end);
+        for (int end = findEventEnd(); end > 0; end = findEventEnd()) {
+            byte[] event = Arrays.copyOfRange(buffer, start, end);
             events.add(new Event(event, idOf(event)));
             start = end;
-            end = findEventEnd(all, start);
         }
-        buffer = start == 0 ? all : Arrays.copyOfRange(all, start, all.length);
+        discard(start);
         return events;
     }
 
-    /** Returns the bytes of an incomplete event. */
-    byte[] remainder() {
-        return buffer;
+    /** Returns the size of the incomplete event, in bytes. */
+    int remainingBytes() {
+        return size;
+    }
+
+    private void append(byte[] bytes) {
+        if (buffer.length - size < bytes.length) {
+            buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, size + bytes.length));
+        }
+        System.arraycopy(bytes, 0, buffer, size, bytes.length);
+        size += bytes.length;
     }
 
-    private static byte[] concatenate(byte[] first, byte[] second) {
-        ByteArrayOutputStream all = new ByteArrayOutputStream(first.length + second.length);
-        all.writeBytes(first);
-        all.writeBytes(second);
-        return all.toByteArray();
+    /** Removes the events before a position. */
+    private void discard(int start) {
+        if (start == 0) {
+            return;
+        }
+        int remaining = size - start;
+        byte[] kept = new byte[Math.max(INITIAL_BYTES, remaining)];
+        System.arraycopy(buffer, start, kept, 0, remaining);
+        buffer = kept;
+        size = remaining;
+        examined -= start;
     }
 
     /** Returns the position after the next empty line, 0 if there is none. */
-    private static int findEventEnd(byte[] bytes, int start) {
-        boolean lineEmpty = true;
-        boolean anyLine = false;
-        for (int position = start; position < bytes.length; position++) {
-            if (bytes[position] == '\n') {
+    private int findEventEnd() {
+        while (examined < size) {
+            byte next = buffer[examined++];
+            if (next == '\n') {
                 if (lineEmpty && anyLine) {
-                    return position + 1;
+                    anyLine = false;
+                    return examined;
                 }
                 anyLine |= !lineEmpty;
                 lineEmpty = true;
-            } else if (bytes[position] != '\r') {
+            } else if (next != '\r') {
                 lineEmpty = false;
             }
         }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -201,6 +201,11 @@
         gateway.crashDetector().runs().onConnectionLost(target).whenResult(() -> retryOrGiveUp(target, reason));
     }
 
+    /** Handles a response that was given up because it is too large; that shows nothing of a crash. */
+    void onResponseTooLarge(Attempt ended) {
+        retryOrGiveUp(ended.sighting(), "response too large");
+    }
+
     /** Looks for another target beside a stalled one, without waiting to learn whether that one has crashed. */
     void onStalled(Attempt stalled, String reason) {
         if (inFlight.becameSilent(stalled)) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -15,6 +15,9 @@
 import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.bankturn.daemon.http.BufferBound;
+import org.bankturn.daemon.http.BufferBudget;
+import org.bankturn.daemon.http.BufferKind;
 import org.bankturn.daemon.http.HealthDialect;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.HttpListener;
@@ -79,6 +82,7 @@
     private final RequestPolicy policy;
     private final LoadPoller loadPoller;
     private final PermitExchange permits;
+    private final BufferBudget buffers;
     private final DepartureMonitor departures;
     private final CrashDetector crashDetector;
     private final CompletenessCheck completenessCheck;
@@ -145,6 +149,8 @@
         targets.slowStarts().setListener(this::recordColdTarget);
         metrics.registerSlowEnginesGauge(targets::slowEngines);
         IncarnationCheck.Dependencies checks = new IncarnationCheck.Dependencies(reactor, clock, health, connections);
+        this.buffers = BufferBudget.forHeap(settings.heapBytes());
+        metrics.registerBufferedBytesGauge(buffers::reservedBytes);
         this.departures = DepartureMonitor.on(reactor);
         this.crashDetector = CrashDetector.of(
                 settings.process(),
@@ -162,7 +168,8 @@
                 clock,
                 settings.callerAddress().toSocketAddress(),
                 this::callerLimits,
-                SendQueueLimits.forHeap(Runtime.getRuntime().maxMemory()),
+                SendQueueLimits.forHeap(settings.heapBytes()),
+                buffers,
                 this::handle,
                 new InterruptionReporter(dialect, log, metrics));
         metrics.registerQueuedOutputGauge(callers::queuedOutputBytes);
@@ -449,6 +456,28 @@
         return completenessCheck;
     }
 
+    /** Returns the memory for messages that must be received completely, not null. */
+    BufferBudget buffers() {
+        return buffers;
+    }
+
+    /** Returns the number of bytes accepted of a response that is not forwarded event by event. */
+    long maxResponseBytes() {
+        return 2 * buffers.messageBytes();
+    }
+
+    /** Records a response that was given up at a bound. */
+    void recordOversized(BufferKind kind, BufferBound bound, String request, String target, long bytes) {
+        metrics.messageTooLarge(kind.label(), bound.label());
+        log.line(DecisionKind.OVERSIZED)
+                .with(DecisionField.REQUEST, request)
+                .with(DecisionField.TARGET, target)
+                .with(DecisionField.MESSAGE, kind.label())
+                .with(DecisionField.BOUND, bound.label())
+                .with(DecisionField.BYTES, bytes)
+                .write();
+    }
+
     /** Registers a request in flight. */
     void requestStarted(ForwardedRequest request) {
         inFlight.add(request);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/GatewaySettings.java
@@ -18,6 +18,7 @@
  *     one is published
  * @param stopTimeoutMillis the maximum duration of a graceful shutdown
  * @param regions the region of each data hall, not null
+ * @param heapBytes the maximum heap, from which the bounds on buffered messages derive
  */
 public record GatewaySettings(
         String process,
@@ -28,7 +29,32 @@
         RetryLimits retryLimits,
         long weightsDeadlineMillis,
         long stopTimeoutMillis,
-        RegionMap regions) {
+        RegionMap regions,
+        long heapBytes) {
+    /** Creates the settings of a gateway with the heap of this process. */
+    public GatewaySettings(
+            String process,
+            String dataHall,
+            Address callerAddress,
+            Address readyAddress,
+            Address nodeAddress,
+            RetryLimits retryLimits,
+            long weightsDeadlineMillis,
+            long stopTimeoutMillis,
+            RegionMap regions) {
+        this(
+                process,
+                dataHall,
+                callerAddress,
+                readyAddress,
+                nodeAddress,
+                retryLimits,
+                weightsDeadlineMillis,
+                stopTimeoutMillis,
+                regions,
+                Runtime.getRuntime().maxMemory());
+    }
+
     /** Creates the settings of a gateway that knows no regions. */
     public GatewaySettings(
             String process,
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/IncarnationCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/IncarnationCheck.java
@@ -26,6 +26,9 @@
     /** Connect timeout; a path between regions takes 6 ms. */
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
 
+    /** Exceeds the size of a health answer. */
+    private static final long MAX_ANSWER_BYTES = 64 << 10;
+
     /** The first pause after a connection or an answer that showed nothing; doubles, so as not to add to an overload. */
     private static final long FIRST_RETRY_DELAY_MILLIS = 50;
 
@@ -180,6 +183,11 @@
         }
     }
 
+    @Override
+    public long maxResponseBytes() {
+        return MAX_ANSWER_BYTES;
+    }
+
     @Override
     public boolean onHead(HttpHead answer) {
         backOffMillis = dependencies.dialect().backOffMillis(answer);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/InterruptionReporter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/InterruptionReporter.java
@@ -1,5 +1,7 @@
 package org.bankturn.daemon.gateway;
 
+import org.bankturn.daemon.http.BufferBound;
+import org.bankturn.daemon.http.BufferKind;
 import org.bankturn.daemon.http.DisconnectCause;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.InterruptionListener;
@@ -40,6 +42,16 @@
                 .write();
     }
 
+    @Override
+    public void requestTooLarge(HttpHead request, long bytes, BufferBound bound) {
+        metrics.messageTooLarge(BufferKind.REQUEST.label(), bound.label());
+        line(DecisionKind.OVERSIZED, request)
+                .with(DecisionField.MESSAGE, BufferKind.REQUEST.label())
+                .with(DecisionField.BOUND, bound.label())
+                .with(DecisionField.BYTES, bytes)
+                .write();
+    }
+
     @Override
     public void responseUndelivered(HttpHead request, long unsentBytes, DisconnectCause cause) {
         metrics.callerInterrupted(ServingMetrics.RESPONSE_UNDELIVERED, cause.label());
--- a/daemon/src/main/java/org/bankturn/daemon/http/BodyDecoder.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/BodyDecoder.java
@@ -10,6 +10,7 @@
  */
 final class BodyDecoder {
     private static final int MAX_LINE_BYTES = 4_096;
+    private static final int MAX_TRAILER_BYTES = 16 << 10;
     private static final byte[] EMPTY = new byte[0];
 
     private enum State {
@@ -24,6 +25,7 @@
 
     private State state;
     private long remaining;
+    private int trailerBytes;
 
     /** Returns a decoder for the body of a request. */
     static BodyDecoder ofRequest(HttpHead head) throws HttpFormatException {
@@ -119,11 +121,21 @@
             }
             String line = received.text(0, size).trim();
             received.skip(size);
+            countTrailer(size);
             decodeLine(line);
         }
         return decoded.toByteArray();
     }
 
+    private void countTrailer(int size) throws HttpFormatException {
+        if (state == State.TRAILER) {
+            trailerBytes += size;
+        }
+        if (trailerBytes > MAX_TRAILER_BYTES) {
+            throw new HttpFormatException("trailers of more than " + MAX_TRAILER_BYTES + " bytes");
+        }
+    }
+
     private void decodeLine(String line) throws HttpFormatException {
         if (state == State.CHUNK_SIZE) {
             int end = line.indexOf(';');
--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpListener.java
@@ -23,6 +23,7 @@
     private final Clock clock;
     private final HttpHandler handler;
     private final Supplier<ServerLimits> limits;
+    private final BufferBudget buffers;
     private final InterruptionListener interruptions;
     private final SimpleServer server;
     private final Set<ServerConnection> connections = new HashSet<>();
@@ -46,7 +47,15 @@
             InetSocketAddress address,
             Supplier<ServerLimits> limits,
             HttpHandler handler) {
-        return create(reactor, clock, address, limits, SendQueueLimits.NONE, handler, InterruptionListener.NONE);
+        return create(
+                reactor,
+                clock,
+                address,
+                limits,
+                SendQueueLimits.NONE,
+                BufferBudget.unlimited(),
+                handler,
+                InterruptionListener.NONE);
     }
 
     /**
@@ -58,6 +67,7 @@
      * @param address the address to bind to, not null
      * @param limits supplies the current limits on clients, not null
      * @param sendQueueLimits the bounds on output that clients have not read, not null
+     * @param buffers the memory for bodies of requests, not null
      * @param handler handles the requests, not null
      * @param interruptions is notified of what the handler does not learn, not null
      */
@@ -67,9 +77,10 @@
             InetSocketAddress address,
             Supplier<ServerLimits> limits,
             SendQueueLimits sendQueueLimits,
+            BufferBudget buffers,
             HttpHandler handler,
             InterruptionListener interruptions) {
-        return new HttpListener(reactor, clock, address, limits, sendQueueLimits, handler, interruptions);
+        return new HttpListener(reactor, clock, address, limits, sendQueueLimits, buffers, handler, interruptions);
     }
 
     private HttpListener(
@@ -78,12 +89,14 @@
             InetSocketAddress address,
             Supplier<ServerLimits> limits,
             SendQueueLimits sendQueueLimits,
+            BufferBudget buffers,
             HttpHandler handler,
             InterruptionListener interruptions) {
         this.reactor = reactor;
         this.clock = clock;
         this.limits = limits;
         this.sendQueues = new SendQueueBudget<>(sendQueueLimits);
+        this.buffers = buffers;
         this.handler = handler;
         this.interruptions = interruptions;
         this.server = SimpleServer.builder(reactor, this::accept)
@@ -160,7 +173,8 @@
     }
 
     private void accept(ITcpSocket socket) {
-        ServerConnection connection = new ServerConnection(this, socket, clock, limits, handler, interruptions);
+        ServerConnection connection =
+                new ServerConnection(this, socket, clock, limits, buffers, handler, interruptions);
         connections.add(connection);
         connection.start();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/http/InterruptionListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/InterruptionListener.java
@@ -10,6 +10,9 @@
         @Override
         public void requestRejected(HttpHead request, int bodyBytes, int status) {}
 
+        @Override
+        public void requestTooLarge(HttpHead request, long bytes, BufferBound bound) {}
+
         @Override
         public void responseUndelivered(HttpHead request, long unsentBytes, DisconnectCause cause) {}
 
@@ -35,6 +38,15 @@
      */
     void requestRejected(HttpHead request, int bodyBytes, int status);
 
+    /**
+     * Handles a request that is about to be rejected because there is no memory for its body.
+     *
+     * @param request the head of the request, not null
+     * @param bytes the size of the body, as far as it is known
+     * @param bound the bound that does not allow it, not null
+     */
+    void requestTooLarge(HttpHead request, long bytes, BufferBound bound);
+
     /**
      * Handles a connection that ended after a response was completed and before all of it was written.
      *
--- a/daemon/src/main/java/org/bankturn/daemon/http/PooledHttpClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/PooledHttpClient.java
@@ -21,6 +21,9 @@
  * <p>PooledHttpClient is confined to its reactor's thread.
  */
 public final class PooledHttpClient {
+    /** Exceeds the size of manifests and pieces of weights, which a process holds several of at a time. */
+    private static final long MAX_RESPONSE_BYTES = Runtime.getRuntime().maxMemory() / 16;
+
     /** Connections are kept briefly, since a callee may accept few and counts those that it lost as well. */
     private static final long MAX_IDLE_MILLIS = 1_000;
 
@@ -213,6 +216,11 @@
             }
         }
 
+        @Override
+        public long maxResponseBytes() {
+            return MAX_RESPONSE_BYTES;
+        }
+
         @Override
         public boolean onHead(HttpHead head) {
             responseHead = head;
--- a/daemon/src/main/java/org/bankturn/daemon/http/ResponseListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ResponseListener.java
@@ -13,6 +13,14 @@
     /** Called with each part of the body. */
     void onBodyPart(byte[] bytes);
 
+    /**
+     * Returns the number of bytes, with heads and framing, that are accepted from the sending of the request until the
+     * response is complete.
+     */
+    default long maxResponseBytes() {
+        return Long.MAX_VALUE;
+    }
+
     /** Called when the response is complete. */
     void onComplete();
 
--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Supplier;
@@ -22,6 +23,12 @@
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final int MAX_PIPELINED_BYTES = 64 << 10;
 
+    /** How long the rest of a rejected request is read and discarded. */
+    private static final long MAX_DISCARD_MILLIS = 1_000;
+
+    /** Sent with a request that there is no memory for; bodies of others are passed on within this time. */
+    private static final HttpField RETRY_AFTER = new HttpField("Retry-After", "0.5");
+
     /** The maximum size of a write; each one has the idle timeout to complete. */
     private static final int MAX_WRITE_BYTES = 64 << 10;
 
@@ -29,6 +36,7 @@
     private final ITcpSocket socket;
     private final Clock clock;
     private final Supplier<ServerLimits> limits;
+    private final BufferBudget.Reservation bodyMemory;
     private final HttpHandler handler;
     private final InterruptionListener interruptions;
     private final ByteQueue received = new ByteQueue();
@@ -46,6 +54,9 @@
     private long idleSinceMillis;
     private long requestStartMillis;
 
+    /** When a request was rejected whose rest is discarded, 0 if none was. */
+    private long rejectedMillis;
+
     /** The start of the current write, which follows the last progress of the client at once. */
     private long writeStartMillis;
 
@@ -60,12 +71,14 @@
             ITcpSocket socket,
             Clock clock,
             Supplier<ServerLimits> limits,
+            BufferBudget buffers,
             HttpHandler handler,
             InterruptionListener interruptions) {
         this.listener = listener;
         this.socket = socket;
         this.clock = clock;
         this.limits = limits;
+        this.bodyMemory = buffers.newReservation(BufferKind.REQUEST);
         this.handler = handler;
         this.interruptions = interruptions;
         this.idleSinceMillis = clock.millis();
@@ -92,6 +105,10 @@
     }
 
     void closeIfTimedOut(long now) {
+        if (rejectedMillis > 0 && now - rejectedMillis > MAX_DISCARD_MILLIS) {
+            close(DisconnectCause.IDLE);
+            return;
+        }
         // a client that stops reading would otherwise hold the buffered response and block shutdown indefinitely
         if (sending && now - writeStartMillis > limits.get().idleTimeoutMillis()) {
             close(DisconnectCause.WRITE_TIMEOUT);
@@ -117,6 +134,7 @@
         sendQueue.forEach(ByteBuf::recycle);
         sendQueue.clear();
         queueChanged(-unsentBytes);
+        bodyMemory.release();
         notifyClosed(cause, unsentBytes);
     }
 
@@ -186,6 +204,9 @@
     }
 
     private void parseRequest() {
+        if (rejectedMillis > 0) {
+            received.skip(received.size());
+        }
         if (exchange != null || closed || closeWhenSent) {
             return;
         }
@@ -193,11 +214,15 @@
             if (head == null && !parseHead()) {
                 return;
             }
-            bodyBytes.writeBytes(body.decode(received));
-            if (bodyBytes.size() > limits.get().maxBodyBytes()) {
+            byte[] part = body.decode(received);
+            if (bodyBytes.size() + part.length > limits.get().maxBodyBytes()) {
                 reject(413);
                 return;
             }
+            if (!mayBuffer(bodyBytes.size() + part.length)) {
+                return;
+            }
+            bodyBytes.writeBytes(part);
             if (body.isDone()) {
                 dispatch();
             }
@@ -216,6 +241,9 @@
             reject(413);
             return false;
         }
+        if (!mayBuffer(body.remainingLength())) {
+            return false;
+        }
         bodyBytes = new ByteArrayOutputStream((int) Math.max(32, body.remainingLength()));
         if (head.fieldContains("expect", "100-continue")) {
             send(CONTINUE);
@@ -223,6 +251,17 @@
         return true;
     }
 
+    /** Rejects the request, which has not run, and returns false if there is no memory for a body of the given size. */
+    private boolean mayBuffer(long size) {
+        BufferBound exceeded = bodyMemory.growTo(size);
+        if (exceeded == null) {
+            return true;
+        }
+        interruptions.requestTooLarge(head, size, exceeded);
+        reject(503, RETRY_AFTER);
+        return false;
+    }
+
     private void dispatch() {
         HttpHead requestHead = head;
         byte[] content = bodyBytes.toByteArray();
@@ -233,13 +272,18 @@
         handler.handle(exchange);
     }
 
-    private void reject(int status) {
+    private void reject(int status, HttpField... further) {
         interruptions.requestRejected(head, bodyBytes == null ? 0 : bodyBytes.size(), status);
         head = null;
+        bodyBytes = null;
+        bodyMemory.release();
+        received.skip(received.size());
         closeWhenSent = true;
-        send(HttpHead.response(
-                        status, List.of(new HttpField("Content-Length", "0"), new HttpField("Connection", "close")))
-                .encode());
+        rejectedMillis = clock.millis();
+        List<HttpField> fields = new ArrayList<>(List.of(further));
+        fields.add(new HttpField("Content-Length", "0"));
+        fields.add(new HttpField("Connection", "close"));
+        send(HttpHead.response(status, fields).encode());
     }
 
     void send(byte[] bytes) {
@@ -262,6 +306,7 @@
             return;
         }
         exchange = null;
+        bodyMemory.release();
         answeredHead = finished.head();
         idleSinceMillis = clock.millis();
         requestStartMillis = idleSinceMillis;
@@ -278,7 +323,10 @@
             return;
         }
         if (sendQueue.isEmpty()) {
-            if (closeWhenSent) {
+            if (closeWhenSent && rejectedMillis > 0) {
+                // closing with unread input would reset the connection, and the client might not receive the response
+                Promise<Void> unused = socket.write(null);
+            } else if (closeWhenSent) {
                 socket.close();
                 closed = true;
                 notifyClosed(DisconnectCause.IDLE, 0);
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -19,6 +19,10 @@
  */
 public final class TargetConnection {
     private static final int MAX_HEAD_BYTES = 32 << 10;
+
+    /** Exceeds the number of interim responses that any protocol extension sends. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     private static final long DEFAULT_MAX_IDLE_MILLIS = 4_000;
     private static final long IDLE_MARGIN_MILLIS = 700;
 
@@ -30,6 +34,8 @@
     private BodyDecoder body;
     private boolean accepted;
     private boolean noResponseBody;
+    private long responseBytes;
+    private int interimResponses;
     private boolean writing;
     private boolean notReusable;
     private boolean closed;
@@ -112,6 +118,8 @@
     public void send(byte[] request, boolean expectsNoBody, ResponseListener responseListener) {
         listener = responseListener;
         noResponseBody = expectsNoBody;
+        responseBytes = 0;
+        interimResponses = 0;
         writing = true;
         socket.write(ByteBuf.wrapForReading(request)).whenComplete((ignored, failure) -> {
             writing = false;
@@ -152,8 +160,10 @@
                 return;
             }
             lastReadMillis = clock.millis();
+            responseBytes += bytes.readRemaining();
             received.add(bytes);
             parseResponses();
+            checkResponseSize();
             if (!closed) {
                 readMore();
             }
@@ -208,6 +218,12 @@
         }
     }
 
+    private void checkResponseSize() {
+        if (listener != null && responseBytes > listener.maxResponseBytes()) {
+            fail(TransportFailure.TOO_LARGE);
+        }
+    }
+
     /** Parses the next head; returns false if it is still incomplete. */
     private boolean parseHead() throws HttpFormatException {
         HttpHead head = HttpHeadParser.parseNext(received, MAX_HEAD_BYTES);
@@ -219,6 +235,10 @@
             throw new HttpFormatException("invalid status code: " + head.second());
         }
         if (status < 200) {
+            interimResponses++;
+            if (interimResponses > MAX_INTERIM_RESPONSES) {
+                throw new HttpFormatException("more than " + MAX_INTERIM_RESPONSES + " interim responses");
+            }
             return true;
         }
         body = BodyDecoder.ofResponse(head, noResponseBody);
--- a/daemon/src/main/java/org/bankturn/daemon/http/TransportFailure.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TransportFailure.java
@@ -9,7 +9,9 @@
     /** The peer closed the connection before the response was complete. */
     CLOSED(false),
     /** The received bytes are not a valid response. */
-    MALFORMED(false);
+    MALFORMED(false),
+    /** The peer sent more than the listener accepts. */
+    TOO_LARGE(false);
 
     private final boolean definitelyUnsent;
 
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -25,6 +25,10 @@
     BACK_OFF_MS,
     /** The size of the request body in bytes. */
     BODY_BYTES,
+    /** The bound that was exceeded. */
+    BOUND,
+    /** The size of the message so far, in bytes. */
+    BYTES,
     /** The kind of call. */
     CALL,
     /** The check or condition that decided. */
@@ -87,6 +91,8 @@
     MAY_HAVE_RUN,
     /** The number of members of the group. */
     MEMBERS,
+    /** What was received: a request, a response or an event. */
+    MESSAGE,
     /** How an engine switches to other weights. */
     METHOD,
     /** The model that the weights belong to. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -26,6 +26,8 @@
     FAILED,
     /** A response that had been started towards the caller was broken off. */
     BROKEN(DecisionKind.RARE_LINES_PER_SECOND),
+    /** A request or a response was given up because it exceeds what may be buffered. */
+    OVERSIZED,
     /** A silent target keeps its request, because no other one can take it over. */
     STALLED,
     /** A request was retried at another target. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
+import org.bankturn.daemon.http.BufferKind;
 import org.bankturn.routing.FailureCause;
 import org.bankturn.routing.HoldReason;
 
@@ -95,6 +97,7 @@
     private final Counter errors;
     private final Counter suspects;
     private final Counter targetEnds;
+    private final Counter oversized;
     private final Counter unreadablePromptParts;
     private final Counter closeDelimitedResponses;
     private final Counter incarnationChecks;
@@ -151,6 +154,8 @@
         permits = counter("permits", "Permits for rate-limited targets that were asked for, by outcome.", "outcome");
         heldBack = counter(
                 "held_back", "Requests that were not sent to the target chosen for them, by its wish.", "reason");
+        oversized =
+                counter("oversized_messages", "Messages given up at a bound of what is buffered.", "message", "bound");
         targetEnds = counter("target_ends", "Targets found to have ended, by what showed it.", "evidence");
         suspects = counter("suspects", "Requests under which targets ended, by what became of them.", "event");
         unreadablePromptParts = counter("unreadable_prompt_parts", "Parts of prompts that could not be read.");
@@ -261,6 +266,25 @@
                 .register(registry);
     }
 
+    /** Registers the gauges of memory for messages that must be received completely. */
+    public void registerBufferedBytesGauge(ToLongFunction<BufferKind> bytes) {
+        GaugeWithCallback.builder()
+                .name("bankturn_buffered_bytes")
+                .help("Memory reserved for messages that must be received completely, by what they are.")
+                .labelNames("message")
+                .callback(gauge -> {
+                    for (BufferKind kind : BufferKind.values()) {
+                        gauge.call((double) bytes.applyAsLong(kind), kind.label());
+                    }
+                })
+                .register(registry);
+    }
+
+    /** Counts a message that was given up because it exceeds a bound. */
+    public void messageTooLarge(String message, String bound) {
+        oversized.labelValues(message, bound).inc();
+    }
+
     /** Records the time to the first event of a stream. */
     public void firstEvent(String service, long millis) {
         firstEventSeconds.labelValues(service).observe((double) millis / MILLIS_PER_SECOND);
--- a/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
@@ -17,7 +17,9 @@
  * <p>FrameChannel is confined to its reactor's thread.
  */
 final class FrameChannel {
-    private static final int MAX_FRAME_BYTES = 128 << 20;
+    /** A frame is held twice while it is decoded; the largest ones carry a snapshot of the control group's state. */
+    private static final long MAX_FRAME_BYTES =
+            Math.min(128 << 20, Runtime.getRuntime().maxMemory() / 4);
 
     private final ITcpSocket socket;
     private final Consumer<Frame> receiver;
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/EventSplitterTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/EventSplitterTest.java
@@ -21,8 +21,10 @@
         assertThat(events).extracting(Event::id).containsExactly("1", "2");
         assertThat(new String(events.get(0).bytes(), StandardCharsets.ISO_8859_1))
                 .isEqualTo("id: 1\ndata: a\n\n");
-        assertThat(new String(splitter.remainder(), StandardCharsets.ISO_8859_1))
-                .isEqualTo("id: 3\nda");
+        assertThat(splitter.remainingBytes()).isEqualTo("id: 3\nda".length());
+        List<Event> rest = splitter.add("ta: c\n\n".getBytes(StandardCharsets.ISO_8859_1));
+        assertThat(rest).hasSize(1);
+        assertThat(new String(rest.get(0).bytes(), StandardCharsets.ISO_8859_1)).isEqualTo("id: 3\ndata: c\n\n");
     }
 
     @Test
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/GatewayFixture.java
@@ -98,7 +98,8 @@
                         retryLimits(),
                         1_000,
                         stopTimeoutMillis(),
-                        regions()),
+                        regions(),
+                        heapBytes()),
                 new PlainDialect(),
                 new PlainHealthDialect(),
                 reactor,
@@ -135,6 +136,11 @@
         return UNLIMITED_RETRIES;
     }
 
+    /** Returns the heap from which the gateway derives its bounds on buffered messages. */
+    long heapBytes() {
+        return Runtime.getRuntime().maxMemory();
+    }
+
     /** Returns the region of each data hall, not null. */
     RegionMap regions() {
         return RegionMap.NONE;
--- a/daemon/src/test/java/org/bankturn/daemon/http/SlowReaderTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/SlowReaderTest.java
@@ -138,6 +138,7 @@
                 address.toSocketAddress(),
                 () -> ServerLimits.CONTROL,
                 limits,
+                BufferBudget.unlimited(),
                 this::respond,
                 new Recorder());
         reactor.submit(() -> {
@@ -232,6 +233,9 @@
         @Override
         public void requestRejected(HttpHead request, int bodyBytes, int status) {}
 
+        @Override
+        public void requestTooLarge(HttpHead request, long bytes, BufferBound bound) {}
+
         @Override
         public void responseUndelivered(HttpHead request, long unsentBytes, DisconnectCause cause) {
             undelivered.complete(cause);
