HTTP client: calls to other processes name their host

What is seen: on a runtime of 17.0.21, whose HTTP server rejects requests without Host (400, "Missing Host header"), AddressConflictResolverTest failed in 5 of 5 runs, also on the untouched code: a health request of a control process was answered with 400, which tells nothing of the sender, so that a target at a disputed address was believed only a heartbeat later. Any target whose server holds to the protocol does the same.

Cause: the health request of address conflicts was sent without Host; only the checks of gateways had one. Ruled out: load and ports of other tests, since it failed alone and at rest; the protocol of the answer, which a trial by hand showed.

Change: PooledHttpClient adds the address as Host where the head has none. PooledHttpClientTest and AddressConflictResolverTest failed before (one case each), pass now.

--- a/daemon/src/main/java/org/bankturn/daemon/http/PooledHttpClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/PooledHttpClient.java
@@ -21,6 +21,8 @@
  * <p>PooledHttpClient is confined to its reactor's thread.
  */
 public final class PooledHttpClient {
+    private static final String HOST = "Host";
+
     /** Exceeds the size of manifests and pieces of weights, which a process holds several of at a time. */
     private static final long MAX_RESPONSE_BYTES = Runtime.getRuntime().maxMemory() / 16;
 
@@ -102,7 +104,7 @@
      */
     public Promise<Response> call(
             InetSocketAddress address, HttpHead head, byte[] body, long connectMillis, long timeoutMillis) {
-        Call call = new Call(address, encode(head, body));
+        Call call = new Call(address, encode(address, head, body));
         reactor.delayBackground(timeoutMillis, call::timeOut);
         call.start(takeIdle(address), connectMillis);
         return call.result;
@@ -117,7 +119,7 @@
      * @return the response; fails if it is not complete in time
      */
     public Promise<Response> callIdempotent(InetSocketAddress address, HttpHead head, long timeoutMillis) {
-        Call call = new Call(address, encode(head, EMPTY_BODY));
+        Call call = new Call(address, encode(address, head, EMPTY_BODY));
         reactor.delayBackground(timeoutMillis, call::timeOut);
         TargetConnection idle = takeIdle(address);
         call.start(idle, timeoutMillis);
@@ -127,8 +129,11 @@
         return call.result;
     }
 
-    private static byte[] encode(HttpHead head, byte[] body) {
-        HttpHead framed = head.with("Content-Length", Integer.toString(body.length));
+    private static byte[] encode(InetSocketAddress address, HttpHead head, byte[] body) {
+        HttpHead named = head.field(HOST).isPresent()
+                ? head
+                : head.with(HOST, address.getHostString() + ":" + address.getPort());
+        HttpHead framed = named.with("Content-Length", Integer.toString(body.length));
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(body.length + 256);
         bytes.writeBytes(framed.encode());
         bytes.writeBytes(body);
--- a/daemon/src/test/java/org/bankturn/daemon/http/PooledHttpClientTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/PooledHttpClientTest.java
@@ -35,6 +35,37 @@
         assertThat(isClosedWhenIdle(ManualClock.startingAt(1_000_000))).isTrue();
     }
 
+    /** Servers reject requests that name no host with 400. */
+    @Test
+    void a_call_names_the_host_unless_its_head_does() throws Exception {
+        assertThat(headOf(List.of())).containsPattern("(?m)^Host: \\S+:\\d+$");
+        assertThat(headOf(List.of(new HttpField("Host", "h"))))
+                .contains("Host: h")
+                .doesNotContainPattern("(?m)^Host: \\S+:\\d+$");
+    }
+
+    private static String headOf(List<HttpField> fields) throws Exception {
+        Eventloop reactor =
+                Eventloop.builder().withThreadName("http-client-test").build();
+        reactor.keepAlive(true);
+        new Thread(reactor, "http-client-test").start();
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            PooledHttpClient client = PooledHttpClient.on(reactor, Clock.system());
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+            CompletableFuture<PooledHttpClient.Response> unused = reactor.submit(() ->
+                    client.call(address, HttpHead.request("GET", "/x", fields), new byte[0], READ_TIMEOUT_MILLIS));
+            try (Socket socket = server.accept()) {
+                socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+                BufferedReader input =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+                return readHead(input);
+            }
+        } finally {
+            reactor.keepAlive(false);
+            reactor.breakEventloop();
+        }
+    }
+
     /** Makes a call and returns true if its connection is closed before the read timeout. */
     private static boolean isClosedWhenIdle(Clock clock) throws Exception {
         Eventloop reactor =
@@ -52,7 +83,7 @@
                 socket.setSoTimeout(READ_TIMEOUT_MILLIS);
                 BufferedReader input =
                         new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-                readHead(input);
+                String unused = readHead(input);
                 socket.getOutputStream()
                         .write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.ISO_8859_1));
                 assertThat(response.join().body()).asString().isEqualTo("ok");
@@ -64,11 +95,14 @@
         }
     }
 
-    private static void readHead(BufferedReader input) throws Exception {
+    private static String readHead(BufferedReader input) throws IOException {
+        StringBuilder head = new StringBuilder();
         String line = input.readLine();
         while (line != null && !line.isEmpty()) {
+            head.append(line).append('\n');
             line = input.readLine();
         }
+        return head.toString();
     }
 
     /** Returns true if the peer has closed or reset the connection, false on a read timeout. */
