Codec: a value that announces more bytes than there are is rejected before memory is allocated

A frame of 14 bytes between processes, whose binary value announces 2 GB, made the decoder allocate them: OutOfMemoryError, which ends a process. Found by fuzzing frames with jqwik: FrameDecodingPropertyTest ran out of memory within its first property before, passes now. The value is skipped once, which fails at the end of the bytes, before it is decoded.

--- a/core/src/main/java/org/bankturn/codec/MessagePackCodec.java
+++ b/core/src/main/java/org/bankturn/codec/MessagePackCodec.java
@@ -7,6 +7,9 @@
 import com.fasterxml.jackson.module.paramnames.ParameterNamesModule;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
@@ -48,6 +51,15 @@
         }
     }
 
+    /** Rejects values that announce more bytes than there are, for which the decoder would allocate the memory. */
+    private static void requireComplete(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            unpacker.skipValue();
+        } catch (MessagePackException e) {
+            throw new IOException("value is incomplete or malformed", e);
+        }
+    }
+
     /**
      * Decodes a record.
      *
@@ -58,6 +70,7 @@
      */
     public <T> T decode(byte[] bytes, Class<T> type) {
         try {
+            requireComplete(bytes);
             return mapper.readValue(bytes, type);
         } catch (IOException e) {
             throw new UncheckedIOException("cannot decode " + type.getName(), e);
