--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -206,6 +206,9 @@
         if (connection.responseEndsAtClose()) {
             gateway.completenessCheck().responseBegun(target.sighting());
         }
+        if (!isStreamed()) {
+            boolean unused = isWithinBound(connection.remainingBodyBytes());
+        }
         return true;
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -103,6 +103,11 @@
         return body != null && body.endsAtClose();
     }
 
+    /** Returns the number of bytes of the body that are still to come, -1 if its head does not tell. */
+    public long remainingBodyBytes() {
+        return body == null ? -1 : body.remainingLength();
+    }
+
     /** Returns true if the connection is closed. */
     public boolean isClosed() {
         return closed;
