Gateway: the buffer of a response and the log lines of a request have classes of their own

What is received of a response and cannot be forwarded yet is ResponseBuffer, the lines about a request are built by RequestLines; no line loses a field.

--- a/core/src/main/java/org/bankturn/crash/SentRequests.java
+++ b/core/src/main/java/org/bankturn/crash/SentRequests.java
@@ -161,7 +161,7 @@
         return findUndecidedTargets(each -> each.details().fingerprint().equals(request));
     }
 
-    /** Returns the targets of which it is not known whether they have crashed during requests with a prompt part, not null. */
+    /** Returns the targets of which it is not known whether they have crashed during a part's requests, not null. */
     public List<TargetSighting> findUndecided(String promptPart) {
         return findUndecidedTargets(each -> each.details().promptParts().contains(promptPart));
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -8,8 +8,6 @@
 import org.bankturn.crash.SentRequest;
 import org.bankturn.daemon.gateway.EventSplitter.Event;
 import org.bankturn.daemon.http.BufferBound;
-import org.bankturn.daemon.http.BufferBudget;
-import org.bankturn.daemon.http.BufferKind;
 import org.bankturn.daemon.http.HttpHead;
 import org.bankturn.daemon.http.ResponseListener;
 import org.bankturn.daemon.http.ServerExchange;
@@ -49,9 +47,7 @@
     private final TargetState target;
     private final Candidate choice;
     private final long startedMillis;
-    private ByteArrayOutputStream content = new ByteArrayOutputStream();
-    private EventSplitter events = new EventSplitter();
-    private BufferBudget.Reservation buffered;
+    private ResponseBuffer buffer;
     private TargetConnection connection;
     private WitnessConnection witness;
     private StallDetector stallDetector;
@@ -202,12 +198,13 @@
             gateway.crashDetector().runs().onData(sent, connection.openedMillis());
             applyNotice(parsed);
         }
-        reserve(isStreamed() ? BufferKind.EVENT : BufferKind.RESPONSE);
+        buffer = isStreamed() ? ResponseBuffer.ofStream(gateway.buffers()) : ResponseBuffer.ofBody(gateway.buffers());
         if (connection.responseEndsAtClose()) {
             gateway.completenessCheck().responseBegun(target.sighting());
         }
         if (!isStreamed()) {
-            boolean unused = isWithinBound(connection.remainingBodyBytes());
+            long size = connection.remainingBodyBytes();
+            buffer.reserve(size).ifPresent(bound -> onTooLarge(bound, size));
         }
         return true;
     }
@@ -246,38 +243,21 @@
         }
         request.onData(this);
         if (!isStreamed()) {
-            addContent(bytes);
+            buffer.add(bytes).ifPresent(bound -> onTooLarge(bound, buffer.size() + bytes.length));
             return;
         }
-        for (Event event : events.add(bytes)) {
+        for (Event event : buffer.addToStream(bytes)) {
             forward(event);
         }
         if (!finished) {
-            boolean unused = isWithinBound(events.remainingBytes());
+            buffer.reserve(buffer.size()).ifPresent(bound -> onTooLarge(bound, buffer.size()));
         }
     }
 
-    private void reserve(BufferKind kind) {
-        if (buffered == null) {
-            buffered = gateway.buffers().newReservation(kind);
-        }
-    }
-
-    private void addContent(byte[] bytes) {
-        if (isWithinBound(content.size() + (long) bytes.length)) {
-            content.writeBytes(bytes);
-        }
-    }
-
-    /** Ends the attempt, and returns false, if a message of the given size must not be buffered. */
-    private boolean isWithinBound(long size) {
-        BufferBound exceeded = buffered.growTo(size);
-        if (exceeded == null) {
-            return true;
-        }
-        gateway.recordOversized(buffered.kind(), exceeded, metadata.id(), targetId(), size);
+    /** Gives the response up, since no more of it may be buffered. */
+    private void onTooLarge(BufferBound bound, long size) {
+        gateway.recordOversized(buffer.kind(), bound, metadata.id(), targetId(), size);
         onFailure(TransportFailure.TOO_LARGE);
-        return false;
     }
 
     @Override
@@ -367,7 +347,7 @@
         if (finished) {
             return;
         }
-        boolean endsWithinEvent = isStreamed() && events.remainingBytes() > 0;
+        boolean endsWithinEvent = isStreamed() && buffer.hasIncompleteEvent();
         if (endsWithinEvent) {
             onFailure(TransportFailure.CLOSED);
             return;
@@ -464,7 +444,7 @@
             request.retry("resumed stream failed with status " + response.status());
         } else {
             request.onDelivered(this);
-            exchange.respond(responseHead.withoutConnectionFields(), content.toByteArray());
+            exchange.respond(responseHead.withoutConnectionFields(), buffer.body());
             request.onAnswered(response.status());
         }
     }
@@ -534,8 +514,8 @@
             target.promptRead(metadata.promptTokens());
         }
         releaseWitness();
-        if (buffered != null) {
-            buffered.release();
+        if (buffer != null) {
+            buffer.release();
         }
         if (connection == null) {
             return;
@@ -545,9 +525,14 @@
             gateway.connections().release(targetId(), connection);
         } else {
             connection.close();
-            // the request may refer to this attempt while a further one is in progress
-            content = new ByteArrayOutputStream(0);
-            events = new EventSplitter();
+            discardResponse();
+        }
+    }
+
+    /** Frees the memory of a response that is not used, since the request may refer to this attempt during a further one. */
+    private void discardResponse() {
+        if (buffer != null) {
+            buffer.clear();
         }
     }
 
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -42,7 +42,7 @@
     private final Account account;
     private final long endMillis;
     private final RequestProgress progress;
-    private final AttemptHistory endedAttempts = new AttemptHistory();
+    private final RequestLines lines;
     private final ConcurrentAttempts<Attempt> inFlight = ConcurrentAttempts.none();
 
     /** The attempt that was started last, or that delivered the last part of the response. */
@@ -70,6 +70,7 @@
         this.exchange = exchange;
         this.metadata = metadata;
         this.route = route;
+        this.lines = new RequestLines(gateway, this);
         this.account = account;
         long timeoutMillis = metadata.deadlineMillis() > 0
                 ? Math.min(metadata.deadlineMillis(), route.timeoutMillis())
@@ -158,13 +159,8 @@
             giveUp(giveUp.cause(), giveUp.reason(), giveUp.retryAfterMillis());
         } else if (!stallRecorded) {
             stallRecorded = true;
-            gateway.log()
-                    .line(DecisionKind.STALLED)
-                    .with(DecisionField.REQUEST, metadata.id())
+            lines.begin(DecisionKind.STALLED, giveUp.reason())
                     .with(DecisionField.CAUSE, giveUp.cause().label())
-                    .with(DecisionField.REASON, giveUp.reason())
-                    .with(DecisionField.SENDS, progress.sends())
-                    .with(DecisionField.HELD_BACK, gateway.policy().heldBackTargets(progress))
                     .write();
         }
     }
@@ -239,12 +235,7 @@
     }
 
     private void recordRetry(String reason) {
-        gateway.log()
-                .line(progress.lastEventId() == null ? DecisionKind.RETRIED : DecisionKind.RESUMED)
-                .with(DecisionField.REQUEST, metadata.id())
-                .with(DecisionField.REASON, reason)
-                .with(DecisionField.SENDS, progress.sends())
-                .with(DecisionField.HELD_BACK, gateway.policy().heldBackTargets(progress))
+        lines.begin(progress.lastEventId() == null ? DecisionKind.RETRIED : DecisionKind.RESUMED, reason)
                 .write();
     }
 
@@ -307,7 +298,7 @@
         }
         recordEnd(RequestOutcome.ANSWERED);
         if (gateway.shouldLogAnswer() || attempt.endedAtClose()) {
-            outcomeLine(DecisionKind.ANSWERED, status, "answered by " + attempt.targetId())
+            lines.beginOutcome(DecisionKind.ANSWERED, status, "answered by " + attempt.targetId(), attempt)
                     .with(DecisionField.ENDED_AT_CLOSE, attempt.endedAtClose())
                     .write();
         }
@@ -319,9 +310,9 @@
             gateway.metrics().requestRefused(service().name(), cause);
         }
         DecisionKind kind = outcome == RequestOutcome.REFUSED ? DecisionKind.REFUSED : DecisionKind.FAILED;
-        DecisionLine line = outcomeLine(kind, status, reason).with(DecisionField.CAUSE, cause.label());
+        DecisionLine line = lines.beginOutcome(kind, status, reason, attempt).with(DecisionField.CAUSE, cause.label());
         if (progress.sends() > 0) {
-            addCircumstances(line);
+            lines.addCircumstances(line, eventsForwarded);
         }
         line.write();
     }
@@ -334,51 +325,17 @@
         gateway.metrics().requestEnded(service().name(), outcome, heldMillis());
     }
 
-    private DecisionLine outcomeLine(DecisionKind kind, int status, String reason) {
-        return gateway.log()
-                .line(kind)
-                .with(DecisionField.REQUEST, metadata.id())
-                .with(DecisionField.ROUTE, route.name())
-                .with(DecisionField.STATUS, status)
-                .with(DecisionField.REASON, reason)
-                .with(DecisionField.SENDS, progress.sends())
-                .with(DecisionField.HELD_BACK, gateway.policy().heldBackTargets(progress))
-                .with(DecisionField.MAY_HAVE_RUN, progress.mayHaveRun())
-                .with(DecisionField.VERSION, gateway.policy().minVersion(service()))
-                .with(DecisionField.PREDICTED_MS, attempt == null ? 0 : attempt.predictedMillis())
-                .with(DecisionField.FIRST_EVENT_MS, attempt == null ? 0 : attempt.firstEventMillis())
-                .with(DecisionField.HELD_MS, heldMillis());
-    }
-
-    private long heldMillis() {
+    /** Returns how long this gateway has held the request, in milliseconds. */
+    long heldMillis() {
         return now() - exchange.receivedMillis();
     }
 
     /** Records a response that was started towards the caller and cannot be completed. */
     private void recordBroken(FailureCause cause, String reason) {
         gateway.metrics().responseBroken(service().name(), cause);
-        DecisionLine line = outcomeLine(DecisionKind.BROKEN, 0, reason).with(DecisionField.CAUSE, cause.label());
-        addCircumstances(line);
-        line.write();
-    }
-
-    /** Adds the size of the request, its progress and the endings of its attempts to a line. */
-    private void addCircumstances(DecisionLine line) {
-        if (progress.sends() > 0) {
-            line.with(DecisionField.FINGERPRINT, fingerprint());
-        }
-        line.with(DecisionField.PROMPT_TOKENS, metadata.promptTokens())
-                .with(DecisionField.PROMPT_PARTS, metadata.promptParts())
-                .with(DecisionField.BODY_BYTES, exchange.body().length)
-                .with(DecisionField.EVENTS, eventsForwarded)
-                .with(DecisionField.DEADLINE_MS, endMillis - exchange.receivedMillis())
-                .with(DecisionField.REMAINING_MS, remainingMillis());
-        endedAttempts
-                .last()
-                .ifPresent(last -> line.with(DecisionField.TARGET, last.targetId())
-                        .with(DecisionField.SILENT_MS, last.silentMillis())
-                        .with(DecisionField.SILENCE_LIMIT_MS, last.silenceLimitMillis())
-                        .with(DecisionField.ATTEMPTS, endedAttempts));
+        DecisionLine line =
+                lines.beginOutcome(DecisionKind.BROKEN, 0, reason, attempt).with(DecisionField.CAUSE, cause.label());
+        lines.addCircumstances(line, eventsForwarded).write();
     }
 
     private void onTimeout() {
@@ -393,10 +350,9 @@
             breakingCause(disconnect).ifPresent(cause -> recordBroken(cause, disconnect.label()));
         }
         recordEnd(RequestOutcome.CANCELLED);
-        DecisionLine line = outcomeLine(DecisionKind.CANCELLED, 0, "caller disconnected")
+        DecisionLine line = lines.beginOutcome(DecisionKind.CANCELLED, 0, "caller disconnected", attempt)
                 .with(DecisionField.DISCONNECT, disconnect.label());
-        addCircumstances(line);
-        line.write();
+        lines.addCircumstances(line, eventsForwarded).write();
     }
 
     /** Returns the cause if this gateway closed the connection, empty if the caller or the network did. */
@@ -448,6 +404,11 @@
         return trial;
     }
 
+    /** Returns the time from the receipt of the request to its deadline, in milliseconds. */
+    long timeoutMillis() {
+        return endMillis - exchange.receivedMillis();
+    }
+
     long remainingMillis() {
         return endMillis - now();
     }
@@ -474,7 +435,7 @@
 
     /** Records how an attempt ended. */
     void recordAttempt(AttemptSummary summary) {
-        endedAttempts.add(summary);
+        lines.attemptEnded(summary);
     }
 
     /** Records that an attempt received data. */
