--- a/review/standins-2/Cluster.java
+++ b/review/standins-2/Cluster.java
@@ -40,7 +40,7 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
     }
 
-    /** Returns the first of 40 ports that are free on all loopback addresses of the deployment. */
+    /** Returns the first of 40 ports that are free on loopback addresses that the deployment uses. */
     private int freePorts() throws IOException {
         for (int first = 21_000 + (int) (System.nanoTime() >>> 10) % 40 * 100; first < 32_000; first += 100) {
             if (isFree(first)) {
@@ -51,11 +51,13 @@
     }
 
     private boolean isFree(int first) {
-        for (int each = first; each < first + 40; each++) {
-            try (ServerSocket probe = new ServerSocket(each, 1, InetAddress.getByName("0.0.0.0"))) {
-                probe.setReuseAddress(false);
-            } catch (IOException e) {
-                return false;
+        for (String host : List.of("127.0.0.1", host("core-1"), host("front-1"), host("replica-1"))) {
+            for (int each = first; each < first + 40; each++) {
+                try (ServerSocket probe = new ServerSocket(each, 1, InetAddress.getByName(host))) {
+                    probe.setReuseAddress(false);
+                } catch (IOException e) {
+                    return false;
+                }
             }
         }
         return true;
