Review: case 8 keeps to the length of its disruption

Cause: the killed process started again only when the calls of a storm had been answered, up to 22.6 s after the kill; the site's node_kill lasts 3.5 s.

--- a/review/standins-2/ReturningFollower.java
+++ b/review/standins-2/ReturningFollower.java
@@ -1,8 +1,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -21,7 +21,10 @@
     private static final long STORM_GAP_MILLIS = 60;
 
     /** node_kill, on = core, count = 1, for_s = 3.5. */
-    private static final long DOWN_MILLIS = 3_500;
+    private static final long DOWN_MILLIS = 3_400;
+
+    /** catch_up_s, 4, and a margin. */
+    private static final long CATCH_UP_MILLIS = 4_200;
 
     private static final int KILLS = 9;
 
@@ -50,6 +53,10 @@
     private final boolean[] startedAfterKill = new boolean[4];
     private final long[] startedMillis = new long[4];
     private final boolean[] killed = new boolean[4];
+    private final boolean[] ended = new boolean[4];
+    private final long[] restartMillis = new long[4];
+    private final List<Thread> calls = new CopyOnWriteArrayList<>();
+    private Thread lastStorm;
     private volatile boolean stopping;
     private volatile String document = "";
     private int routeCount;
@@ -94,30 +101,19 @@
         platform.start();
         for (int kill = 0; kill < KILLS && cluster.millis() < LAST_MILLIS && !isFault(); kill++) {
             int follower = follower();
-            List<Thread> storm = storm(follower);
             if (trouble) {
-                synchronized (this) {
-                    killed[follower] = true;
-                    cluster.signal("core-" + follower, "KILL");
-                    cluster.process("core-" + follower).waitFor();
-                }
+                kill(follower);
             }
-            Thread.sleep(DOWN_MILLIS / 2);
-            join(storm);
-            storm = storm(follower);
-            Thread.sleep(DOWN_MILLIS / 2);
-            join(storm);
-            storm = storm(follower);
+            long downUntil = cluster.millis() + DOWN_MILLIS;
+            storm(follower);
+            sleepUntil(downUntil - DOWN_MILLIS / 2);
+            storm(follower);
+            sleepUntil(downUntil);
             if (trouble) {
-                synchronized (this) {
-                    startedMillis[follower] = cluster.millis();
-                    startedAfterKill[follower] = true;
-                    cluster.start("core-" + follower, false);
-                    killed[follower] = false;
-                }
+                start(follower);
             }
-            Thread.sleep(4_000);
-            join(storm);
+            storm(follower);
+            sleepUntil(downUntil + CATCH_UP_MILLIS);
         }
         stopping = true;
         int ends = ownEnds[1] + ownEnds[2] + ownEnds[3];
@@ -160,7 +156,7 @@
             while (!stopping) {
                 for (int each = 1; each <= 3; each++) {
                     synchronized (this) {
-                        if (!killed[each] && !cluster.process("core-" + each).isAlive()) {
+                        if (!killed[each] && !ended[each] && !cluster.process("core-" + each).isAlive()) {
                             long life = cluster.millis() - startedMillis[each];
                             boolean counts = !startedAfterKill[each] || life > AFTER_DISRUPTION_MILLIS;
                             ownEnds[each] += counts ? 1 : 0;
@@ -168,7 +164,11 @@
                             startedAfterKill[each] = false;
                             cluster.note("core-" + each + " has ended by itself with code "
                                     + cluster.process("core-" + each).exitValue() + " after " + life + " ms");
-                            Thread.sleep(RESTART_MILLIS);
+                            restartMillis[each] = cluster.millis() + RESTART_MILLIS;
+                            ended[each] = true;
+                        }
+                        if (!killed[each] && ended[each] && cluster.millis() >= restartMillis[each]) {
+                            ended[each] = false;
                             startedMillis[each] = cluster.millis();
                             cluster.start("core-" + each, false);
                         }
@@ -181,7 +181,25 @@
         }
     }
 
-    /** Returns the number of a control process that does not lead, as far as the logs tell. */
+    private synchronized void kill(int follower) throws IOException, InterruptedException {
+        killed[follower] = true;
+        cluster.signal("core-" + follower, "KILL");
+        cluster.process("core-" + follower).waitFor();
+    }
+
+    private synchronized void start(int follower) throws IOException {
+        startedMillis[follower] = cluster.millis();
+        startedAfterKill[follower] = true;
+        cluster.start("core-" + follower, false);
+        killed[follower] = false;
+        ended[follower] = false;
+    }
+
+    private void sleepUntil(long millis) throws InterruptedException {
+        Thread.sleep(Math.max(0, millis - cluster.millis()));
+    }
+
+    /** Returns the number of a control process that does not lead, as far as the logs tell, the one that has run for longest. */
     private int follower() throws IOException {
         int leader = 0;
         long since = -1;
@@ -195,19 +213,24 @@
             }
         }
         cluster.note("core-" + leader + " leads");
-        return leader == 1 ? 2 : leader == 2 ? 3 : 1;
+        int first = leader == 1 ? 2 : 1;
+        int second = leader == 3 ? 2 : 3;
+        return startedMillis[first] <= startedMillis[second] ? first : second;
     }
 
     // ---- the operators
 
-    /** Changes the configuration at the given gap through the processes that are not disturbed. */
-    private List<Thread> storm(int disturbed) {
-        List<Thread> calls = new ArrayList<>();
-        Thread storm = new Thread(() -> {
+    /** Changes the configuration at the given gap through the processes that are not disturbed, unless a storm is under way. */
+    private void storm(int disturbed) {
+        if (lastStorm != null && lastStorm.isAlive()) {
+            return;
+        }
+        lastStorm = new Thread(() -> {
             try {
-                for (int each = 0; each < STORM_CHANGES; each++) {
+                for (int each = 0; each < STORM_CHANGES && !stopping; each++) {
                     int node = 1 + (disturbed + each % 2) % 3;
                     Thread call = new Thread(() -> put(node, 4_000));
+                    call.setDaemon(true);
                     call.start();
                     calls.add(call);
                     Thread.sleep(STORM_GAP_MILLIS);
@@ -219,14 +242,8 @@
                 Thread.currentThread().interrupt();
             }
         });
-        storm.start();
-        return List.of(storm);
-    }
-
-    private static void join(List<Thread> threads) throws InterruptedException {
-        for (Thread each : threads) {
-            each.join();
-        }
+        lastStorm.setDaemon(true);
+        lastStorm.start();
     }
 
     private boolean put(int firstNode, long timeoutMillis) {
