Control group: decisions about members say what the member holds and what the group still bears

The incident's record cannot tell a replacement that stands between its two entries from a joining box that is given up and accepted in turns: neither the lag of the joining box nor the losses that the group bears is logged.

Lines about members now have match_index, commit_index, last, term and, at the leader, tolerable_losses after the decision; "admission deferred" names a joining box that waits for entries, at most once per election timeout. GET /group and bankturn group show how many entries each member lacks. No decision is changed.

--- a/cli/src/main/java/org/bankturn/cli/TextRenderer.java
+++ b/cli/src/main/java/org/bankturn/cli/TextRenderer.java
@@ -133,7 +133,9 @@
         text.append(answer.path("member").asBoolean() ? "" : ", is no member");
         text.append(answer.has("leader") ? ", leader " + answer.get("leader").asText() : ", no leader known");
         text.append(", term ").append(answer.path("term").asLong()).append('\n');
-        answer.path("members").forEach(member -> text.append(groupMember(member)));
+        answer.path("members")
+                .forEach(member ->
+                        text.append(groupMember(member, answer.path("lastIndex").asLong())));
         if (answer.has("tolerableLosses")) {
             text.append("further losses tolerated: ")
                     .append(answer.get("tolerableLosses").asInt())
@@ -142,10 +144,12 @@
         return text.toString();
     }
 
-    private static String groupMember(JsonNode member) {
+    private static String groupMember(JsonNode member, long lastIndex) {
         JsonNode silent = member.get("silentMillis");
+        long missing = lastIndex - member.path("matchIndex").asLong(lastIndex);
         return "member  " + member.path("address").asText()
-                + (silent == null ? "" : "  last contact " + silent.asLong() + " ms ago") + '\n';
+                + (silent == null ? "" : "  last contact " + silent.asLong() + " ms ago")
+                + (missing == 0 ? "" : ", lacks " + missing + " entries") + '\n';
     }
 
     private static String shorten(String digest) {
--- a/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -27,6 +27,7 @@
     private final Set<Member> retained = new HashSet<>();
 
     private Member learner;
+    private long lastDeferralMillis;
 
     MembershipChanges(RaftSettings settings, ProgressTracker progress, Outbox outbox) {
         this.settings = settings;
@@ -47,6 +48,7 @@
 
     void addLearner(Member member, long nextIndex, long nowMillis) {
         learner = member;
+        lastDeferralMillis = nowMillis;
         progress.track(member, nextIndex, nowMillis);
     }
 
@@ -73,7 +75,11 @@
      * @return the new membership, empty if there is no learner or it lacks committed entries
      */
     Optional<List<Member>> nextAdmission(List<Member> members, long commitIndex, long nowMillis) {
-        if (learner == null || progress.matchIndex(learner) < commitIndex) {
+        if (learner == null) {
+            return Optional.empty();
+        }
+        if (progress.matchIndex(learner) < commitIndex) {
+            reportDeferral(members, nowMillis);
             return Optional.empty();
         }
         Optional<Member> former = members.stream()
@@ -130,7 +136,16 @@
                 member,
                 silentMillis,
                 members.size(),
-                silentMembers(tracked, nowMillis).size()));
+                silentMembers(tracked, nowMillis).size(),
+                progress.matchIndex(member)));
+    }
+
+    /** Reports that the learner lacks entries, at most once per election timeout. */
+    private void reportDeferral(List<Member> members, long nowMillis) {
+        if (nowMillis - lastDeferralMillis >= settings.electionTimeoutMillis()) {
+            lastDeferralMillis = nowMillis;
+            report(MembershipEvent.Kind.ADMISSION_DEFERRED, learner, members, nowMillis);
+        }
     }
 
     private boolean isSilent(Member peer, int electionTimeouts, long nowMillis) {
--- a/core/src/main/java/org/bankturn/agreement/MembershipEvent.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipEvent.java
@@ -8,8 +8,10 @@
  * @param silentMillis how long the leader has not heard from that member, 0 if it is not known to the leader
  * @param members the number of voting members before the decision
  * @param silentMembers the number of voting members that the leader has not heard from within an election timeout
+ * @param matchIndex the last entry that the leader knows the member to hold, 0 if none is known
  */
-public record MembershipEvent(Kind kind, Member member, long silentMillis, int members, int silentMembers) {
+public record MembershipEvent(
+        Kind kind, Member member, long silentMillis, int members, int silentMembers, long matchIndex) {
     /** The kinds of decisions. */
     public enum Kind {
         /** The leader replicates its log to a member that asked to join. */
@@ -24,8 +26,10 @@
         JOIN_BY_MEMBER("join ignored", "already a member"),
         /** A join request was ignored because the admission policy excludes its sender. */
         JOIN_NOT_PERMITTED("join ignored", "not permitted"),
-        /** A joining member that holds all committed entries becomes a voting member. */
+        /** A joining member becomes a voting member. */
         ADMITTED("admitted", ""),
+        /** A joining member lacks committed entries, so it is not admitted yet. */
+        ADMISSION_DEFERRED("admission deferred", "committed entries are missing"),
         /** A joining member stopped responding before it was admitted. */
         GIVEN_UP("join given up", "silent"),
         /** The former member of a box that joins with an empty disk is removed. */
--- a/core/src/main/java/org/bankturn/agreement/RaftNode.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftNode.java
@@ -168,6 +168,11 @@
         return member.equals(self) ? 0 : clock.millis() - progress.lastContactMillis(member);
     }
 
+    /** Returns the last entry that this leader knows a member to hold, 0 if none is known. */
+    public long matchIndex(Member member) {
+        return member.equals(self) ? log.lastIndex() : progress.matchIndex(member);
+    }
+
     /** Returns how many members besides the silent ones may be lost before this leader has no majority. */
     public int tolerableLosses() {
         int members = members().size();
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -20,6 +20,7 @@
 import org.bankturn.daemon.member.ReplicatedStateMachine;
 import org.bankturn.daemon.observe.DecisionField;
 import org.bankturn.daemon.observe.DecisionKind;
+import org.bankturn.daemon.observe.DecisionLine;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.publication.PublicationCommand;
 import org.bankturn.publication.PublicationState;
@@ -209,7 +210,8 @@
 
         @Override
         public void membershipDecided(MembershipEvent event) {
-            wiring.log()
+            RaftNode agreement = loop.raftNode();
+            DecisionLine line = wiring.log()
                     .line(DecisionKind.GROUP)
                     .with(DecisionField.EVENT, event.kind().label())
                     .with(DecisionField.ADDRESS, event.member().address())
@@ -217,7 +219,14 @@
                     .with(DecisionField.SILENT_MS, event.silentMillis())
                     .with(DecisionField.MEMBERS, event.members())
                     .with(DecisionField.SILENT_MEMBERS, event.silentMembers())
-                    .write();
+                    .with(DecisionField.MATCH_INDEX, event.matchIndex())
+                    .with(DecisionField.COMMIT_INDEX, agreement.commitIndex())
+                    .with(DecisionField.LAST, agreement.lastIndex())
+                    .with(DecisionField.TERM, agreement.term());
+            if (agreement.role() == Role.LEADER) {
+                line.with(DecisionField.TOLERABLE_LOSSES, agreement.tolerableLosses());
+            }
+            line.write();
         }
 
         @Override
--- a/daemon/src/main/java/org/bankturn/daemon/group/MemberListing.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/MemberListing.java
@@ -29,12 +29,16 @@
             boolean leads,
             String leader,
             long term,
+            long lastIndex,
             List<Entry> members,
             Integer tolerableLosses) {}
 
-    /** A voting member; {@code silentMillis} is the time since it last responded to the leader. */
+    /**
+     * A voting member; {@code silentMillis} is the time since it last responded to the leader, {@code matchIndex} the last
+     * log entry that the leader knows it to hold.
+     */
     @JsonInclude(JsonInclude.Include.NON_NULL)
-    private record Entry(String address, Long silentMillis) {}
+    private record Entry(String address, Long silentMillis, Long matchIndex) {}
 
     private MemberListing() {}
 
@@ -48,7 +52,7 @@
     static byte[] list(RaftNode node) {
         boolean leads = node.isEstablishedLeader();
         List<Entry> entries = node.members().stream()
-                .map(member -> new Entry(member.address(), leads ? node.silentMillis(member) : null))
+                .map(member -> entry(node, member, leads))
                 .toList();
         Listing listing = new Listing(
                 node.self().address(),
@@ -56,6 +60,7 @@
                 leads,
                 node.leader().map(Member::address).orElse(null),
                 node.term(),
+                node.lastIndex(),
                 entries,
                 leads ? node.tolerableLosses() : null);
         try {
@@ -64,4 +69,10 @@
             throw new UncheckedIOException(e);
         }
     }
+
+    private static Entry entry(RaftNode node, Member member, boolean leads) {
+        return leads
+                ? new Entry(member.address(), node.silentMillis(member), node.matchIndex(member))
+                : new Entry(member.address(), null, null);
+    }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionField.java
@@ -41,6 +41,8 @@
 
     /** The time for which a target counts as cold, in milliseconds. */
     COLD_MS,
+    /** The index of the last committed log entry that this process knows. */
+    COMMIT_INDEX,
     /** True if the publication was confirmed by a control process in contact with a majority. */
     CONFIRMED,
     /** The time allowed for the request, in milliseconds. */
@@ -87,6 +89,8 @@
     KEPT,
     /** The index of the last log entry. */
     LAST,
+    /** The index of the last log entry that the leader knows a member to hold. */
+    MATCH_INDEX,
     /** True if a target may have executed the request. */
     MAY_HAVE_RUN,
     /** The number of members of the group. */
@@ -155,6 +159,8 @@
     TARGETS,
     /** The consensus term of the group. */
     TERM,
+    /** The number of further members that may be lost before the leader has no majority. */
+    TOLERABLE_LOSSES,
     /** The duration of the operation, in milliseconds. */
     TOOK_MS,
     /** The size of the output that all callers have not read, in bytes. */
