Control group: a box that lost its disk is a member again before it has copied the log

What callers saw: an acknowledged configuration that never came back; entry processes had no contact to a majority for good. The survivor's group had two members, one of them without its disk.

Cause: a replacement is two entries, the removal of the former member and the admission of the box. Each waited for a heartbeat and for the box to hold all that was committed at that moment, which changes put off for as long as they outrun its link. Until then the group bears no loss, however long the box has been back; nothing bounds that time by the time to catch up.

Change: the box takes its former member's place as soon as it has responded, and copies the log as a member. Its former member lost its disk and can never respond again, so that the removal needs no more of the others than before, and adding a member to an even number of members does not raise the majority. Both entries need the other members only: the group bears the next loss two round trips after the box has started, whatever the size of the log and the rate of its link. Each step follows the commit of the one before at once. A box that raises the majority still needs the committed entries first.

Ruled out: taking the place of a silent member, too, whose disk may be sound. A group that may lose one must not drop a member that can come back.

--- a/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -10,9 +10,13 @@
 /**
  * Decides on the leader which member to add or remove next, one change at a time.
  *
- * <p>A box that lost its disk replaces its former member. A new box that holds the log is added before unresponsive members
- * are removed, and these only while a majority is responsive and the group remains large enough for the losses that it
- * tolerates.
+ * <p>A box that lost its disk replaces its former member, which can never respond again: that member is removed and the box
+ * is added as soon as it has responded, whether or not it holds the log. No state on the way needs more of the other members
+ * for a majority than the state before, because a member added to an even number of members does not raise the majority.
+ * Where it does, a new box is added only once it holds the committed entries.
+ *
+ * <p>Unresponsive members may return with their disks. They are removed only while a majority is responsive and the group
+ * remains large enough for the losses that it tolerates, after their successors have been added.
  *
  * <p>MembershipChanges is mutable and owned by one {@link RaftNode}.
  */
@@ -69,17 +73,13 @@
     }
 
     /**
-     * Returns the membership after the next step of admission: first removes the learner's former member, if any, then
-     * adds the learner.
+     * Returns the membership after the next step of admission: without the member that the learner replaces, or else with
+     * the learner.
      *
-     * @return the new membership, empty if there is no learner or it lacks committed entries
+     * @return the new membership, empty if there is no learner, or if it must respond or catch up first
      */
     Optional<List<Member>> nextAdmission(List<Member> members, long commitIndex, long nowMillis) {
-        if (learner == null) {
-            return Optional.empty();
-        }
-        if (progress.matchIndex(learner) < commitIndex) {
-            reportDeferral(members, nowMillis);
+        if (learner == null || members.contains(learner) || !progress.hasResponded(learner)) {
             return Optional.empty();
         }
         Optional<Member> former = members.stream()
@@ -89,6 +89,11 @@
             report(MembershipEvent.Kind.REPLACED, former.get(), members, nowMillis);
             return Optional.of(without(members, former.get()));
         }
+        boolean raisesMajority = members.size() % 2 == 1;
+        if (raisesMajority && progress.matchIndex(learner) < commitIndex) {
+            reportDeferral(members, nowMillis);
+            return Optional.empty();
+        }
         report(MembershipEvent.Kind.ADMITTED, learner, members, nowMillis);
         List<Member> nextMembers = new ArrayList<>(members);
         nextMembers.add(learner);
--- a/core/src/main/java/org/bankturn/agreement/RaftNode.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftNode.java
@@ -461,6 +461,10 @@
         } else {
             replicator.onRejected(reply, term, commitIndex);
         }
+        // A box that waits to join must not wait for the next heartbeat between the steps of its admission.
+        if (role == Role.LEADER && membershipChanges.learner().isPresent()) {
+            changeMembers(clock.millis());
+        }
     }
 
     private void advanceCommit() {
