Control group: a box whose member was just removed is added whatever the number of members

Found by the specification of membership, which now has boxes that still copy the log: in a group of six that may lose two, two boxes lose their disks; the first one's former member is removed, five members remain, and the box must copy the log before it is added, while the second box waits behind it. With one of the five without its disk the group then bears one loss, not two.

A box that the latest change of the membership removed is added without the log, as one that is added to an even number of members: no state on the way needs more of the others than the state before the replacement. Any leader learns it from its log. The new test of MembershipChanges fails without the rule (a box added to three members is deferred); the tests of the package pass (76).

--- a/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -12,8 +12,8 @@
  *
  * <p>A box that lost its disk replaces its former member, which can never respond again: that member is removed and the box
  * is added as soon as it has responded, whether or not it holds the log. No state on the way needs more of the other members
- * for a majority than the state before, because a member added to an even number of members does not raise the majority.
- * Where it does, a new box is added only once it holds the committed entries.
+ * for a majority than the state before the replacement. A new box that raises the majority is added only once it holds the
+ * committed entries.
  *
  * <p>Unresponsive members may return with their disks. They are removed only while a majority is responsive and the group
  * remains large enough for the losses that it tolerates, after their successors have been added.
@@ -76,20 +76,21 @@
      * Returns the membership after the next step of admission: without the member that the learner replaces, or else with
      * the learner.
      *
+     * @param previousMembers the membership before its latest change, not null
      * @return the new membership, empty if there is no learner, or if it must respond or catch up first
      */
-    Optional<List<Member>> nextAdmission(List<Member> members, long commitIndex, long nowMillis) {
+    Optional<List<Member>> nextAdmission(
+            List<Member> members, List<Member> previousMembers, long commitIndex, long nowMillis) {
         if (learner == null || members.contains(learner) || !progress.hasResponded(learner)) {
             return Optional.empty();
         }
-        Optional<Member> former = members.stream()
-                .filter(member -> member.box().equals(learner.box()))
-                .findFirst();
+        Optional<Member> former = memberOfLearnersBox(members);
         if (former.isPresent()) {
             report(MembershipEvent.Kind.REPLACED, former.get(), members, nowMillis);
             return Optional.of(without(members, former.get()));
         }
-        boolean raisesMajority = members.size() % 2 == 1;
+        boolean raisesMajority =
+                members.size() % 2 == 1 && memberOfLearnersBox(previousMembers).isEmpty();
         if (raisesMajority && progress.matchIndex(learner) < commitIndex) {
             reportDeferral(members, nowMillis);
             return Optional.empty();
@@ -145,6 +146,12 @@
                 progress.matchIndex(member)));
     }
 
+    private Optional<Member> memberOfLearnersBox(List<Member> members) {
+        return members.stream()
+                .filter(member -> member.box().equals(learner.box()))
+                .findFirst();
+    }
+
     /** Reports that the learner lacks entries, at most once per election timeout. */
     private void reportDeferral(List<Member> members, long nowMillis) {
         if (nowMillis - lastDeferralMillis >= settings.electionTimeoutMillis()) {
--- a/core/src/main/java/org/bankturn/agreement/RaftLog.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftLog.java
@@ -80,6 +80,16 @@
         return snapshot.members();
     }
 
+    /** Returns the membership before its latest change, the current one if the log does not contain a change. */
+    List<Member> membersBeforeLatestChange() {
+        for (long position = lastIndex(); position > snapshot.index(); position--) {
+            if (entryAt(position).changesMembers()) {
+                return membersAt(position - 1);
+            }
+        }
+        return snapshot.members();
+    }
+
     void append(LogEntry entry) {
         if (entry.index() != lastIndex() + 1) {
             throw new IllegalArgumentException(
--- a/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class MembershipChangesTest {
@@ -27,7 +28,7 @@
         progress.track(responsive, 1, NOW);
         progress.track(silent, 1, STALE);
         addResponsiveLearner(learner);
-        assertThat(changes.nextAdmission(List.of(self, responsive, silent), 0, NOW))
+        assertThat(admission(List.of(self, responsive, silent), 0))
                 .contains(List.of(self, responsive, silent, learner));
     }
 
@@ -36,9 +37,8 @@
     void new_box_that_raises_the_majority_is_added_only_once_it_holds_the_committed_entries() {
         List.of(responsive, silent).forEach(peer -> progress.track(peer, 1, NOW));
         addResponsiveLearner(learner);
-        assertThat(changes.nextAdmission(List.of(self, responsive, silent), MISSING_INDEX, NOW))
-                .isEmpty();
-        assertThat(changes.nextAdmission(List.of(self, responsive, silent, member("e")), MISSING_INDEX, NOW))
+        assertThat(admission(List.of(self, responsive, silent), MISSING_INDEX)).isEmpty();
+        assertThat(admission(List.of(self, responsive, silent, member("e")), MISSING_INDEX))
                 .contains(List.of(self, responsive, silent, member("e"), learner));
     }
 
@@ -46,8 +46,7 @@
     @Test
     void no_member_is_replaced_before_the_joining_box_has_responded() {
         changes.addLearner(new Member("c", 2, "c"), 1, NOW);
-        assertThat(changes.nextAdmission(List.of(self, responsive, silent), 0, NOW))
-                .isEmpty();
+        assertThat(admission(List.of(self, responsive, silent), 0)).isEmpty();
     }
 
     @Test
@@ -74,10 +73,8 @@
     void box_with_new_incarnation_replaces_its_former_member() {
         Member rejoined = new Member("c", 2, "c");
         addResponsiveLearner(rejoined);
-        assertThat(changes.nextAdmission(List.of(self, responsive, silent), MISSING_INDEX, NOW))
-                .contains(List.of(self, responsive));
-        assertThat(changes.nextAdmission(List.of(self, responsive), MISSING_INDEX, NOW))
-                .contains(List.of(self, responsive, rejoined));
+        assertThat(admission(List.of(self, responsive, silent), MISSING_INDEX)).contains(List.of(self, responsive));
+        assertThat(admission(List.of(self, responsive), MISSING_INDEX)).contains(List.of(self, responsive, rejoined));
     }
 
     /** Guards against members that were lost at the same time and stay voting members for ever. */
@@ -99,7 +96,7 @@
     void silent_member_is_removed_while_another_box_catches_up() {
         List<Member> members = groupWithTwoSilent();
         changes.addLearner(member("z"), 1, NOW);
-        assertThat(changes.nextAdmission(members, 1, NOW)).isEmpty();
+        assertThat(admission(members, 1)).isEmpty();
         assertThat(changes.nextRemoval(members, members.subList(1, members.size()), NOW))
                 .hasValueSatisfying(remaining -> assertThat(remaining).doesNotContain(silent));
     }
@@ -115,6 +112,23 @@
                 .isEmpty();
     }
 
+    /** Guards against a box that was removed for its replacement in a group of even size, and must copy the log first. */
+    @Test
+    void box_whose_former_member_was_just_removed_is_added_to_an_odd_number_of_members_without_the_log() {
+        Member rejoined = new Member("c", 2, "c");
+        List<Member> before = List.of(self, responsive, silent, member("e"));
+        addResponsiveLearner(rejoined);
+        List<Member> without = admission(before, MISSING_INDEX).orElseThrow();
+        assertThat(without).containsExactly(self, responsive, member("e"));
+        assertThat(changes.nextAdmission(without, before, MISSING_INDEX, NOW))
+                .contains(List.of(self, responsive, member("e"), rejoined));
+        assertThat(changes.nextAdmission(without, without, MISSING_INDEX, NOW)).isEmpty();
+    }
+
+    private Optional<List<Member>> admission(List<Member> members, long commitIndex) {
+        return changes.nextAdmission(members, members, commitIndex, NOW);
+    }
+
     private void addResponsiveLearner(Member member) {
         changes.addLearner(member, 1, NOW);
         progress.find(member).orElseThrow().recordContact(NOW);
--- a/core/src/test/java/org/bankturn/specs/SpecificationTest.java
+++ b/core/src/test/java/org/bankturn/specs/SpecificationTest.java
@@ -55,6 +55,7 @@
                 "Agreement.fault-drop",
                 "Agreement.fault-commit",
                 "Membership.fault-silent",
+                "Membership.fault-log",
                 "Membership.fault-join",
                 "Membership.fault-disks",
                 "Formation.fault",
