--- a/core/src/main/java/org/bankturn/agreement/FollowerProgress.java
+++ b/core/src/main/java/org/bankturn/agreement/FollowerProgress.java
@@ -103,19 +103,23 @@
     }
 
     /**
-     * Moves the next index back after a rejection. A delayed rejection neither moves it forward nor back to the first entry
-     * under way, which is on its way already.
+     * Moves the next index back after a rejection, unless the entries that the follower asks for are under way; a delayed
+     * rejection never moves it forward.
      *
      * @param index the next index that the follower asks for
      * @return true if entries must be sent from the new next index
      */
     boolean rewindTo(long index) {
-        long target = Math.max(matchIndex + 1, index);
-        if (target >= firstUnderWay()) {
+        if (Math.max(matchIndex + 1, index) >= firstUnderWay()) {
             return false;
         }
-        nextIndex = target;
-        firstUnderWay = NONE;
+        resendFrom(index);
         return true;
     }
+
+    /** Moves the next index back after a rejection, also if the entries that the follower asks for are under way. */
+    void resendFrom(long index) {
+        nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex, index));
+        firstUnderWay = NONE;
+    }
 }
--- a/core/src/main/java/org/bankturn/agreement/LogReplicator.java
+++ b/core/src/main/java/org/bankturn/agreement/LogReplicator.java
@@ -18,6 +18,9 @@
 final class LogReplicator {
     private static final int HEARTBEATS_UNTIL_LOST = 2;
 
+    /** The part of the bytes under way, as a divisor, up to which messages are sent without waiting for the last one. */
+    private static final int PIPELINED_PART = 8;
+
     private final Member self;
     private final RaftSettings settings;
     private final RaftLog log;
@@ -49,9 +52,13 @@
 
     /** Processes a rejection of this term. */
     void onRejected(AppendReply reply, long term, long commitIndex) {
-        boolean rewound = progress.find(reply.from())
-                .map(follower -> follower.rewindTo(reply.matchIndex() + 1))
-                .orElse(false);
+        FollowerProgress follower = progress.findOrTrack(reply.from(), log.lastIndex() + 1, clock.millis());
+        long wanted = reply.matchIndex() + 1;
+        boolean rewound = follower.rewindTo(wanted);
+        if (!rewound && follower.isUnderWay() && isPipelined(follower)) {
+            follower.resendFrom(wanted);
+            rewound = true;
+        }
         if (rewound) {
             replicate(reply.from(), term, commitIndex);
         }
@@ -73,15 +80,17 @@
         long previous = follower.nextIndex() - 1;
         outbox.send(to, new AppendRequest(self, term, previous, log.termAt(previous), entries, commitIndex));
         long last = previous + entries.size();
-        long bytesUnderWay = log.bytesBetween(follower.firstUnderWay(), last);
-        follower.recordSent(last, now + millisUntilLost(bytesUnderWay));
+        follower.recordSent(last, now + millisUntilLost(log.bytesBetween(follower.firstUnderWay(), last)));
         return true;
     }
 
     /** Returns the next entries within the bound on the bytes under way; an entry above the bound is sent alone. */
     private List<LogEntry> nextEntries(FollowerProgress follower) {
-        long bytes = log.bytesBetween(follower.firstUnderWay(), follower.nextIndex() - 1);
         List<LogEntry> entries = new ArrayList<>();
+        if (!isPipelined(follower)) {
+            return entries;
+        }
+        long bytes = bytesUnderWay(follower);
         long index = follower.nextIndex();
         while (log.contains(index) && entries.size() < settings.maxBatchEntries()) {
             LogEntry entry = log.entryAt(index);
@@ -95,6 +104,18 @@
         return entries;
     }
 
+    /**
+     * Returns true if so little is under way that more may be sent before it is acknowledged. A large message may be
+     * overtaken by a small one, which the follower would reject.
+     */
+    private boolean isPipelined(FollowerProgress follower) {
+        return bytesUnderWay(follower) <= settings.maxBytesUnderWay() / PIPELINED_PART;
+    }
+
+    private long bytesUnderWay(FollowerProgress follower) {
+        return log.bytesBetween(follower.firstUnderWay(), follower.nextIndex() - 1);
+    }
+
     private void sendSnapshot(Member to, long term, FollowerProgress follower, long now) {
         if (follower.maySendSnapshot(now)) {
             Snapshot snapshot = log.snapshot();
--- a/core/src/test/java/org/bankturn/agreement/InMemoryCluster.java
+++ b/core/src/test/java/org/bankturn/agreement/InMemoryCluster.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,8 @@
     private final Map<String, List<Member>> contacts = new HashMap<>();
     private final Map<String, Long> lastJoinRequestMillis = new HashMap<>();
     private final RaftSettings settings;
+    private final Set<String> slowBoxes = new HashSet<>();
+    private final Set<String> servedSlowBoxes = new HashSet<>();
     private long lastIncarnation = 1;
 
     InMemoryCluster(long seed, String... boxes) {
@@ -121,6 +124,9 @@
             return;
         }
         int chosen = random.nextInt(inFlight.size());
+        if (mustWait(inFlight.get(chosen))) {
+            return;
+        }
         int fault = faulty ? random.nextInt(10) : 9;
         Outbound outbound = fault == 0 ? inFlight.get(chosen) : inFlight.remove(chosen);
         RaftNode member = running.get(outbound.to().box());
@@ -136,6 +142,24 @@
         }
     }
 
+    /** Delivers from now on no more than one message with entries or a snapshot to a box in each round. */
+    void slowDown(String box) {
+        slowBoxes.add(box);
+    }
+
+    /** Delivers to all boxes at full speed again. */
+    void endSlowness() {
+        slowBoxes.clear();
+    }
+
+    private boolean mustWait(Outbound outbound) {
+        boolean large = outbound.message() instanceof RaftMessage.SnapshotRequest
+                || (outbound.message() instanceof RaftMessage.AppendRequest append
+                        && !append.entries().isEmpty());
+        String box = outbound.to().box();
+        return large && slowBoxes.contains(box) && !servedSlowBoxes.add(box);
+    }
+
     /** Delivers the oldest message. */
     void deliverOldest() {
         Outbound outbound = inFlight.remove(0);
@@ -169,6 +193,7 @@
     void runRounds(int rounds, boolean faulty) {
         for (int round = 0; round < rounds; round++) {
             tickAll();
+            servedSlowBoxes.clear();
             for (int step = 0; step < 400 && !inFlight.isEmpty(); step++) {
                 deliverRandom(faulty);
             }
