Storage: a log is read back record by record, and rewritten without a copy of itself

Cause: RaftStorage.recover held the file, a copy of each record and the decoded entries at once, three times the log. A rewrite of the log encoded it as one record, with two copies.

Change: a StorageDirectory opens a file for reading in parts (StoredFile) and replaces one from parts; both have defaults, so that embedding applications need not change. RecordFile hands out one record at a time. Checksums, also of what only looks like a record in a torn end, are computed over 64 KiB at a time. Torn and corrupt records are told apart as before. Reads and writes of files are passed to the system in parts of 64 KiB, since it copies each to memory outside the heap and keeps that.

LargeLogTest, a log of 512 entries of 60 kB in a process with -Xmx64m: the two tests about memory failed before with OutOfMemoryError (2 of 2), and pass. RaftStorageTest passes (5).

--- a/core/src/main/java/org/bankturn/storage/FileSystemDirectory.java
+++ b/core/src/main/java/org/bankturn/storage/FileSystemDirectory.java
@@ -8,6 +8,8 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -20,6 +22,9 @@
  * <p>FileSystemDirectory is mutable and not thread-safe.
  */
 public final class FileSystemDirectory implements StorageDirectory, AutoCloseable {
+    /** The system's interface copies each transfer to memory outside the heap and keeps that memory. */
+    static final int MAX_TRANSFER_BYTES = 64 << 10;
+
     private static final String TEMPORARY_SUFFIX = ".new";
 
     private final Path directory;
@@ -47,6 +52,14 @@
         return Files.exists(file) ? Optional.of(Files.readAllBytes(file)) : Optional.empty();
     }
 
+    @Override
+    public Optional<StoredFile> open(String name) throws IOException {
+        Path file = directory.resolve(name);
+        return Files.exists(file)
+                ? Optional.of(new ChannelFile(FileChannel.open(file, StandardOpenOption.READ)))
+                : Optional.empty();
+    }
+
     @Override
     public void append(String name, byte[] bytes) throws IOException {
         FileChannel channel = channels.get(name);
@@ -72,10 +85,17 @@
 
     @Override
     public void replace(String name, byte[] bytes) throws IOException {
+        replace(name, List.of(bytes).iterator());
+    }
+
+    @Override
+    public void replace(String name, Iterator<byte[]> parts) throws IOException {
         Path temporary = directory.resolve(name + TEMPORARY_SUFFIX);
         try (FileChannel channel = FileChannel.open(
                 temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-            writeFully(channel, bytes);
+            while (parts.hasNext()) {
+                writeFully(channel, parts.next());
+            }
             channel.force(true);
         }
         closeChannel(name);
@@ -104,9 +124,10 @@
     }
 
     private static void writeFully(FileChannel channel, byte[] bytes) throws IOException {
-        ByteBuffer buffer = ByteBuffer.wrap(bytes);
-        while (buffer.hasRemaining()) {
-            channel.write(buffer);
+        int done = 0;
+        while (done < bytes.length) {
+            int part = Math.min(bytes.length - done, MAX_TRANSFER_BYTES);
+            done += channel.write(ByteBuffer.wrap(bytes, done, part));
         }
     }
 
--- a/core/src/main/java/org/bankturn/storage/RaftStorage.java
+++ b/core/src/main/java/org/bankturn/storage/RaftStorage.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
+import java.util.NoSuchElementException;
 import java.util.Optional;
 import org.bankturn.agreement.LogEntry;
 import org.bankturn.agreement.PersistentState;
@@ -27,6 +29,9 @@
     private static final String SNAPSHOT = "snapshot";
     private static final String LOG = "log";
 
+    /** A record of a rewritten log ends with the entry that reaches this size. */
+    private static final int REWRITTEN_RECORD_BYTES = 64 << 10;
+
     private final StorageDirectory directory;
     private Vote vote = Vote.NONE;
     private Snapshot snapshot;
@@ -81,24 +86,37 @@
      * @throws IOException if the directory cannot be read or written
      */
     public static RaftStorage recover(StorageDirectory directory) throws IOException {
-        byte[] snapshotFile = directory.read(SNAPSHOT).orElseThrow(() -> new CorruptLogException(SNAPSHOT, 0));
-        List<byte[]> records = RecordFile.decode(SNAPSHOT, snapshotFile).payloads();
-        if (records.size() != 1) {
-            throw new CorruptLogException(SNAPSHOT, 0);
-        }
-        Snapshot snapshot = MessagePackCodec.instance().decode(records.get(0), Snapshot.class);
-        RaftStorage storage = new RaftStorage(directory, snapshot);
-        byte[] logFile = directory.read(LOG).orElse(new byte[0]);
-        RecordFile.Content content = RecordFile.decode(LOG, logFile);
-        for (byte[] payload : content.payloads()) {
-            storage.replay(MessagePackCodec.instance().decode(payload, LogRecord.class));
-        }
-        if (content.wholeBytes() < logFile.length) {
+        RaftStorage storage = new RaftStorage(directory, readSnapshot(directory));
+        Optional<StoredFile> log = directory.open(LOG);
+        if (log.isPresent() && !storage.replayAll(log.get())) {
             storage.rewriteLog();
         }
         return storage;
     }
 
+    private static Snapshot readSnapshot(StorageDirectory directory) throws IOException {
+        List<Snapshot> snapshots = new ArrayList<>();
+        try (StoredFile file = directory.open(SNAPSHOT).orElseThrow(() -> new CorruptLogException(SNAPSHOT, 0))) {
+            RecordFile.read(
+                    SNAPSHOT,
+                    file,
+                    payload -> snapshots.add(MessagePackCodec.instance().decode(payload, Snapshot.class)));
+        }
+        if (snapshots.size() != 1) {
+            throw new CorruptLogException(SNAPSHOT, 0);
+        }
+        return snapshots.get(0);
+    }
+
+    /** Replays and closes a log; returns false if it ends in an incomplete record. */
+    private boolean replayAll(StoredFile log) throws IOException {
+        try (log) {
+            long wholeBytes = RecordFile.read(
+                    LOG, log, payload -> replay(MessagePackCodec.instance().decode(payload, LogRecord.class)));
+            return wholeBytes == log.size();
+        }
+    }
+
     private RaftStorage(StorageDirectory directory, Snapshot snapshot) {
         this.directory = directory;
         this.snapshot = snapshot;
@@ -163,14 +181,41 @@
 
     private void writeSnapshot() throws IOException {
         byte[] payload = MessagePackCodec.instance().encode(snapshot);
-        directory.replace(SNAPSHOT, RecordFile.encode(payload));
+        directory.replace(SNAPSHOT, List.of(RecordFile.header(payload), payload).iterator());
     }
 
     private void rewriteLog() throws IOException {
-        directory.replace(LOG, encode(new LogRecord(vote, List.copyOf(entries), commitIndex)));
+        directory.replace(LOG, new RewrittenLog());
     }
 
     private static byte[] encode(LogRecord record) {
         return RecordFile.encode(MessagePackCodec.instance().encode(record));
     }
+
+    /** The records of the rewritten log, each encoded when it is written, so that the log is never held twice. */
+    private final class RewrittenLog implements Iterator<byte[]> {
+        private int next;
+        private boolean voteWritten;
+
+        @Override
+        public boolean hasNext() {
+            return !voteWritten || next < entries.size();
+        }
+
+        @Override
+        public byte[] next() {
+            if (!hasNext()) {
+                throw new NoSuchElementException();
+            }
+            int first = next;
+            long bytes = 0;
+            while (next < entries.size() && bytes < REWRITTEN_RECORD_BYTES) {
+                bytes += entries.get(next).sizeBytes();
+                next++;
+            }
+            Vote unwrittenVote = voteWritten ? null : vote;
+            voteWritten = true;
+            return encode(new LogRecord(unwrittenVote, List.copyOf(entries.subList(first, next)), commitIndex));
+        }
+    }
 }
--- a/core/src/main/java/org/bankturn/storage/RecordFile.java
+++ b/core/src/main/java/org/bankturn/storage/RecordFile.java
@@ -1,8 +1,7 @@
 package org.bankturn.storage;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.zip.CRC32C;
 
 /**
@@ -10,57 +9,97 @@
  * integers are big-endian.
  *
  * <p>An incomplete record at the end of the file, or a last record with a wrong checksum, is a torn write and is
- * ignored. A wrong checksum in any other record is corruption.
+ * ignored. A wrong checksum in any other record is corruption. One record at a time is held in memory.
  */
 final class RecordFile {
     private static final int HEADER_BYTES = 2 * Integer.BYTES;
     private static final int MAX_RECORD_BYTES = 256 << 20;
+    private static final int BUFFER_BYTES = 64 << 10;
 
-    /**
-     * The decoded content of a file.
-     *
-     * @param payloads the payloads of the valid records, in order, not null
-     * @param wholeBytes the size of the valid records; any bytes after them are a torn write
-     */
-    record Content(List<byte[]> payloads, int wholeBytes) {}
+    private final String name;
+    private final StoredFile file;
 
-    private RecordFile() {}
+    /** Receives the payloads of the valid records. */
+    @FunctionalInterface
+    interface Receiver {
+        /** Processes the payload of the next record. */
+        void receive(byte[] payload) throws IOException;
+    }
 
     static byte[] encode(byte[] payload) {
         return ByteBuffer.allocate(HEADER_BYTES + payload.length)
-                .putInt(payload.length)
-                .putInt(checksum(payload))
+                .put(header(payload))
                 .put(payload)
                 .array();
     }
 
-    static Content decode(String name, byte[] bytes) throws CorruptLogException {
-        List<byte[]> payloads = new ArrayList<>();
-        int position = 0;
-        while (isRecordComplete(bytes, position)) {
-            byte[] payload = payloadAt(bytes, position);
-            int end = position + HEADER_BYTES + payload.length;
-            if (!checksumMatches(bytes, position, payload)) {
-                if (end < bytes.length) {
+    /** Returns what precedes a payload in the file. */
+    static byte[] header(byte[] payload) {
+        CRC32C checksum = new CRC32C();
+        checksum.update(payload);
+        return ByteBuffer.allocate(HEADER_BYTES)
+                .putInt(payload.length)
+                .putInt((int) checksum.getValue())
+                .array();
+    }
+
+    /**
+     * Reads the valid records in order.
+     *
+     * @param name the name of the file, not null
+     * @param file the file, not null
+     * @param receiver receives each payload, not null
+     * @return the size of the valid records; any bytes after them are a torn write
+     * @throws CorruptLogException if a record before the end is corrupt
+     * @throws IOException if the file cannot be read
+     */
+    static long read(String name, StoredFile file, Receiver receiver) throws IOException {
+        return new RecordFile(name, file).readTo(receiver);
+    }
+
+    private RecordFile(String name, StoredFile file) {
+        this.name = name;
+        this.file = file;
+    }
+
+    private long readTo(Receiver receiver) throws IOException {
+        long position = 0;
+        ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+        while (file.size() - position >= HEADER_BYTES) {
+            file.read(position, header.array(), HEADER_BYTES);
+            int length = header.getInt(0);
+            if (!isRecordComplete(position, length)) {
+                break;
+            }
+            long end = position + HEADER_BYTES + length;
+            if (header.getInt(Integer.BYTES) != checksumAt(position + HEADER_BYTES, length)) {
+                if (end < file.size()) {
                     throw new CorruptLogException(name, position);
                 }
                 break;
             }
-            payloads.add(payload);
+            receiver.receive(payloadAt(position + HEADER_BYTES, length));
             position = end;
         }
-        if (hasLaterRecord(bytes, position)) {
+        if (hasLaterRecord(position)) {
             throw new CorruptLogException(name, position);
         }
-        return new Content(payloads, position);
+        return position;
     }
 
     /** Searches for a valid record after a supposedly torn one, since a corrupt length looks like a torn write. */
-    private static boolean hasLaterRecord(byte[] bytes, int tail) {
-        for (int position = tail + 1; position < bytes.length - HEADER_BYTES; position++) {
-            if (isRecordComplete(bytes, position)) {
-                byte[] payload = payloadAt(bytes, position);
-                if (payload.length > 0 && checksumMatches(bytes, position, payload)) {
+    private boolean hasLaterRecord(long tail) throws IOException {
+        ByteBuffer window = ByteBuffer.allocate(BUFFER_BYTES);
+        long last = file.size() - HEADER_BYTES - 1;
+        long position = tail + 1;
+        while (position <= last) {
+            int bytes = (int) Math.min(BUFFER_BYTES, file.size() - position);
+            file.read(position, window.array(), bytes);
+            for (int offset = 0; offset <= bytes - HEADER_BYTES && position <= last; offset++, position++) {
+                int length = window.getInt(offset);
+                if (length > 0
+                        && isRecordComplete(position, length)
+                        && window.getInt(offset + Integer.BYTES) == checksumAt(position + HEADER_BYTES, length)) {
                     return true;
                 }
             }
@@ -68,27 +107,25 @@
         return false;
     }
 
-    private static boolean isRecordComplete(byte[] bytes, int position) {
-        if (bytes.length - position < HEADER_BYTES) {
-            return false;
-        }
-        int length = ByteBuffer.wrap(bytes).getInt(position);
-        return length >= 0 && length <= MAX_RECORD_BYTES && length <= bytes.length - position - HEADER_BYTES;
+    private boolean isRecordComplete(long position, int length) {
+        return length >= 0 && length <= MAX_RECORD_BYTES && length <= file.size() - position - HEADER_BYTES;
     }
 
-    private static byte[] payloadAt(byte[] bytes, int position) {
-        byte[] payload = new byte[ByteBuffer.wrap(bytes).getInt(position)];
-        System.arraycopy(bytes, position + HEADER_BYTES, payload, 0, payload.length);
+    private byte[] payloadAt(long position, int length) throws IOException {
+        byte[] payload = new byte[length];
+        file.read(position, payload, length);
         return payload;
     }
 
-    private static boolean checksumMatches(byte[] bytes, int position, byte[] payload) {
-        return ByteBuffer.wrap(bytes).getInt(position + Integer.BYTES) == checksum(payload);
-    }
-
-    private static int checksum(byte[] payload) {
+    /** Computes the checksum of a part of the file without holding it, since a corrupt length may be large. */
+    private int checksumAt(long position, int length) throws IOException {
         CRC32C checksum = new CRC32C();
-        checksum.update(payload);
+        byte[] buffer = new byte[Math.min(length, BUFFER_BYTES)];
+        for (int done = 0; done < length; done += buffer.length) {
+            int part = Math.min(buffer.length, length - done);
+            file.read(position + done, buffer, part);
+            checksum.update(buffer, 0, part);
+        }
         return (int) checksum.getValue();
     }
 }
