--- a/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/control/ControlMember.java
@@ -103,7 +103,12 @@
         this.wiring = wiring;
         ControlState controlState = new ControlState();
         MemberLoopSettings timing = new MemberLoopSettings(
-                TICK_MILLIS, PROPOSAL_TIMEOUT_MILLIS, JOIN_RETRY_MILLIS, false, wiring.snapshotEvery());
+                TICK_MILLIS,
+                PROPOSAL_TIMEOUT_MILLIS,
+                JOIN_RETRY_MILLIS,
+                false,
+                wiring.snapshotEvery(),
+                MemberLoopSettings.DEFAULT_SNAPSHOT_BYTES);
         this.loop = MemberLoop.of(controlState, timing, clock, "control");
         controlState.restore(agreement.snapshot().state());
         controlState.publishView(agreement);
--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupMember.java
@@ -36,8 +36,9 @@
     /** Six election timeouts; the outcome of a submission that is not committed by then is unknown. */
     private static final long SUBMISSION_MILLIS = 3_000;
 
-    /** The step is a quarter of a heartbeat; a snapshot is taken every 512 entries. */
-    private static final MemberLoopSettings TIMING = new MemberLoopSettings(25, SUBMISSION_MILLIS, 400, true, 512);
+    /** The step is a quarter of a heartbeat; a snapshot is taken every 512 entries, sooner if they are large. */
+    private static final MemberLoopSettings TIMING =
+            new MemberLoopSettings(25, SUBMISSION_MILLIS, 400, true, 512, MemberLoopSettings.DEFAULT_SNAPSHOT_BYTES);
 
     private final Wiring wiring;
     private final MemberLoop<Outcome> loop;
--- a/daemon/src/main/java/org/bankturn/daemon/member/MemberLoop.java
+++ b/daemon/src/main/java/org/bankturn/daemon/member/MemberLoop.java
@@ -16,6 +16,7 @@
 import org.bankturn.agreement.RaftNode;
 import org.bankturn.agreement.Ready;
 import org.bankturn.agreement.Role;
+import org.bankturn.agreement.Snapshot;
 import org.bankturn.storage.RaftStorage;
 import org.bankturn.time.Clock;
 
@@ -40,6 +41,7 @@
     private RaftNode raftNode;
     private RaftStorage storage;
     private long appliedIndex;
+    private long appliedBytesAfterSnapshot;
     private long lastJoinRequestMillis;
     private long lastLeaderContactMillis;
     private boolean wasLeader;
@@ -161,6 +163,7 @@
         ReplicatedStateMachine.Recovered recovered = stateMachine.recover();
         stateMachine.restore(recovered.raftNode().snapshot().state());
         appliedIndex = recovered.raftNode().snapshot().index();
+        appliedBytesAfterSnapshot = 0;
         storage = recovered.storage();
         raftNode = recovered.raftNode();
         // Applies the committed entries after the snapshot, so that no query sees the older state of the snapshot.
@@ -228,18 +231,27 @@
         if (ready.installed() != null) {
             stateMachine.restore(ready.installed().state());
             appliedIndex = ready.installed().index();
+            appliedBytesAfterSnapshot = 0;
         }
         ready.committed().forEach(this::apply);
         if (ready.installed() != null || !ready.committed().isEmpty()) {
             stateMachine.stateChanged();
         }
-        if (appliedIndex - raftNode.snapshot().index() >= settings.snapshotEvery()) {
+        compactIfNeeded();
+    }
+
+    private void compactIfNeeded() throws IOException {
+        Snapshot snapshot = raftNode.snapshot();
+        long entries = appliedIndex - snapshot.index();
+        if (settings.needsSnapshot(entries, appliedBytesAfterSnapshot, snapshot.state().length)) {
             storage.compact(raftNode.compact(appliedIndex, stateMachine.snapshot()));
+            appliedBytesAfterSnapshot = 0;
         }
     }
 
     private void apply(LogEntry entry) {
         appliedIndex = entry.index();
+        appliedBytesAfterSnapshot += entry.sizeBytes();
         R applied = stateMachine.apply(entry);
         Submission<R> submission = submissions.remove(entry.index());
         if (submission != null) {
