Storage: what is recovered is synced before anything is answered on its basis

Read, not seen by a caller: a member that is killed between the write of a record and its sync counts the record as stored after its restart, and acknowledges its entries to the leader. If power is lost before the next write, the record is gone although a majority was counted with it.

Cause: RaftStorage.recover synced nothing, and FileSystemDirectory.sync left out files that the process had not written itself.

FileSystemDirectory syncs a file of a former process and the directory, so that a renamed file is durable, too.

RaftStorageTest.entry_recovered_after_a_kill_before_its_sync_survives_a_loss_of_power failed before (commit index 11 after the loss of power, 12 acknowledged), and passes. CrashingDirectory tells a kill from a loss of power for it. RaftStorageTest (6), LargeLogTest (3) and FaultSimulationTest (9) pass. That the file system does what a sync promises is not tested here.

--- a/core/src/main/java/org/bankturn/storage/FileSystemDirectory.java
+++ b/core/src/main/java/org/bankturn/storage/FileSystemDirectory.java
@@ -80,6 +80,18 @@
         FileChannel channel = channels.get(name);
         if (channel != null) {
             channel.force(true);
+        } else {
+            syncFileOfFormerProcess(name);
+        }
+    }
+
+    private void syncFileOfFormerProcess(String name) throws IOException {
+        Path file = directory.resolve(name);
+        if (Files.exists(file)) {
+            try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
+                channel.force(true);
+            }
+            syncDirectory();
         }
     }
 
--- a/core/src/main/java/org/bankturn/storage/RaftStorage.java
+++ b/core/src/main/java/org/bankturn/storage/RaftStorage.java
@@ -78,7 +78,8 @@
     }
 
     /**
-     * Recovers the state in a storage directory; an incomplete record at the end of the log is removed.
+     * Recovers the state in a storage directory, which is durable when this method returns. An incomplete record at the end
+     * of the log is removed.
      *
      * @param directory the directory, not null
      * @return the storage, not null
@@ -88,8 +89,9 @@
     public static RaftStorage recover(StorageDirectory directory) throws IOException {
         RaftStorage storage = new RaftStorage(directory, readSnapshot(directory));
         Optional<StoredFile> log = directory.open(LOG);
-        if (log.isPresent() && !storage.replayAll(log.get())) {
-            storage.rewriteLog();
+        if (log.isPresent()) {
+            boolean whole = storage.replayAll(log.get());
+            storage.makeDurable(whole);
         }
         return storage;
     }
@@ -117,6 +119,16 @@
         }
     }
 
+    /** A killed process may have written what it never synced; nothing may be answered on the basis of that. */
+    private void makeDurable(boolean logIsWhole) throws IOException {
+        directory.sync(SNAPSHOT);
+        if (logIsWhole) {
+            directory.sync(LOG);
+        } else {
+            rewriteLog();
+        }
+    }
+
     private RaftStorage(StorageDirectory directory, Snapshot snapshot) {
         this.directory = directory;
         this.snapshot = snapshot;
--- a/core/src/main/java/org/bankturn/storage/StorageDirectory.java
+++ b/core/src/main/java/org/bankturn/storage/StorageDirectory.java
@@ -41,7 +41,7 @@
     void append(String name, byte[] bytes) throws IOException;
 
     /**
-     * Makes the content of a file and its directory entry durable.
+     * Makes the content of a file and its directory entry durable, also what a former process wrote without a sync.
      *
      * @param name the file name, not null
      * @throws IOException if the sync fails; the content is then undefined and the process must stop
--- a/core/src/test/java/org/bankturn/storage/CrashingDirectory.java
+++ b/core/src/test/java/org/bankturn/storage/CrashingDirectory.java
@@ -39,6 +39,14 @@
         return restarted;
     }
 
+    /** Returns the directory as found after the process was killed: what was written is there, synced or not. */
+    CrashingDirectory afterKill() {
+        CrashingDirectory restarted = new CrashingDirectory(Integer.MAX_VALUE, 0);
+        restarted.synced.putAll(synced);
+        restarted.written.putAll(written);
+        return restarted;
+    }
+
     void corrupt(String name, int position) {
         written.get(name)[position] ^= 0x40;
     }
--- a/core/src/test/java/org/bankturn/storage/RaftStorageTest.java
+++ b/core/src/test/java/org/bankturn/storage/RaftStorageTest.java
@@ -128,4 +128,24 @@
                 RaftStorage.recover(directory.afterCrash()).stored().entries();
         assertThat(entries.get(entries.size() - 1).index()).isEqualTo(CHANGES - 1);
     }
+
+    /** Guards against an entry that is acknowledged after a restart and lost in a power failure, as it was never synced. */
+    @Test
+    void entry_recovered_after_a_kill_before_its_sync_survives_a_loss_of_power() throws IOException {
+        CrashingDirectory directory = new CrashingDirectory(Integer.MAX_VALUE, 0);
+        fill(directory);
+        RaftStorage storage = RaftStorage.recover(directory);
+        directory.stopAfter(1, 0);
+        assertThatThrownBy(() -> storage.store(ready(CHANGES + 1))).isInstanceOf(IOException.class);
+        CrashingDirectory restarted = directory.afterKill();
+        PersistentState recovered = RaftStorage.recover(restarted).stored();
+        assertThat(lastIndex(recovered)).isEqualTo(CHANGES + 1);
+        assertThat(RaftStorage.recover(restarted.afterCrash()).stored())
+                .usingRecursiveComparison()
+                .isEqualTo(recovered);
+    }
+
+    private static long lastIndex(PersistentState state) {
+        return state.snapshot().index() + state.entries().size();
+    }
 }
