Storage: a log that ends in zeros no longer ends the member

Read, not seen by a caller: after a loss of power a file system may show zeros where the last write did not reach the disk. A member with such a log ends its thread at every start; no line says why.

Cause: RecordFile took a length of zero with a checksum of zero for a valid record, since CRC-32C of nothing is 0. Its empty payload cannot be decoded, which throws UncheckedIOException.

Change: no record is empty, so that zeros are a torn end, and corruption if a valid record follows.

RaftStorageTest.zeros_at_the_end_of_the_log_are_a_torn_record and zeros_between_records_are_detected failed before with UncheckedIOException, and pass; RaftStorageTest (8) and LargeLogTest (3) pass.

--- a/core/src/main/java/org/bankturn/storage/RecordFile.java
+++ b/core/src/main/java/org/bankturn/storage/RecordFile.java
@@ -8,6 +8,8 @@
  * The record file format. Each record consists of the payload length, the CRC-32C of the payload and the payload;
  * integers are big-endian.
  *
+ * <p>No record is empty: a length of zero is what a file system shows where a write did not reach the disk.
+ *
  * <p>An incomplete record at the end of the file, or a last record with a wrong checksum, is a torn write and is
  * ignored. A wrong checksum in any other record is corruption. One record at a time is held in memory.
  */
@@ -97,8 +99,7 @@
             file.read(position, window.array(), bytes);
             for (int offset = 0; offset <= bytes - HEADER_BYTES && position <= last; offset++, position++) {
                 int length = window.getInt(offset);
-                if (length > 0
-                        && isRecordComplete(position, length)
+                if (isRecordComplete(position, length)
                         && window.getInt(offset + Integer.BYTES) == checksumAt(position + HEADER_BYTES, length)) {
                     return true;
                 }
@@ -108,7 +109,7 @@
     }
 
     private boolean isRecordComplete(long position, int length) {
-        return length >= 0 && length <= MAX_RECORD_BYTES && length <= file.size() - position - HEADER_BYTES;
+        return length > 0 && length <= MAX_RECORD_BYTES && length <= file.size() - position - HEADER_BYTES;
     }
 
     private byte[] payloadAt(long position, int length) throws IOException {
--- a/core/src/test/java/org/bankturn/storage/CrashingDirectory.java
+++ b/core/src/test/java/org/bankturn/storage/CrashingDirectory.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -51,6 +52,12 @@
         written.get(name)[position] ^= 0x40;
     }
 
+    void appendZeros(String name, int count) {
+        byte[] longer = Arrays.copyOf(written.get(name), sizeOf(name) + count);
+        written.put(name, longer);
+        synced.put(name, longer.clone());
+    }
+
     int sizeOf(String name) {
         return written.get(name).length;
     }
--- a/core/src/test/java/org/bankturn/storage/RaftStorageTest.java
+++ b/core/src/test/java/org/bankturn/storage/RaftStorageTest.java
@@ -145,6 +145,36 @@
                 .isEqualTo(recovered);
     }
 
+    /** Guards against the end of a member's thread by zeros that a loss of power left where a record was being written. */
+    @Test
+    void zeros_at_the_end_of_the_log_are_a_torn_record() throws IOException {
+        for (int zeros : new int[] {1, 7, 8, 9, 16, 100, 100_000}) {
+            CrashingDirectory directory = new CrashingDirectory(Integer.MAX_VALUE, 0);
+            fill(directory);
+            int wholeBytes = directory.sizeOf("log");
+            directory.appendZeros("log", zeros);
+            assertThat(lastIndex(RaftStorage.recover(directory).stored()))
+                    .as("%d zeros", zeros)
+                    .isEqualTo(CHANGES);
+            assertThat(directory.sizeOf("log")).isLessThanOrEqualTo(wholeBytes);
+        }
+    }
+
+    /** Guards against the loss of entries after zeros, which are corruption and not a torn end. */
+    @Test
+    void zeros_between_records_are_detected() throws IOException {
+        for (int zeros : new int[] {8, 16, 100}) {
+            CrashingDirectory directory = new CrashingDirectory(Integer.MAX_VALUE, 0);
+            fill(directory);
+            RaftStorage storage = RaftStorage.recover(directory);
+            directory.appendZeros("log", zeros);
+            storage.store(ready(CHANGES + 1));
+            assertThatThrownBy(() -> RaftStorage.recover(directory))
+                    .as("%d zeros", zeros)
+                    .isInstanceOf(CorruptLogException.class);
+        }
+    }
+
     private static long lastIndex(PersistentState state) {
         return state.snapshot().index() + state.entries().size();
     }
