--- a/core/src/test/java/org/bankturn/storage/CrashingDirectory.java
+++ b/core/src/test/java/org/bankturn/storage/CrashingDirectory.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -39,10 +40,24 @@
         return restarted;
     }
 
+    /** Returns the directory as found after the process was killed: what was written is there, synced or not. */
+    CrashingDirectory afterKill() {
+        CrashingDirectory restarted = new CrashingDirectory(Integer.MAX_VALUE, 0);
+        restarted.synced.putAll(synced);
+        restarted.written.putAll(written);
+        return restarted;
+    }
+
     void corrupt(String name, int position) {
         written.get(name)[position] ^= 0x40;
     }
 
+    void appendZeros(String name, int count) {
+        byte[] longer = Arrays.copyOf(written.get(name), sizeOf(name) + count);
+        written.put(name, longer);
+        synced.put(name, longer.clone());
+    }
+
     int sizeOf(String name) {
         return written.get(name).length;
     }
