Wire: heartbeats and votes do not wait behind a large message, which is not cut while it moves

What callers saw: a leader gave up a box that copied the log after 500 ms of silence, again and again, and the same bytes were sent anew. On a link of 20 Mbit/s a batch of 3 to 4 MB takes longer than the second after which a message counts as lost.

Cause: all messages to a process share one connection and one queue. Heartbeats and votes waited until the batch was written; the timeout counted from the call, and nothing was read meanwhile, so that NodeClient closed the connection in the middle of the batch. The reply to a watch that an update made large was cut in the same way by the process that waited for it.

Change: large requests, and requests of a kind that had a large reply, go on a second connection, opened when the first of them is sent. Small messages time out, and their connection is given up, as before.

--- a/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
@@ -1,12 +1,13 @@
 package org.bankturn.daemon.wire;
 
-import io.activej.bytebuf.ByteBuf;
 import io.activej.bytebuf.ByteBufs;
 import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.Consumer;
 import org.bankturn.codec.MessagePackCodec;
 import org.bankturn.time.Clock;
@@ -22,20 +23,34 @@
             Math.min(128 << 20, Runtime.getRuntime().maxMemory() / 4);
 
     private final ITcpSocket socket;
-    private final Consumer<Frame> receiver;
+    private final Receiver receiver;
     private final Consumer<Exception> closeListener;
     private final ByteBufs received = new ByteBufs();
-    private final Deque<ByteBuf> sendQueue = new ArrayDeque<>();
+    private final Deque<OutgoingFrame> sendQueue = new ArrayDeque<>();
     private final Clock clock;
+    private byte[] incoming;
+    private int incomingBytes;
     private long readCount;
-    private long lastReadMillis;
+    private long lastProgressMillis;
     private boolean sending;
     private boolean closed;
 
-    FrameChannel(ITcpSocket socket, Clock clock, Consumer<Frame> receiver, Consumer<Exception> closeListener) {
+    /** Receives the frames of a connection. */
+    @FunctionalInterface
+    interface Receiver {
+        /**
+         * Called for each frame.
+         *
+         * @param frame the content, not null
+         * @param large true if it was large enough to delay others
+         */
+        void received(Frame frame, boolean large);
+    }
+
+    FrameChannel(ITcpSocket socket, Clock clock, Receiver receiver, Consumer<Exception> closeListener) {
         this.socket = socket;
         this.clock = clock;
-        this.lastReadMillis = clock.millis();
+        this.lastProgressMillis = clock.millis();
         this.receiver = receiver;
         this.closeListener = closeListener;
     }
@@ -44,27 +59,38 @@
         readMore();
     }
 
-    void send(Frame frame) {
+    void send(OutgoingFrame frame) {
         if (closed) {
+            frame.end();
             return;
         }
-        byte[] payload = MessagePackCodec.instance().encode(frame);
-        byte[] framed = ByteBuffer.allocate(Integer.BYTES + payload.length)
-                .putInt(payload.length)
-                .put(payload)
-                .array();
-        sendQueue.add(ByteBuf.wrapForReading(framed));
+        sendQueue.add(frame);
         flush();
     }
 
+    /** Removes a frame from the queue unless a part of it was written. */
+    void withdraw(OutgoingFrame frame) {
+        if (!frame.isBegun() && sendQueue.remove(frame)) {
+            frame.end();
+        }
+    }
+
     /** Returns the number of reads that returned data. */
     long readCount() {
         return readCount;
     }
 
-    /** Returns the time of the last read, or the time of opening before the first. */
-    long lastReadMillis() {
-        return lastReadMillis;
+    /**
+     * Returns the time of the last read or of the last part of a large frame that the connection took, or the time of
+     * opening before the first. Small frames don't count, since a connection that went silent takes them for long.
+     */
+    long lastProgressMillis() {
+        return lastProgressMillis;
+    }
+
+    /** Returns true if a part of a large frame was received, and not the rest. */
+    boolean isReceivingLargeFrame() {
+        return incoming != null && incoming.length > OutgoingFrame.LARGE_BYTES;
     }
 
     /** Returns true if the connection is closed. */
@@ -79,25 +105,49 @@
         closed = true;
         socket.closeEx(reason);
         received.recycle();
+        incoming = null;
+        List<OutgoingFrame> unsent = List.copyOf(sendQueue);
         sendQueue.clear();
+        unsent.forEach(OutgoingFrame::end);
         closeListener.accept(reason);
     }
 
+    // ---- sending
+
+    /** Writes parts until one is not taken at once. */
     private void flush() {
-        if (sending || closed || sendQueue.isEmpty()) {
-            return;
-        }
-        sending = true;
-        socket.write(sendQueue.poll()).whenComplete((ignored, failure) -> {
-            sending = false;
-            if (failure != null) {
-                close(failure);
+        while (!sending && !closed && !sendQueue.isEmpty()) {
+            sending = true;
+            OutgoingFrame frame = sendQueue.peek();
+            Promise<Void> write = socket.write(frame.nextPart());
+            if (write.isComplete()) {
+                partWritten(frame, write.getException());
             } else {
-                flush();
+                write.whenComplete((ignored, failure) -> {
+                    partWritten(frame, failure);
+                    flush();
+                });
             }
-        });
+        }
     }
 
+    private void partWritten(OutgoingFrame frame, Exception failure) {
+        if (failure != null) {
+            close(failure);
+            return;
+        }
+        if (frame.isLarge()) {
+            lastProgressMillis = clock.millis();
+        }
+        if (!closed && frame.isComplete()) {
+            sendQueue.remove();
+            frame.end();
+        }
+        sending = false;
+    }
+
+    // ---- receiving
+
     private void readMore() {
         socket.read().whenComplete((bytes, failure) -> {
             if (failure != null || bytes == null) {
@@ -109,7 +159,7 @@
                 return;
             }
             readCount++;
-            lastReadMillis = clock.millis();
+            lastProgressMillis = clock.millis();
             received.add(bytes);
             decodeFrames();
             if (!closed) {
@@ -119,23 +169,35 @@
     }
 
     private void decodeFrames() {
-        while (!closed && received.hasRemainingBytes(Integer.BYTES)) {
-            byte[] prefix = new byte[Integer.BYTES];
-            received.peekTo(prefix, 0, Integer.BYTES);
-            int length = ByteBuffer.wrap(prefix).getInt();
-            if (length < 0 || length > MAX_FRAME_BYTES) {
-                close(new IOException("invalid frame length: " + length));
+        while (!closed && (incoming != null || beginFrame())) {
+            incomingBytes += received.drainTo(incoming, incomingBytes, incoming.length - incomingBytes);
+            if (incomingBytes < incoming.length) {
                 return;
             }
-            if (!received.hasRemainingBytes(Integer.BYTES + length)) {
-                return;
-            }
-            received.skip(Integer.BYTES);
-            deliver(received.takeExactSize(length).asArray());
+            deliver();
+        }
+    }
+
+    /** Reads the length of the next frame; returns false if it is not there yet or invalid. */
+    private boolean beginFrame() {
+        if (!received.hasRemainingBytes(Integer.BYTES)) {
+            return false;
+        }
+        byte[] prefix = new byte[Integer.BYTES];
+        received.drainTo(prefix, 0, Integer.BYTES);
+        int length = ByteBuffer.wrap(prefix).getInt();
+        if (length < 0 || length > MAX_FRAME_BYTES) {
+            close(new IOException("invalid frame length: " + length));
+            return false;
         }
+        incoming = new byte[length];
+        incomingBytes = 0;
+        return true;
     }
 
-    private void deliver(byte[] payload) {
+    private void deliver() {
+        byte[] payload = incoming;
+        incoming = null;
         Frame frame;
         try {
             frame = MessagePackCodec.instance().decode(payload, Frame.class);
@@ -143,6 +205,6 @@
             close(e);
             return;
         }
-        receiver.accept(frame);
+        receiver.received(frame, payload.length > OutgoingFrame.LARGE_BYTES);
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
@@ -1,46 +1,156 @@
 package org.bankturn.daemon.wire;
 
 import io.activej.async.exception.AsyncTimeoutException;
-import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.common.MemSize;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
+import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.routing.ConnectionReusePolicy;
 import org.bankturn.time.Clock;
 
 /**
- * Sends requests to one other process, over one connection that is opened on demand.
+ * Sends requests to one other process, over connections that are opened on demand: one for small messages and, once there
+ * are large ones, a second for these, so that urgent messages do not wait behind them.
  *
  * <p>Replies are matched to requests by correlation identifier, in any order; a lost connection fails all requests pending
  * on it. An open connection may go silent while new connections work, so a connection on which a request timed out is not
  * used for further requests, and one that the reuse policy rejects is replaced before use.
  *
+ * <p>A request on the second connection times out only once its bytes, and those of its reply, have stopped moving.
+ *
  * <p>NodeClient is confined to its reactor's thread.
  */
 public final class NodeClient {
-    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    /** Bounds the bytes that count as written and are still under way; enough for 20 Mbit/s over 50 ms. */
+    private static final int BULK_SEND_BUFFER_BYTES = 128 << 10;
+
+    /** The time that the bytes in the send buffer take at 2 Mbit/s. */
+    private static final long SEND_BUFFER_MILLIS = 1_000;
 
     private final NioReactor reactor;
     private final Address address;
     private final Clock clock;
     private final ConnectionReusePolicy reusePolicy;
     private final ConnectionObserver observer;
+    private final PeerConnection regular;
+    private final PeerConnection bulk;
     private final Map<Long, PendingRequest> pending = new HashMap<>();
-    private FrameChannel channel;
-    private Promise<FrameChannel> connecting;
+
+    /** The kinds of requests whose replies may be large; others are added once a large one was received. */
+    private final Set<Class<?>> largeReplyKinds =
+            new HashSet<>(List.of(NodeRequest.GetPiece.class, NodeRequest.GetChunk.class));
+
     private long lastCorrelation;
 
-    /** A request that awaits its reply, and the connection it was sent on, null until it is sent. */
-    private static final class PendingRequest {
+    /** A request that awaits its reply. */
+    private final class PendingRequest {
+        private final long correlation;
+        private final Class<?> kind;
+        private final PeerConnection connection;
+        private final OutgoingFrame frame;
+        private final long timeoutMillis;
         private final SettablePromise<NodeReply> reply = new SettablePromise<>();
+        private long waitingSinceMillis;
+        private long progressMillis;
+        private boolean written;
+
+        /** Null until the request is sent. */
         private FrameChannel sentOn;
+
+        private ScheduledRunnable timer;
+
+        PendingRequest(long correlation, NodeRequest request, long timeoutMillis) {
+            this.correlation = correlation;
+            this.kind = request.getClass();
+            this.timeoutMillis = timeoutMillis;
+            this.waitingSinceMillis = clock.millis();
+            this.progressMillis = waitingSinceMillis;
+            this.frame = OutgoingFrame.encode(new Frame(correlation, request, null), this::frameEnded);
+            this.connection = frame.isLarge() || largeReplyKinds.contains(kind) ? bulk : regular;
+        }
+
+        void start() {
+            pending.put(correlation, this);
+            awaitReply(timeoutMillis);
+            connection.connect().whenComplete((open, failure) -> {
+                if (failure != null) {
+                    fail(failure);
+                } else if (isPending()) {
+                    sentOn = open;
+                    open.send(frame);
+                }
+            });
+        }
+
+        boolean isPending() {
+            return pending.get(correlation) == this;
+        }
+
+        void succeed(NodeReply value) {
+            end();
+            reply.trySet(value);
+        }
+
+        void fail(Exception failure) {
+            if (isPending()) {
+                end();
+                reply.trySetException(failure);
+            }
+        }
+
+        private void end() {
+            pending.remove(correlation);
+            timer.cancel();
+            if (sentOn == null) {
+                frame.end();
+            } else {
+                sentOn.withdraw(frame);
+            }
+        }
+
+        private void frameEnded() {
+            written = true;
+            if (connection == bulk && isPending()) {
+                long bufferedMillis = frame.isLarge() ? SEND_BUFFER_MILLIS : 0;
+                progressMillis = clock.millis() + bufferedMillis;
+            }
+        }
+
+        private void awaitReply(long delayMillis) {
+            timer = reactor.delay(delayMillis, this::onTimer);
+        }
+
+        private void onTimer() {
+            if (isMoving()) {
+                progressMillis = Math.max(progressMillis, sentOn.lastProgressMillis());
+            }
+            long remainingMillis = progressMillis + timeoutMillis - clock.millis();
+            if (progressMillis > waitingSinceMillis && remainingMillis > 0) {
+                waitingSinceMillis = progressMillis;
+                awaitReply(remainingMillis);
+                return;
+            }
+            fail(new AsyncTimeoutException("Promise timeout"));
+            requestTimedOut(this);
+        }
+
+        /** Returns true if the request, one before it, or a large reply is being transferred. */
+        private boolean isMoving() {
+            return mayOutlastTimeout() && (!written || sentOn.isReceivingLargeFrame());
+        }
+
+        private boolean mayOutlastTimeout() {
+            return sentOn != null && (connection == bulk || kind == NodeRequest.WatchPublication.class);
+        }
     }
 
     NodeClient(
@@ -54,119 +164,87 @@
         this.clock = clock;
         this.reusePolicy = reusePolicy;
         this.observer = observer;
+        this.regular = connection(SocketSettings.defaultInstance());
+        this.bulk = connection(SocketSettings.builder()
+                .withSendBufferSize(MemSize.of(BULK_SEND_BUFFER_BYTES))
+                .build());
+    }
+
+    private PeerConnection connection(SocketSettings socketSettings) {
+        return new PeerConnection(
+                reactor,
+                address,
+                socketSettings,
+                clock,
+                reusePolicy,
+                new PeerConnection.Events(this::isInUse, this::replyReceived, this::connectionLost));
     }
 
     /**
      * Sends a request.
      *
      * @param request the request, not null
-     * @param timeoutMillis the timeout for the reply
+     * @param timeoutMillis the timeout for the reply, which for a large message counts from its last part
      * @return the reply; fails if the connection could not be established, was lost, or the request timed out
      */
     public Promise<NodeReply> ask(NodeRequest request, long timeoutMillis) {
-        long correlation = ++lastCorrelation;
-        PendingRequest entry = new PendingRequest();
-        pending.put(correlation, entry);
-        connect().whenComplete((open, failure) -> {
-            if (failure != null) {
-                entry.reply.trySetException(failure);
-            } else if (pending.containsKey(correlation)) {
-                entry.sentOn = open;
-                open.send(new Frame(correlation, request, null));
-            }
-        });
-        return Promises.timeout(timeoutMillis, entry.reply)
-                .whenComplete(() -> pending.remove(correlation))
-                .whenException(AsyncTimeoutException.class, timedOut -> requestTimedOut(entry, timeoutMillis));
+        PendingRequest entry = new PendingRequest(++lastCorrelation, request, timeoutMillis);
+        entry.start();
+        return entry.reply;
     }
 
     /** Closes every connection and fails the pending requests on them. */
     public void close() {
         IOException reason = new IOException("connection closed locally");
-        if (channel != null) {
-            channel.close(reason);
-        }
+        regular.close(reason);
+        bulk.close(reason);
         List.copyOf(pending.values()).stream()
                 .filter(entry -> entry.sentOn != null)
                 .forEach(entry -> entry.sentOn.close(reason));
     }
 
-    private void requestTimedOut(PendingRequest timedOut, long timeoutMillis) {
+    private void requestTimedOut(PendingRequest timedOut) {
         FrameChannel used = timedOut.sentOn;
         if (used == null || used.isClosed()) {
             return;
         }
-        retire(used);
-        long silentMillis = clock.millis() - used.lastReadMillis();
-        if (silentMillis < timeoutMillis / 2) {
+        timedOut.connection.retire(used);
+        long silentMillis = clock.millis() - used.lastProgressMillis();
+        if (silentMillis < timedOut.timeoutMillis / 2) {
             return;
         }
         boolean established = used.readCount() > 0;
         observer.onSilentConnection(address, silentMillis, established);
         if (established) {
             // connections to other processes may be silent too; marking them avoids one timeout after another
-            reusePolicy.timedOut(clock.millis() - timeoutMillis / 2);
+            reusePolicy.timedOut(clock.millis() - timedOut.timeoutMillis / 2);
         }
         used.close(new IOException("silent for " + silentMillis + " ms"));
     }
 
-    /** Stops using a connection for new requests, and closes it unless requests are pending on it. */
-    private void retire(FrameChannel retired) {
-        if (channel == retired) {
-            channel = null;
-        }
-        boolean inUse = pending.values().stream().anyMatch(entry -> entry.sentOn == retired);
-        if (!inUse) {
-            retired.close(new IOException("replaced"));
-        }
-    }
-
-    private Promise<FrameChannel> connect() {
-        if (channel != null && !reusePolicy.isReusable(channel.lastReadMillis())) {
-            retire(channel);
-        }
-        if (channel != null) {
-            return Promise.of(channel);
-        }
-        if (connecting != null) {
-            return connecting;
-        }
-        Promise<FrameChannel> attempt = TcpSocket.connect(reactor, address.toSocketAddress(), CONNECT_TIMEOUT, null)
-                .map(this::open);
-        if (!attempt.isComplete()) {
-            connecting = attempt.whenComplete(() -> connecting = null);
-        }
-        return attempt;
-    }
-
-    private FrameChannel open(TcpSocket socket) {
-        FrameChannel[] opened = new FrameChannel[1];
-        opened[0] = new FrameChannel(socket, clock, this::replyReceived, reason -> connectionLost(opened[0], reason));
-        channel = opened[0];
-        channel.start();
-        return opened[0];
+    private boolean isInUse(FrameChannel channel) {
+        return pending.values().stream().anyMatch(entry -> entry.sentOn == channel);
     }
 
-    private void replyReceived(Frame frame) {
-        PendingRequest entry = pending.remove(frame.correlation());
+    private void replyReceived(Frame frame, boolean large) {
+        PendingRequest entry = pending.get(frame.correlation());
         if (entry == null || frame.reply() == null) {
             return;
         }
-        entry.reply.trySet(frame.reply());
-        if (entry.sentOn != channel) {
-            retire(entry.sentOn);
+        if (large) {
+            largeReplyKinds.add(entry.kind);
+        }
+        entry.succeed(frame.reply());
+        if (!entry.connection.isCurrent(entry.sentOn)) {
+            entry.connection.retire(entry.sentOn);
         }
     }
 
     private void connectionLost(FrameChannel closed, Exception reason) {
-        if (channel == closed) {
-            channel = null;
-        }
         IOException wrapped = new IOException("connection lost to " + address, reason);
         List<PendingRequest> failed = pending.values().stream()
                 .filter(entry -> entry.sentOn == closed)
                 .toList();
-        pending.values().removeAll(failed);
-        failed.forEach(entry -> entry.reply.trySetException(wrapped));
+        failed.forEach(entry -> entry.fail(wrapped));
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
@@ -90,7 +90,7 @@
         reactor.delayBackground(SWEEP_INTERVAL_MILLIS, () -> {
             long oldest = clock.millis() - MAX_SILENT_MILLIS;
             List<FrameChannel> silent = channels.stream()
-                    .filter(channel -> channel.lastReadMillis() < oldest)
+                    .filter(channel -> channel.lastProgressMillis() < oldest)
                     .toList();
             silent.forEach(channel -> channel.close(new IOException("silent for " + MAX_SILENT_MILLIS + " ms")));
             scheduleSweep();
@@ -100,7 +100,7 @@
     private void serve(ITcpSocket socket) {
         FrameChannel[] accepted = new FrameChannel[1];
         accepted[0] = new FrameChannel(
-                socket, clock, frame -> respond(accepted[0], frame), reason -> channels.remove(accepted[0]));
+                socket, clock, (frame, large) -> respond(accepted[0], frame), reason -> channels.remove(accepted[0]));
         channels.add(accepted[0]);
         accepted[0].start();
     }
@@ -111,7 +111,7 @@
         }
         handle(frame.request()).whenComplete((reply, failure) -> {
             NodeReply response = failure == null ? reply : new NodeReply.Failed(String.valueOf(failure.getMessage()));
-            channel.send(new Frame(frame.correlation(), null, response));
+            channel.send(OutgoingFrame.encode(new Frame(frame.correlation(), null, response)));
         });
     }
 
