Wire: what waits to be sent to a process is bounded in bytes

Cause: nothing bounded FrameChannel's queue, nor the requests that wait until a connection is open.

Change: once a 64th of the heap waits for a connection or on it, messages without reply are dropped and requests fail at once. Each of the two connections to a process has its own bound, so that heartbeats are not dropped because a batch waits. A process that serves puts a failure in place of a large reply that is not read, and closes a connection on which small ones pile up, too. Lines `oversized`, bounded as all lines are, and bankturn_oversized_messages_total tell what was dropped.

NodeServerTest names an observer, which the server now needs; nothing else of it has changed.

--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -137,8 +137,9 @@
         this.metrics = metrics;
         this.watchers = new Watchers(reactor, clock);
         this.evacuationReporter = EvacuationReporter.of(log, metrics);
-        this.clients = NodeClients.on(reactor, clock, SilentConnectionReporter.of(log, metrics));
-        this.nodeServer = NodeServer.create(reactor, settings.listenAddress(), this::answer);
+        SilentConnectionReporter connectionReporter = SilentConnectionReporter.of(log, metrics);
+        this.clients = NodeClients.on(reactor, clock, connectionReporter);
+        this.nodeServer = NodeServer.create(reactor, clock, settings.listenAddress(), this::answer, connectionReporter);
         this.listener = HttpListener.create(
                 reactor, clock, settings.callAddress().toSocketAddress(), () -> ServerLimits.CONTROL, this::handle);
         QuorumContactMonitor contactMonitor =
--- a/daemon/src/main/java/org/bankturn/daemon/observe/SilentConnectionReporter.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/SilentConnectionReporter.java
@@ -4,7 +4,8 @@
 import org.bankturn.daemon.wire.ConnectionObserver;
 
 /**
- * Logs and counts connections that are closed because nothing is received on them.
+ * Logs and counts connections that are closed because nothing is received on them, and messages dropped because too much
+ * waits to be sent.
  *
  * <p>SilentConnectionReporter is thread-safe.
  */
@@ -39,4 +40,17 @@
                 .with(DecisionField.SILENT_MS, silentMillis)
                 .write();
     }
+
+    @Override
+    public void onMessageDropped(String droppedFor, boolean reply, int bytes, long unsentBytes) {
+        String message = reply ? "reply to a process" : "message to a process";
+        metrics.messageTooLarge(message, "connection");
+        log.line(DecisionKind.OVERSIZED)
+                .with(DecisionField.MESSAGE, message)
+                .with(DecisionField.BOUND, "connection")
+                .with(DecisionField.ADDRESS, droppedFor)
+                .with(DecisionField.BYTES, bytes)
+                .with(DecisionField.UNSENT_BYTES, unsentBytes)
+                .write();
+    }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.daemon.gateway.Gateway;
 import org.bankturn.daemon.gateway.GatewaySettings;
@@ -166,14 +167,18 @@
         return NodeClients.on(reactor, clock, SilentConnectionReporter.of(log, metrics));
     }
 
+    private NodeServer nodeServer(Function<NodeRequest, Promise<NodeReply>> handler) {
+        return NodeServer.create(
+                reactor, clock, settings.nodeAddress(), handler, SilentConnectionReporter.of(log, metrics));
+    }
+
     /** Starts the relay of weights, which uses the entry box's faster link. */
     private WeightsRelay startRelay(NodeClients clients) throws IOException {
         WeightsRelay relay = WeightsRelay.of(
                 new WeightsRelay.RelaySettings(
                         settings.dataHall(), settings.nodeAddress(), settings.linkBytesPerSecond()),
                 weightsDependencies(clients));
-        NodeServer.create(reactor, settings.nodeAddress(), request -> answer(relay, request))
-                .listen();
+        nodeServer(request -> answer(relay, request)).listen();
         return relay;
     }
 
@@ -259,7 +264,7 @@
                         settings.bounds().weightsDeadlineMillis(),
                         settings.linkBytesPerSecond()),
                 weightsDependencies(clients));
-        NodeServer server = NodeServer.create(reactor, settings.nodeAddress(), request -> answer(agent, request));
+        NodeServer server = nodeServer(request -> answer(agent, request));
         server.listen();
         PublicationFollower.of(
                         followerDependencies(clients), (published, changedSinceMillis) -> agent.update(published))
--- a/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
@@ -32,6 +32,7 @@
     private int incomingBytes;
     private long readCount;
     private long lastProgressMillis;
+    private long unsentBytes;
     private boolean sending;
     private boolean closed;
 
@@ -65,16 +66,23 @@
             return;
         }
         sendQueue.add(frame);
+        unsentBytes += frame.bytes();
         flush();
     }
 
     /** Removes a frame from the queue unless a part of it was written. */
     void withdraw(OutgoingFrame frame) {
         if (!frame.isBegun() && sendQueue.remove(frame)) {
+            unsentBytes -= frame.bytes();
             frame.end();
         }
     }
 
+    /** Returns the size of the frames that are not written completely. */
+    long unsentBytes() {
+        return unsentBytes;
+    }
+
     /** Returns the number of reads that returned data. */
     long readCount() {
         return readCount;
@@ -108,6 +116,7 @@
         incoming = null;
         List<OutgoingFrame> unsent = List.copyOf(sendQueue);
         sendQueue.clear();
+        unsentBytes = 0;
         unsent.forEach(OutgoingFrame::end);
         closeListener.accept(reason);
     }
@@ -141,6 +150,7 @@
         }
         if (!closed && frame.isComplete()) {
             sendQueue.remove();
+            unsentBytes -= frame.bytes();
             frame.end();
         }
         sending = false;
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeClient.java
@@ -41,6 +41,7 @@
     private final Clock clock;
     private final ConnectionReusePolicy reusePolicy;
     private final ConnectionObserver observer;
+    private final long maxUnsentBytes;
     private final PeerConnection regular;
     private final PeerConnection bulk;
     private final Map<Long, PendingRequest> pending = new HashMap<>();
@@ -78,8 +79,14 @@
             this.connection = frame.isLarge() || largeReplyKinds.contains(kind) ? bulk : regular;
         }
 
+        /** Returns true if no more waits to be sent than a process that does not read may cost. */
+        boolean isAdmitted() {
+            return connection.unsentBytes() < maxUnsentBytes;
+        }
+
         void start() {
             pending.put(correlation, this);
+            connection.addUnsentBytes(frame.bytes());
             awaitReply(timeoutMillis);
             connection.connect().whenComplete((open, failure) -> {
                 if (failure != null) {
@@ -119,6 +126,7 @@
 
         private void frameEnded() {
             written = true;
+            connection.addUnsentBytes(-frame.bytes());
             if (connection == bulk && isPending()) {
                 long bufferedMillis = frame.isLarge() ? SEND_BUFFER_MILLIS : 0;
                 progressMillis = clock.millis() + bufferedMillis;
@@ -158,12 +166,14 @@
             Address address,
             Clock clock,
             ConnectionReusePolicy reusePolicy,
-            ConnectionObserver observer) {
+            ConnectionObserver observer,
+            long maxUnsentBytes) {
         this.reactor = reactor;
         this.address = address;
         this.clock = clock;
         this.reusePolicy = reusePolicy;
         this.observer = observer;
+        this.maxUnsentBytes = maxUnsentBytes;
         this.regular = connection(SocketSettings.defaultInstance());
         this.bulk = connection(SocketSettings.builder()
                 .withSendBufferSize(MemSize.of(BULK_SEND_BUFFER_BYTES))
@@ -185,10 +195,15 @@
      *
      * @param request the request, not null
      * @param timeoutMillis the timeout for the reply, which for a large message counts from its last part
-     * @return the reply; fails if the connection could not be established, was lost, or the request timed out
+     * @return the reply; fails if the connection could not be established, was lost, or the request timed out, and at once
+     *     if too much waits to be sent
      */
     public Promise<NodeReply> ask(NodeRequest request, long timeoutMillis) {
         PendingRequest entry = new PendingRequest(++lastCorrelation, request, timeoutMillis);
+        if (!entry.isAdmitted()) {
+            observer.onMessageDropped(address.toString(), false, entry.frame.bytes(), entry.connection.unsentBytes());
+            return Promise.ofException(new IOException("too much waits to be sent to " + address));
+        }
         entry.start();
         return entry.reply;
     }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeClients.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeClients.java
@@ -20,10 +20,17 @@
     /** Exceeds the longest interval between regular requests, 4 s, so that connections in regular use are kept. */
     private static final long MAX_IDLE_MILLIS = 5_000;
 
+    /**
+     * The size of what may wait on one connection when a message is added. Ten processes that do not read, two connections
+     * each, cost a third of the heap.
+     */
+    private static final long MAX_UNSENT_BYTES = Runtime.getRuntime().maxMemory() / 64;
+
     private final NioReactor reactor;
     private final Clock clock;
     private final ConnectionObserver observer;
     private final ConnectionReusePolicy reusePolicy;
+    private final long maxUnsentBytes;
     private final Map<Address, NodeClient> clients = new HashMap<>();
 
     /**
@@ -45,10 +52,15 @@
      * @return the clients, not null
      */
     public static NodeClients on(NioReactor reactor, Clock clock, ConnectionObserver observer) {
-        return new NodeClients(reactor, clock, observer);
+        return on(reactor, clock, observer, MAX_UNSENT_BYTES);
+    }
+
+    static NodeClients on(NioReactor reactor, Clock clock, ConnectionObserver observer, long maxUnsentBytes) {
+        return new NodeClients(reactor, clock, observer, maxUnsentBytes);
     }
 
-    private NodeClients(NioReactor reactor, Clock clock, ConnectionObserver observer) {
+    private NodeClients(NioReactor reactor, Clock clock, ConnectionObserver observer, long maxUnsentBytes) {
+        this.maxUnsentBytes = maxUnsentBytes;
         this.reactor = reactor;
         this.clock = clock;
         this.observer = observer;
@@ -64,7 +76,8 @@
      * @return the reply; fails if none is received in time
      */
     public Promise<NodeReply> ask(Address address, NodeRequest request, long timeoutMillis) {
-        return clients.computeIfAbsent(address, key -> new NodeClient(reactor, key, clock, reusePolicy, observer))
+        return clients.computeIfAbsent(
+                        address, key -> new NodeClient(reactor, key, clock, reusePolicy, observer, maxUnsentBytes))
                 .ask(request, timeoutMillis);
     }
 
@@ -89,7 +102,7 @@
     }
 
     /**
-     * Sends a message without delivery guarantee and ignores the reply.
+     * Sends a message without delivery guarantee and ignores the reply. It is dropped if too much waits to be sent.
      *
      * @param address the other process's node address, not null
      * @param request the message, not null
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
@@ -2,6 +2,7 @@
 
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.io.IOException;
@@ -23,11 +24,19 @@
 
     private static final long SWEEP_INTERVAL_MILLIS = 5_000;
 
+    /** The size of the replies that may wait on one connection when a large one is added: several pieces of weights. */
+    private static final long MAX_UNSENT_BYTES = Runtime.getRuntime().maxMemory() / 8;
+
+    /** The bound of all connections together, as a multiple of that of one. */
+    private static final int CONNECTIONS_WITH_MAX_UNSENT = 2;
+
     private final NioReactor reactor;
     private final Clock clock;
     private final SimpleServer server;
     private final Function<NodeRequest, Promise<NodeReply>> handler;
     private final Set<FrameChannel> channels = new HashSet<>();
+    private final ConnectionObserver observer;
+    private final long maxUnsentBytes;
 
     /**
      * Creates a server; {@link #listen} starts it.
@@ -39,7 +48,7 @@
      */
     public static NodeServer create(
             NioReactor reactor, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
-        return create(reactor, Clock.system(), address, handler);
+        return create(reactor, Clock.system(), address, handler, ConnectionObserver.NONE);
     }
 
     /**
@@ -49,18 +58,40 @@
      * @param clock the clock for connection ages, not null
      * @param address the address to bind to, not null
      * @param handler handles a request, not null
+     * @param observer notified of replies that are dropped, not null
      * @return the server, not null
      */
     public static NodeServer create(
-            NioReactor reactor, Clock clock, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
-        return new NodeServer(reactor, clock, address, handler);
+            NioReactor reactor,
+            Clock clock,
+            Address address,
+            Function<NodeRequest, Promise<NodeReply>> handler,
+            ConnectionObserver observer) {
+        return create(reactor, clock, address, handler, observer, MAX_UNSENT_BYTES);
+    }
+
+    static NodeServer create(
+            NioReactor reactor,
+            Clock clock,
+            Address address,
+            Function<NodeRequest, Promise<NodeReply>> handler,
+            ConnectionObserver observer,
+            long maxUnsentBytes) {
+        return new NodeServer(reactor, clock, address, handler, observer, maxUnsentBytes);
     }
 
     private NodeServer(
-            NioReactor reactor, Clock clock, Address address, Function<NodeRequest, Promise<NodeReply>> handler) {
+            NioReactor reactor,
+            Clock clock,
+            Address address,
+            Function<NodeRequest, Promise<NodeReply>> handler,
+            ConnectionObserver observer,
+            long maxUnsentBytes) {
         this.reactor = reactor;
         this.clock = clock;
         this.handler = handler;
+        this.observer = observer;
+        this.maxUnsentBytes = maxUnsentBytes;
         this.server = SimpleServer.builder(reactor, this::serve)
                 .withListenAddress(address.toSocketAddress())
                 .build();
@@ -100,21 +131,51 @@
     private void serve(ITcpSocket socket) {
         FrameChannel[] accepted = new FrameChannel[1];
         accepted[0] = new FrameChannel(
-                socket, clock, (frame, large) -> respond(accepted[0], frame), reason -> channels.remove(accepted[0]));
+                socket,
+                clock,
+                (frame, large) -> respond(accepted[0], socket, frame),
+                reason -> channels.remove(accepted[0]));
         channels.add(accepted[0]);
         accepted[0].start();
     }
 
-    private void respond(FrameChannel channel, Frame frame) {
+    private void respond(FrameChannel channel, ITcpSocket socket, Frame frame) {
         if (frame.request() == null) {
             return;
         }
         handle(frame.request()).whenComplete((reply, failure) -> {
             NodeReply response = failure == null ? reply : new NodeReply.Failed(String.valueOf(failure.getMessage()));
-            channel.send(OutgoingFrame.encode(new Frame(frame.correlation(), null, response)));
+            if (!channel.isClosed()) {
+                send(channel, socket, frame.correlation(), response);
+            }
         });
     }
 
+    /** Sends a reply, or a failure in place of a large one if the client does not read what it asked for before. */
+    private void send(FrameChannel channel, ITcpSocket socket, long correlation, NodeReply reply) {
+        OutgoingFrame encoded = OutgoingFrame.encode(new Frame(correlation, null, reply));
+        boolean dropped = encoded.isLarge() && isFull(channel);
+        if (dropped) {
+            observer.onMessageDropped(peerOf(socket), true, encoded.bytes(), channel.unsentBytes());
+            NodeReply failure = new NodeReply.Failed("too much waits to be sent");
+            channel.send(OutgoingFrame.encode(new Frame(correlation, null, failure)));
+        } else if (channel.unsentBytes() >= CONNECTIONS_WITH_MAX_UNSENT * maxUnsentBytes) {
+            observer.onMessageDropped(peerOf(socket), true, encoded.bytes(), channel.unsentBytes());
+            channel.close(new IOException("replies are not read: " + channel.unsentBytes() + " bytes"));
+        } else {
+            channel.send(encoded);
+        }
+    }
+
+    private boolean isFull(FrameChannel channel) {
+        long total = channels.stream().mapToLong(FrameChannel::unsentBytes).sum();
+        return channel.unsentBytes() >= maxUnsentBytes || total >= CONNECTIONS_WITH_MAX_UNSENT * maxUnsentBytes;
+    }
+
+    private static String peerOf(ITcpSocket socket) {
+        return socket instanceof TcpSocket tcp ? String.valueOf(tcp.getRemoteAddress()) : "";
+    }
+
     private Promise<NodeReply> handle(NodeRequest request) {
         try {
             return handler.apply(request);
--- a/daemon/src/main/java/org/bankturn/daemon/wire/PeerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/PeerConnection.java
@@ -27,6 +27,7 @@
     private final Events events;
     private FrameChannel channel;
     private Promise<FrameChannel> connecting;
+    private long unsentBytes;
 
     /**
      * What the owner of the connection is asked and told.
@@ -79,6 +80,16 @@
         return attempt;
     }
 
+    /** Returns the size of the frames that wait to be written, or for the connection. */
+    long unsentBytes() {
+        return unsentBytes;
+    }
+
+    /** Adds a number of bytes to the unsent ones, negative if they were written or given up. */
+    void addUnsentBytes(int bytes) {
+        unsentBytes += bytes;
+    }
+
     /** Returns true if new requests use the given connection. */
     boolean isCurrent(FrameChannel open) {
         return channel == open;
--- a/daemon/src/test/java/org/bankturn/daemon/wire/NodeServerTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/NodeServerTest.java
@@ -26,7 +26,12 @@
         reactor.keepAlive(true);
         new Thread(reactor, "node-server-test").start();
         reactor.submit(() -> {
-                    NodeServer.create(reactor, clock, address, request -> Promise.of(new NodeReply.Acknowledged()))
+                    NodeServer.create(
+                                    reactor,
+                                    clock,
+                                    address,
+                                    request -> Promise.of(new NodeReply.Acknowledged()),
+                                    ConnectionObserver.NONE)
                             .listen();
                     return Promise.complete();
                 })
