--- a/daemon/src/test/java/org/bankturn/daemon/wire/NodeClientTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/NodeClientTest.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.lang.ref.WeakReference;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -25,6 +26,7 @@
 class NodeClientTest {
     private static final long SHORT_TIMEOUT_MILLIS = 200;
     private static final long LONG_TIMEOUT_MILLIS = 10_000;
+    private static final long HOUR_MILLIS = 3_600_000;
 
     private final Eventloop reactor =
             Eventloop.builder().withThreadName("node-client-test").build();
@@ -77,6 +79,20 @@
         assertThat(connections).hasValue(2);
     }
 
+    /** Guards against requests that have ended and fill the memory until their timeouts. */
+    @Test
+    void an_answered_request_is_let_go_before_its_timeout() throws InterruptedException {
+        NodeRequest request = new NodeRequest.GetManifest("m".repeat(1_000));
+        WeakReference<NodeRequest> answered = new WeakReference<>(request);
+        assertThat(clients.askFromAnyThread(server, request, HOUR_MILLIS).join())
+                .isInstanceOf(NodeReply.Acknowledged.class);
+        request = null;
+        while (answered.get() != null) {
+            System.gc();
+            Thread.sleep(10);
+        }
+    }
+
     private NodeReply ask(long timeoutMillis) {
         Address address = new Address("127.0.0.1", proxy.getLocalPort());
         return clients.askFromAnyThread(address, new NodeRequest.GetLoad(), timeoutMillis)
