Wire: large frames that are being received are bounded over all connections together

Cause of what could end a process: each connection alone might receive a frame of a quarter of the heap, held three times while it was decoded (received parts, joined, copied); two or more at once do not fit a heap of 96 or 160 MB.

Change: the memory of a frame above 16 KiB is reserved when its length is read, a quarter of the heap for the whole process. A frame that does not fit beside others is not read until they are received; whole frames are reserved, so that none that was begun lacks memory to be completed. While its own process has no memory, a peer does not count as silent.

--- a/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/FrameChannel.java
@@ -3,6 +3,7 @@
 import io.activej.bytebuf.ByteBufs;
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -18,16 +19,16 @@
  * <p>FrameChannel is confined to its reactor's thread.
  */
 final class FrameChannel {
-    /** A frame is held twice while it is decoded; the largest ones carry a snapshot of the control group's state. */
-    private static final long MAX_FRAME_BYTES =
-            Math.min(128 << 20, Runtime.getRuntime().maxMemory() / 4);
-
+    private final Reactor reactor;
     private final ITcpSocket socket;
+    private final ReceiveBudget receiveBudget;
     private final Receiver receiver;
     private final Consumer<Exception> closeListener;
     private final ByteBufs received = new ByteBufs();
     private final Deque<OutgoingFrame> sendQueue = new ArrayDeque<>();
     private final Clock clock;
+    private ReceiveBudget.Reservation reservation;
+    private int incomingLength;
     private byte[] incoming;
     private int incomingBytes;
     private long readCount;
@@ -48,8 +49,16 @@
         void received(Frame frame, boolean large);
     }
 
-    FrameChannel(ITcpSocket socket, Clock clock, Receiver receiver, Consumer<Exception> closeListener) {
+    FrameChannel(
+            Reactor reactor,
+            ITcpSocket socket,
+            ReceiveBudget receiveBudget,
+            Clock clock,
+            Receiver receiver,
+            Consumer<Exception> closeListener) {
+        this.reactor = reactor;
         this.socket = socket;
+        this.receiveBudget = receiveBudget;
         this.clock = clock;
         this.lastProgressMillis = clock.millis();
         this.receiver = receiver;
@@ -90,15 +99,16 @@
 
     /**
      * Returns the time of the last read or of the last part of a large frame that the connection took, or the time of
-     * opening before the first. Small frames don't count, since a connection that went silent takes them for long.
+     * opening before the first. Small frames don't count, since a connection that went silent takes them for long. While
+     * this process has no memory for a frame, the other one is not silent: returns the current time.
      */
     long lastProgressMillis() {
-        return lastProgressMillis;
+        return awaitsMemory() ? clock.millis() : lastProgressMillis;
     }
 
     /** Returns true if a part of a large frame was received, and not the rest. */
     boolean isReceivingLargeFrame() {
-        return incoming != null && incoming.length > OutgoingFrame.LARGE_BYTES;
+        return reservation != null;
     }
 
     /** Returns true if the connection is closed. */
@@ -114,6 +124,7 @@
         socket.closeEx(reason);
         received.recycle();
         incoming = null;
+        releaseMemory();
         List<OutgoingFrame> unsent = List.copyOf(sendQueue);
         sendQueue.clear();
         unsentBytes = 0;
@@ -171,13 +182,39 @@
             readCount++;
             lastProgressMillis = clock.millis();
             received.add(bytes);
-            decodeFrames();
-            if (!closed) {
-                readMore();
-            }
+            decodeAndReadMore();
         });
     }
 
+    /** Decodes what was received and reads on, unless there is no memory for the frame that has begun. */
+    private void decodeAndReadMore() {
+        decodeFrames();
+        if (!closed && !awaitsMemory()) {
+            readMore();
+        }
+    }
+
+    private boolean awaitsMemory() {
+        return reservation != null && incoming == null;
+    }
+
+    private void memoryGranted() {
+        if (!awaitsMemory() || !reservation.isGranted()) {
+            return;
+        }
+        lastProgressMillis = clock.millis();
+        allocate();
+        decodeAndReadMore();
+    }
+
+    private void releaseMemory() {
+        if (reservation != null) {
+            ReceiveBudget.Reservation released = reservation;
+            reservation = null;
+            released.release();
+        }
+    }
+
     private void decodeFrames() {
         while (!closed && (incoming != null || beginFrame())) {
             incomingBytes += received.drainTo(incoming, incomingBytes, incoming.length - incomingBytes);
@@ -188,23 +225,34 @@
         }
     }
 
-    /** Reads the length of the next frame; returns false if it is not there yet or invalid. */
+    /** Reads the length of the next frame; returns false if it is not there yet or invalid, or if memory is awaited. */
     private boolean beginFrame() {
-        if (!received.hasRemainingBytes(Integer.BYTES)) {
+        if (awaitsMemory() || !received.hasRemainingBytes(Integer.BYTES)) {
             return false;
         }
         byte[] prefix = new byte[Integer.BYTES];
         received.drainTo(prefix, 0, Integer.BYTES);
         int length = ByteBuffer.wrap(prefix).getInt();
-        if (length < 0 || length > MAX_FRAME_BYTES) {
+        if (length < 0 || length > receiveBudget.maxBytes()) {
             close(new IOException("invalid frame length: " + length));
             return false;
         }
-        incoming = new byte[length];
-        incomingBytes = 0;
+        incomingLength = length;
+        if (length > OutgoingFrame.LARGE_BYTES) {
+            reservation = receiveBudget.reserve(length, () -> reactor.execute(this::memoryGranted));
+            if (!reservation.isGranted()) {
+                return false;
+            }
+        }
+        allocate();
         return true;
     }
 
+    private void allocate() {
+        incoming = new byte[incomingLength];
+        incomingBytes = 0;
+    }
+
     private void deliver() {
         byte[] payload = incoming;
         incoming = null;
@@ -214,6 +262,8 @@
         } catch (RuntimeException e) {
             close(e);
             return;
+        } finally {
+            releaseMemory();
         }
         receiver.received(frame, payload.length > OutgoingFrame.LARGE_BYTES);
     }
--- a/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/NodeServer.java
@@ -36,7 +36,15 @@
     private final Function<NodeRequest, Promise<NodeReply>> handler;
     private final Set<FrameChannel> channels = new HashSet<>();
     private final ConnectionObserver observer;
-    private final long maxUnsentBytes;
+    private final Limits limits;
+
+    /**
+     * What connections may cost.
+     *
+     * @param maxUnsentBytes the size of the replies that may wait on one connection when a large one is added
+     * @param receiveBudget bounds the memory of the requests that are being received, not null
+     */
+    record Limits(long maxUnsentBytes, ReceiveBudget receiveBudget) {}
 
     /**
      * Creates a server; {@link #listen} starts it.
@@ -67,7 +75,7 @@
             Address address,
             Function<NodeRequest, Promise<NodeReply>> handler,
             ConnectionObserver observer) {
-        return create(reactor, clock, address, handler, observer, MAX_UNSENT_BYTES);
+        return create(reactor, clock, address, handler, observer, new Limits(MAX_UNSENT_BYTES, ReceiveBudget.shared()));
     }
 
     static NodeServer create(
@@ -76,8 +84,8 @@
             Address address,
             Function<NodeRequest, Promise<NodeReply>> handler,
             ConnectionObserver observer,
-            long maxUnsentBytes) {
-        return new NodeServer(reactor, clock, address, handler, observer, maxUnsentBytes);
+            Limits limits) {
+        return new NodeServer(reactor, clock, address, handler, observer, limits);
     }
 
     private NodeServer(
@@ -86,12 +94,12 @@
             Address address,
             Function<NodeRequest, Promise<NodeReply>> handler,
             ConnectionObserver observer,
-            long maxUnsentBytes) {
+            Limits limits) {
         this.reactor = reactor;
         this.clock = clock;
         this.handler = handler;
         this.observer = observer;
-        this.maxUnsentBytes = maxUnsentBytes;
+        this.limits = limits;
         this.server = SimpleServer.builder(reactor, this::serve)
                 .withListenAddress(address.toSocketAddress())
                 .build();
@@ -131,7 +139,9 @@
     private void serve(ITcpSocket socket) {
         FrameChannel[] accepted = new FrameChannel[1];
         accepted[0] = new FrameChannel(
+                reactor,
                 socket,
+                limits.receiveBudget(),
                 clock,
                 (frame, large) -> respond(accepted[0], socket, frame),
                 reason -> channels.remove(accepted[0]));
@@ -159,7 +169,7 @@
             observer.onMessageDropped(peerOf(socket), true, encoded.bytes(), channel.unsentBytes());
             NodeReply failure = new NodeReply.Failed("too much waits to be sent");
             channel.send(OutgoingFrame.encode(new Frame(correlation, null, failure)));
-        } else if (channel.unsentBytes() >= CONNECTIONS_WITH_MAX_UNSENT * maxUnsentBytes) {
+        } else if (channel.unsentBytes() >= CONNECTIONS_WITH_MAX_UNSENT * limits.maxUnsentBytes()) {
             observer.onMessageDropped(peerOf(socket), true, encoded.bytes(), channel.unsentBytes());
             channel.close(new IOException("replies are not read: " + channel.unsentBytes() + " bytes"));
         } else {
@@ -169,7 +179,8 @@
 
     private boolean isFull(FrameChannel channel) {
         long total = channels.stream().mapToLong(FrameChannel::unsentBytes).sum();
-        return channel.unsentBytes() >= maxUnsentBytes || total >= CONNECTIONS_WITH_MAX_UNSENT * maxUnsentBytes;
+        return channel.unsentBytes() >= limits.maxUnsentBytes()
+                || total >= CONNECTIONS_WITH_MAX_UNSENT * limits.maxUnsentBytes();
     }
 
     private static String peerOf(ITcpSocket socket) {
--- a/daemon/src/main/java/org/bankturn/daemon/wire/PeerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/wire/PeerConnection.java
@@ -114,7 +114,8 @@
 
     private FrameChannel open(TcpSocket socket) {
         FrameChannel[] opened = new FrameChannel[1];
-        opened[0] = new FrameChannel(socket, clock, events.received(), reason -> closed(opened[0], reason));
+        opened[0] = new FrameChannel(
+                reactor, socket, ReceiveBudget.shared(), clock, events.received(), reason -> closed(opened[0], reason));
         channel = opened[0];
         channel.start();
         return opened[0];
--- a/daemon/src/test/java/org/bankturn/daemon/wire/UnsentMessagesTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/wire/UnsentMessagesTest.java
@@ -136,7 +136,7 @@
                                     address,
                                     request -> Promise.of(large),
                                     new DropCounter(),
-                                    MAX_UNSENT_BYTES)
+                                    new NodeServer.Limits(MAX_UNSENT_BYTES, ReceiveBudget.shared()))
                             .listen();
                     return Promise.complete();
                 })
