HTTP: a head with a malformed field is no message

What callers saw: an answer with a line whose name held a blank or a control byte, or with a body that was not the target's: a line feed before a name ended the head there, and "Content Length: 2" left the body without a length.

Cause: HttpHeadParser looked for a colon with no blank before it, and String.trim removed control bytes around values. A response with Transfer-Encoding and Content-Length, with a repeated equal length or a second Transfer-Encoding was accepted. Chunk headers were trimmed like values, and trailers were not looked at.

Change: names are tokens, values and chunk headers hold no control byte but the tab, trailers are fields, at most one field delimits the body, lengths are digits. A head whose first line ends with CRLF ends all of its lines so; a peer that uses line feeds alone is still read, as the protocol allows. A request line has three parts, a token first. All readers of heads in daemon.http share this code. A malformed response ends as before: connection closed, outcome unknown, another attempt only where the request may be repeated.

MessageDecodingPropertyTest covers both parsers that HttpHeadParser.parseNext was split into; its checks are as before.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -379,11 +379,17 @@
                 .with(DecisionField.FINGERPRINT, request.fingerprint())
                 .with(DecisionField.PROMPT_PARTS, metadata.promptParts())
                 .with(DecisionField.REASON, reason)
+                .with(DecisionField.ERROR, malformation())
                 .with(DecisionField.FAILURES, target.consecutiveFailures())
                 .with(DecisionField.AVOIDED_MS, avoidedMillis)
                 .write();
     }
 
+    /** Returns what is wrong with a malformed response, empty if it is not malformed. */
+    private String malformation() {
+        return connection == null ? "" : connection.malformation().orElse("");
+    }
+
     TargetSighting sighting() {
         return target.sighting();
     }
--- a/daemon/src/main/java/org/bankturn/daemon/http/BodyDecoder.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/BodyDecoder.java
@@ -1,7 +1,7 @@
 package org.bankturn.daemon.http;
 
 import java.io.ByteArrayOutputStream;
-import java.util.Locale;
+import java.util.List;
 
 /**
  * Decodes the body of one message, framed by Content-Length, chunked coding or the end of the connection.
@@ -11,6 +11,7 @@
 final class BodyDecoder {
     private static final int MAX_LINE_BYTES = 4_096;
     private static final int MAX_TRAILER_BYTES = 16 << 10;
+    private static final String TERMINATOR = "\r\n";
     private static final byte[] EMPTY = new byte[0];
 
     private enum State {
@@ -29,40 +30,35 @@
 
     /** Returns a decoder for the body of a request. */
     static BodyDecoder ofRequest(HttpHead head) throws HttpFormatException {
-        return of(head, false);
+        return of(head, State.DONE);
     }
 
     /** Returns a decoder for the body of a response; {@code noBody} is true if the request method precludes one. */
     static BodyDecoder ofResponse(HttpHead head, boolean noBody) throws HttpFormatException {
         int status = head.status();
-        if (noBody || status == 204 || status == 304) {
-            return new BodyDecoder(State.DONE, 0);
-        }
-        return of(head, true);
+        BodyDecoder framed = of(head, State.UNTIL_CLOSE);
+        return noBody || status == 204 || status == 304 ? new BodyDecoder(State.DONE, 0) : framed;
     }
 
-    private static BodyDecoder of(HttpHead head, boolean response) throws HttpFormatException {
-        if (head.field("transfer-encoding").isPresent()) {
-            String coding = head.field("transfer-encoding").get().toLowerCase(Locale.ROOT);
-            if (!coding.equals("chunked")
-                    || (!response && head.field("content-length").isPresent())) {
-                throw new HttpFormatException("unsupported Transfer-Encoding: " + coding);
+    /** Returns the decoder that the head calls for, in the given state if the head does not delimit the body. */
+    private static BodyDecoder of(HttpHead head, State undelimited) throws HttpFormatException {
+        List<String> codings = head.values("transfer-encoding");
+        List<String> lengths = head.values("content-length");
+        if (codings.size() + lengths.size() > 1) {
+            throw new HttpFormatException("several fields that delimit the body: " + codings.size()
+                    + " Transfer-Encoding, " + lengths.size() + " Content-Length");
+        }
+        if (!codings.isEmpty()) {
+            if (!codings.get(0).equalsIgnoreCase("chunked")) {
+                throw new HttpFormatException("unsupported Transfer-Encoding: " + MessageSyntax.quote(codings.get(0)));
             }
             return new BodyDecoder(State.CHUNK_SIZE, 0);
         }
-        if (head.field("content-length").isPresent()) {
-            long length = parseLength(head.field("content-length").get(), 10);
-            long distinctLengths = head.fields().stream()
-                    .filter(field -> field.is("content-length"))
-                    .map(HttpField::value)
-                    .distinct()
-                    .count();
-            if (distinctLengths > 1) {
-                throw new HttpFormatException("conflicting Content-Length values");
-            }
+        if (!lengths.isEmpty()) {
+            long length = parseLength(lengths.get(0), 10);
             return new BodyDecoder(length == 0 ? State.DONE : State.FIXED_LENGTH, length);
         }
-        return new BodyDecoder(response ? State.UNTIL_CLOSE : State.DONE, 0);
+        return new BodyDecoder(undelimited, 0);
     }
 
     private BodyDecoder(State state, long left) {
@@ -119,10 +115,10 @@
                 }
                 break;
             }
-            String line = received.text(0, size).trim();
+            String line = received.text(0, size);
             received.skip(size);
             countTrailer(size);
-            decodeLine(line);
+            decodeLine(withoutTerminator(line));
         }
         return decoded.toByteArray();
     }
@@ -136,10 +132,16 @@
         }
     }
 
+    private static String withoutTerminator(String line) throws HttpFormatException {
+        if (!line.endsWith(TERMINATOR)) {
+            throw new HttpFormatException("line feed in a chunk header or trailer: " + MessageSyntax.quote(line));
+        }
+        return line.substring(0, line.length() - TERMINATOR.length());
+    }
+
     private void decodeLine(String line) throws HttpFormatException {
         if (state == State.CHUNK_SIZE) {
-            int end = line.indexOf(';');
-            remaining = parseLength((end < 0 ? line : line.substring(0, end)).trim(), 16);
+            remaining = parseChunkSize(line);
             state = remaining == 0 ? State.TRAILER : State.CHUNK_DATA;
         } else if (state == State.CHUNK_END) {
             if (!line.isEmpty()) {
@@ -148,17 +150,28 @@
             state = State.CHUNK_SIZE;
         } else if (line.isEmpty()) {
             state = State.DONE;
+        } else {
+            // trailers are not passed on, but bytes that are no field show that the body is not what was sent
+            HttpField unused = MessageSyntax.parseField(line);
         }
     }
 
+    private static long parseChunkSize(String line) throws HttpFormatException {
+        if (!MessageSyntax.isFieldContent(line)) {
+            throw new HttpFormatException("control character in a chunk header: " + MessageSyntax.quote(line));
+        }
+        int extension = line.indexOf(';');
+        return parseLength((extension < 0 ? line : line.substring(0, extension)).stripTrailing(), 16);
+    }
+
     private static long parseLength(String text, int radix) throws HttpFormatException {
+        if (!MessageSyntax.isNumber(text, radix)) {
+            throw new HttpFormatException("invalid length: " + MessageSyntax.quote(text));
+        }
         try {
-            if (text.isEmpty() || text.startsWith("+") || text.startsWith("-")) {
-                throw new HttpFormatException("invalid length: " + text);
-            }
             return Long.parseLong(text, radix);
         } catch (NumberFormatException e) {
-            throw new HttpFormatException("invalid length: " + text);
+            throw new HttpFormatException("length too large: " + MessageSyntax.quote(text));
         }
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpHeadParser.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpHeadParser.java
@@ -8,62 +8,96 @@
     private HttpHeadParser() {}
 
     /**
-     * Consumes and parses the next head.
+     * Consumes and parses the next head of a request, which empty lines may precede.
      *
      * @param received the received bytes, not null
      * @param maxBytes the maximum size of a head
      * @return the head, null if it is still incomplete
      * @throws HttpFormatException if the bytes are not a valid head, or the head is too large
      */
-    static HttpHead parseNext(ByteQueue received, int maxBytes) throws HttpFormatException {
+    static HttpHead parseRequest(ByteQueue received, int maxBytes) throws HttpFormatException {
+        List<String> lines = nextLines(received, maxBytes, true);
+        return lines == null ? null : request(lines);
+    }
+
+    /**
+     * Consumes and parses the next head of a response.
+     *
+     * @param received the received bytes, not null
+     * @param maxBytes the maximum size of a head
+     * @return the head, null if it is still incomplete
+     * @throws HttpFormatException if the bytes are not a valid head, or the head is too large
+     */
+    static HttpHead parseResponse(ByteQueue received, int maxBytes) throws HttpFormatException {
+        List<String> lines = nextLines(received, maxBytes, false);
+        return lines == null ? null : response(lines);
+    }
+
+    /** Consumes the lines of the next head; returns null if it is still incomplete. */
+    private static List<String> nextLines(ByteQueue received, int maxBytes, boolean afterEmptyLines)
+            throws HttpFormatException {
         List<String> lines = new ArrayList<>();
+        boolean terminatedByTwo = false;
         int position = 0;
         while (true) {
-            int size = received.endOfLine(position);
-            if (size < 0) {
+            int end = received.endOfLine(position);
+            if (end < 0) {
                 if (received.size() > maxBytes) {
                     throw new HttpFormatException("head of more than " + maxBytes + " bytes");
                 }
                 return null;
             }
-            String line = received.text(position, size - 1);
-            line = line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
-            position = size;
-            if (line.isEmpty()) {
-                if (!lines.isEmpty()) {
-                    break;
-                }
-                continue;
+            String line = received.text(position, end - 1);
+            position = end;
+            boolean endsWithReturn = line.endsWith("\r");
+            line = endsWithReturn ? line.substring(0, line.length() - 1) : line;
+            if (lines.isEmpty()) {
+                terminatedByTwo = endsWithReturn;
+            } else if (terminatedByTwo && !endsWithReturn) {
+                // a stray line feed would otherwise end the head early, or make two fields of one
+                throw new HttpFormatException("line feed in a field: " + MessageSyntax.quote(line));
+            }
+            if (!line.isEmpty()) {
+                lines.add(line);
+            } else if (!lines.isEmpty()) {
+                break;
+            } else if (!afterEmptyLines) {
+                throw new HttpFormatException("empty line instead of a status line");
             }
-            lines.add(line);
         }
         received.skip(position);
-        return parseLines(lines);
+        return lines;
     }
 
-    private static HttpHead parseLines(List<String> lines) throws HttpFormatException {
-        String start = lines.get(0);
-        int firstSpace = start.indexOf(' ');
-        int secondSpace = firstSpace < 0 ? -1 : start.indexOf(' ', firstSpace + 1);
-        boolean response = start.startsWith("HTTP/1.");
-        if (firstSpace <= 0 || (secondSpace < 0 && !response)) {
-            throw new HttpFormatException("invalid start line: " + start);
+    private static HttpHead request(List<String> lines) throws HttpFormatException {
+        String[] parts = lines.get(0).split(" ", -1);
+        boolean valid = parts.length == 3
+                && MessageSyntax.isToken(parts[0])
+                && !parts[1].isEmpty()
+                && MessageSyntax.isFieldContent(parts[1])
+                && parts[1].indexOf('\t') < 0
+                && MessageSyntax.isVersion(parts[2]);
+        if (!valid) {
+            throw new HttpFormatException("invalid request line: " + MessageSyntax.quote(lines.get(0)));
         }
-        String second =
-                secondSpace < 0 ? start.substring(firstSpace + 1) : start.substring(firstSpace + 1, secondSpace);
-        String third = secondSpace < 0 ? "" : start.substring(secondSpace + 1);
-        if (!response && !third.startsWith("HTTP/1.")) {
-            throw new HttpFormatException("unsupported protocol version: " + start);
+        return new HttpHead(parts[0], parts[1], parts[2], fields(lines));
+    }
+
+    private static HttpHead response(List<String> lines) throws HttpFormatException {
+        String[] parts = lines.get(0).split(" ", 3);
+        String reason = parts.length == 3 ? parts[2] : "";
+        boolean valid = parts.length >= 2 && parts[0].startsWith("HTTP/1.");
+        if (!valid) {
+            throw new HttpFormatException("invalid status line: " + MessageSyntax.quote(lines.get(0)));
         }
+        return new HttpHead(parts[0], parts[1], reason, fields(lines));
+    }
+
+    private static List<HttpField> fields(List<String> lines) throws HttpFormatException {
         List<HttpField> fields = new ArrayList<>(lines.size());
         for (String line : lines.subList(1, lines.size())) {
-            int colon = line.indexOf(':');
-            if (colon <= 0 || line.charAt(0) == ' ' || line.charAt(colon - 1) == ' ') {
-                throw new HttpFormatException("invalid header field: " + line);
-            }
-            fields.add(new HttpField(
-                    line.substring(0, colon), line.substring(colon + 1).trim()));
+            fields.add(MessageSyntax.parseField(line));
         }
-        return new HttpHead(start.substring(0, firstSpace), second, third, fields);
+        return fields;
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -232,7 +232,7 @@
     }
 
     private boolean parseHead() throws HttpFormatException {
-        head = HttpHeadParser.parseNext(received, limits.get().maxHeadBytes());
+        head = HttpHeadParser.parseRequest(received, limits.get().maxHeadBytes());
         if (head == null) {
             return false;
         }
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -39,6 +39,7 @@
     private boolean writing;
     private boolean notReusable;
     private boolean closed;
+    private String malformation;
     private final long openedMillis;
     private long idleSinceMillis;
     private long lastReadMillis;
@@ -108,6 +109,11 @@
         return body == null ? -1 : body.remainingLength();
     }
 
+    /** Returns what is wrong with the bytes that were received, empty if nothing is known to be, not null. */
+    public Optional<String> malformation() {
+        return Optional.ofNullable(malformation);
+    }
+
     /** Returns true if the connection is closed. */
     public boolean isClosed() {
         return closed;
@@ -219,6 +225,7 @@
                 }
             }
         } catch (HttpFormatException e) {
+            malformation = e.getMessage();
             fail(TransportFailure.MALFORMED);
         }
     }
@@ -231,13 +238,13 @@
 
     /** Parses the next head; returns false if it is still incomplete. */
     private boolean parseHead() throws HttpFormatException {
-        HttpHead head = HttpHeadParser.parseNext(received, MAX_HEAD_BYTES);
+        HttpHead head = HttpHeadParser.parseResponse(received, MAX_HEAD_BYTES);
         if (head == null) {
             return false;
         }
         int status = head.status();
         if (status < 100) {
-            throw new HttpFormatException("invalid status code: " + head.second());
+            throw new HttpFormatException("invalid status code: " + MessageSyntax.quote(head.second()));
         }
         if (status < 200) {
             interimResponses++;
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against the end of a crashed target's connection that is taken for the end of its response. */
 class CloseDelimitedResponseTest extends GatewayFixture {
@@ -42,6 +43,20 @@
         assertThat(call("POST", "one", "body")).contains("data: a").doesNotEndWith(LAST_CHUNK);
     }
 
+    /** Guards against bytes that are no answer to a check being taken for a sign of life. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Na me: x\r\n", "Na\0me: x\r\n", "Key: \1\r\n", "Content-Length: 0\r\n"})
+    void a_response_is_not_complete_if_its_target_answers_a_check_with_a_malformed_head(String field) throws Exception {
+        ScriptedTarget target = closingAfter(BEGUN_RESPONSE);
+        target.onCheck((expected, socket) -> {
+            ScriptedTarget.write(
+                    socket, ScriptedTarget.answerOf(expected).replace("Content-Length", field + "Content-Length"));
+            return true;
+        });
+        publish(RequestKind.UNSAFE, 1, 4_000, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
     /** Guards against a probe without an outcome that is taken for a sign of life. */
     @Test
     void a_response_is_not_complete_while_its_target_accepts_no_connection() throws Exception {
--- a/daemon/src/test/java/org/bankturn/daemon/http/MessageDecodingPropertyTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/MessageDecodingPropertyTest.java
@@ -81,13 +81,22 @@
                 .map(list -> String.join("", list).getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    private interface Parser {
+        HttpHead parse(ByteQueue received, int maxBytes) throws HttpFormatException;
+    }
+
     private static String parseHead(byte[] bytes, List<Integer> parts) {
+        return parseHead(HttpHeadParser::parseRequest, bytes, parts)
+                + parseHead(HttpHeadParser::parseResponse, bytes, parts);
+    }
+
+    private static String parseHead(Parser parser, byte[] bytes, List<Integer> parts) {
         ByteQueue received = new ByteQueue();
         int start = 0;
         for (int part = 0; start < bytes.length; part++) {
             start = append(received, bytes, start, parts.get(part % parts.size()));
             try {
-                HttpHead head = HttpHeadParser.parseNext(received, MAX_HEAD_BYTES);
+                HttpHead head = parser.parse(received, MAX_HEAD_BYTES);
                 if (head != null) {
                     return head.toString();
                 }
