HTTP: a status line without a status from 100 to 599 is no response

What callers saw: an answer with a status such as 600, 999, 2000 or +200. 000, 099, 20 and 2x0 did not reach them: they were rejected before, and the tests for them stay. The lines "HTTP/1. 200", "HTTP/1.x 200" and "HTTP/1.10 200" and reasons with control bytes passed too; 101 was discarded like 100, and the request waited for its deadline.

Cause: the status was whatever Integer.parseInt read that is not below 100.

Change: HttpHeadParser.parseResponse accepts a version HTTP/1.DIGIT, one blank and three digits from 100 to 599. 101 is malformed, as no request asks for another protocol; other interim responses are discarded as before.

--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpHeadParser.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpHeadParser.java
@@ -5,6 +5,8 @@
 
 /** Parses message heads from received bytes. */
 final class HttpHeadParser {
+    private static final int STATUS_DIGITS = 3;
+
     private HttpHeadParser() {}
 
     /**
@@ -86,13 +88,23 @@
     private static HttpHead response(List<String> lines) throws HttpFormatException {
         String[] parts = lines.get(0).split(" ", 3);
         String reason = parts.length == 3 ? parts[2] : "";
-        boolean valid = parts.length >= 2 && parts[0].startsWith("HTTP/1.");
+        boolean valid = parts.length >= 2
+                && MessageSyntax.isVersion(parts[0])
+                && isStatus(parts[1])
+                && MessageSyntax.isFieldContent(reason);
         if (!valid) {
             throw new HttpFormatException("invalid status line: " + MessageSyntax.quote(lines.get(0)));
         }
         return new HttpHead(parts[0], parts[1], reason, fields(lines));
     }
 
+    private static boolean isStatus(String text) {
+        return text.length() == STATUS_DIGITS
+                && MessageSyntax.isNumber(text, 10)
+                && text.charAt(0) >= '1'
+                && text.charAt(0) <= '5';
+    }
+
     private static List<HttpField> fields(List<String> lines) throws HttpFormatException {
         List<HttpField> fields = new ArrayList<>(lines.size());
         for (String line : lines.subList(1, lines.size())) {
--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -23,6 +23,7 @@
     /** Exceeds the number of interim responses that any protocol extension sends. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
+    private static final int SWITCHING_PROTOCOLS = 101;
     private static final long DEFAULT_MAX_IDLE_MILLIS = 4_000;
     private static final long IDLE_MARGIN_MILLIS = 700;
 
@@ -243,8 +244,8 @@
             return false;
         }
         int status = head.status();
-        if (status < 100) {
-            throw new HttpFormatException("invalid status code: " + MessageSyntax.quote(head.second()));
+        if (status == SWITCHING_PROTOCOLS) {
+            throw new HttpFormatException("change of the protocol that was not asked for");
         }
         if (status < 200) {
             interimResponses++;
--- a/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/gateway/CloseDelimitedResponseTest.java
@@ -57,6 +57,19 @@
         assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "600", "999", "2000", "+200"})
+    void a_response_is_not_complete_if_its_target_answers_a_check_with_an_invalid_status(String status)
+            throws Exception {
+        ScriptedTarget target = closingAfter(BEGUN_RESPONSE);
+        target.onCheck((expected, socket) -> {
+            ScriptedTarget.write(socket, ScriptedTarget.answerOf(expected).replace("200", status));
+            return true;
+        });
+        publish(RequestKind.UNSAFE, 1, 4_000, target);
+        assertThat(call("POST", "one", "body")).startsWith("HTTP/1.1 502");
+    }
+
     /** Guards against a probe without an outcome that is taken for a sign of life. */
     @Test
     void a_response_is_not_complete_while_its_target_accepts_no_connection() throws Exception {
--- a/daemon/src/test/java/org/bankturn/daemon/http/MalformedCallResponseTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/MalformedCallResponseTest.java
@@ -51,6 +51,12 @@
         assertFails(response);
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "099", "600", "999", "20", "2000", "0200", "2x0", "+20", "+200", "101"})
+    void an_invalid_status_fails_the_call_and_ends_its_connection(String status) throws Exception {
+        assertFails("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok");
+    }
+
     private void assertFails(String response) throws IOException {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             PooledHttpClient client = PooledHttpClient.on(reactor, Clock.system());
