Entry and target processes: malformed messages are rejected on the path through the HTTP library, too

What callers saw on this path: an engine's answer with "Na me", with a control byte in a field, with two lengths or with a length and a coding; 100 and 101 as an answer with no body. Requests of the same kind were served.

Cause: the library checks neither names nor values nor how many fields delimit a body, and takes an interim response for the final one.

Change: MessageCheck examines each head that the library accepted. A malformed response fails its exchange and closes its connection, which counts as sent, so that the outcome is unknown; a malformed request gets 400. Both are logged.

--- a/daemon/src/main/java/org/bankturn/daemon/BackendClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/BackendClient.java
@@ -11,8 +11,11 @@
 import io.activej.http.MalformedHttpException;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * HTTP to the next hop, which tells whether a failed request can have left this process.
@@ -22,6 +25,7 @@
  * <p>BackendClient is confined to its reactor's thread.
  */
 public final class BackendClient {
+    private static final Logger LOG = System.getLogger(BackendClient.class.getName());
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
     private final HttpClient client;
@@ -73,7 +77,19 @@
     public Exchange send(HttpRequest request) {
         ConnectionWitness witness = new ConnectionWitness();
         request.attach(ConnectionWitness.class, witness);
-        return new Exchange(witness, client.request(request));
+        return new Exchange(witness, client.request(request).then(BackendClient::requireWellFormed));
+    }
+
+    /** Fails, and closes the connection, if the response is malformed; what became of the request is unknown then. */
+    private static Promise<HttpResponse> requireWellFormed(HttpResponse response) {
+        Optional<String> malformation = MessageCheck.malformationOf(response);
+        if (malformation.isEmpty()) {
+            return Promise.of(response);
+        }
+        LOG.log(Level.WARNING, "malformed response: " + malformation.get());
+        MalformedHttpException failure = new MalformedHttpException(malformation.get());
+        response.takeBodyStream().closeEx(failure);
+        return Promise.ofException(failure);
     }
 
     /**
--- a/daemon/src/main/java/org/bankturn/daemon/BankturnProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/BankturnProcess.java
@@ -212,7 +212,7 @@
         if (targetRole == null) {
             builder.with("/operator/*", operators);
         }
-        return builder.build();
+        return MessageCheck.rejectingMalformed(builder.build());
     }
 
     private Promise<HttpResponse> metrics() {
--- a/daemon/src/main/java/org/bankturn/daemon/http/MessageSyntax.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/MessageSyntax.java
@@ -4,7 +4,7 @@
 import java.util.BitSet;
 
 /** The syntax of the parts of a message head. */
-final class MessageSyntax {
+public final class MessageSyntax {
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
     private static final BitSet TOKEN = tokenCharacters();
     private static final int MAX_QUOTED_CHARACTERS = 60;
@@ -25,12 +25,12 @@
     }
 
     /** Returns true if the text is a token, such as the name of a field or a method. */
-    static boolean isToken(String text) {
+    public static boolean isToken(String text) {
         return !text.isEmpty() && text.chars().allMatch(TOKEN::get);
     }
 
     /** Returns true if the text holds no control character other than a horizontal tab. */
-    static boolean isFieldContent(String text) {
+    public static boolean isFieldContent(String text) {
         for (int index = 0; index < text.length(); index++) {
             char character = text.charAt(index);
             if ((character < ' ' && character != '\t') || character == DELETE) {
@@ -76,7 +76,7 @@
     }
 
     /** Returns the start of received text, printable, for messages. */
-    static String quote(String text) {
+    public static String quote(String text) {
         String start = text.length() > MAX_QUOTED_CHARACTERS ? text.substring(0, MAX_QUOTED_CHARACTERS) : text;
         return start.replaceAll("[^ -~]", "?");
     }
