HTTP server: bytes after the last request of a connection are not kept without bound

What happens: a client asks with Connection: close, does not read its response and goes on sending. The process kept all that it sent, up to the idle timeout.

Cause: reading stopped at 64 kB only while a request was handled. Once the response was queued no further request is parsed, and nothing took the received bytes until the response was sent.

bytes_after_the_last_request_of_a_connection_are_not_kept (HttpListenerTest) sends 64 MB: all were taken before; now reading stops at 64 kB, and the connection ends at the idle timeout for its unread response. The other ways to send without end were bounded: a head (16 kB, timeout of the head), a body (its limit, and BufferBudget), requests in advance (64 kB), the rest of a rejected request (discarded, 1 s).

--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -178,7 +178,9 @@
     }
 
     private void readMore() {
-        if (reading || closed || (received.size() > MAX_PIPELINED_BYTES && exchange != null)) {
+        // nothing takes what has been received while a request is handled, or once no further one is
+        boolean parsed = exchange == null && !closeWhenSent;
+        if (reading || closed || (received.size() > MAX_PIPELINED_BYTES && !parsed)) {
             return;
         }
         reading = true;
--- a/daemon/src/test/java/org/bankturn/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/HttpListenerTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.bankturn.daemon.settings.Address;
 import org.bankturn.daemon.settings.FreeAddresses;
 import org.bankturn.time.ManualClock;
@@ -73,6 +74,39 @@
         }
     }
 
+    /** Guards against a client that asks for the end of its connection, reads nothing and sends without end. */
+    @Test
+    void bytes_after_the_last_request_of_a_connection_are_not_kept() throws Exception {
+        CountDownLatch responded = new CountDownLatch(1);
+        listen(exchange -> {
+            exchange.respond(HttpHead.response(200, List.of()), new byte[LARGER_THAN_SOCKET_BUFFERS]);
+            responded.countDown();
+        });
+        try (Socket silent = send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")) {
+            assertThat(responded.await(10, TimeUnit.SECONDS)).isTrue();
+            AtomicLong taken = new AtomicLong();
+            CompletableFuture<Void> sender = CompletableFuture.runAsync(() -> sendUntilClosed(silent, taken));
+            for (int poll = 0; poll < MAX_POLLS && !sender.isDone(); poll++) {
+                clock.advance(ServerLimits.CONTROL.idleTimeoutMillis() / 20);
+                Thread.sleep(POLL_MILLIS);
+            }
+            sender.get(10, TimeUnit.SECONDS);
+            assertThat(taken).hasValueLessThan(LARGER_THAN_SOCKET_BUFFERS);
+        }
+    }
+
+    private static void sendUntilClosed(Socket socket, AtomicLong taken) {
+        byte[] part = new byte[64 << 10];
+        try {
+            while (taken.get() < LARGER_THAN_SOCKET_BUFFERS) {
+                socket.getOutputStream().write(part);
+                taken.addAndGet(part.length);
+            }
+        } catch (IOException e) {
+            // the listener has closed the connection
+        }
+    }
+
     @Test
     void a_client_that_reads_slowly_receives_its_whole_response() throws Exception {
         listen(exchange -> exchange.respond(HttpHead.response(200, List.of()), new byte[LARGER_THAN_SOCKET_BUFFERS]));
@@ -162,8 +196,12 @@
     }
 
     private Socket sendRequest() throws IOException {
+        return send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+
+    private Socket send(String request) throws IOException {
         Socket socket = new Socket(address.host(), address.port());
-        socket.getOutputStream().write("GET /x HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
         return socket;
     }
 
