Control group: a health answer without end takes 64 kB instead of a 16th of the heap

What happens: targets whose address two incarnations announce are asked who they are. Each of their answers could take a 16th of the heap for 400 ms, and any number of addresses is asked at a time, so that a few faulty targets could fill the memory of a control process.

Cause: the bound of PooledHttpClient is that of a piece of weights, for every call.

an_answer_without_end_is_given_up_at_its_bound (AddressConflictResolverTest): 2 of 3 failed, 48 MB were taken (all that the test sends); now the call is given up at 64 kB. The bytes that are no head were given up at 32 kB before, and that case stays.

--- a/daemon/src/main/java/org/bankturn/daemon/group/AddressConflictResolver.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/AddressConflictResolver.java
@@ -30,6 +30,9 @@
     /** The part of the heartbeat interval after which a heartbeat counts as a further one; tolerates jitter. */
     private static final double MIN_INTERVAL_FRACTION = 0.75;
 
+    /** Exceeds the size of a health answer; many addresses may be asked at a time. */
+    private static final long MAX_ANSWER_BYTES = 64 << 10;
+
     private static final int MAX_TRACKED_INCARNATIONS = 256;
 
     private final NioReactor reactor;
@@ -94,7 +97,8 @@
         return calls.callIdempotent(
                         Address.parse(sighting.address()).toSocketAddress(),
                         dialect.healthProbe(healthPath.get(), sighting.name()),
-                        PROBE_TIMEOUT_MILLIS)
+                        PROBE_TIMEOUT_MILLIS,
+                        MAX_ANSWER_BYTES)
                 .then(
                         answer -> Promise.of(dialect.identifies(sighting.name(), answer.head())),
                         failure -> Promise.of(Optional.empty()));
--- a/daemon/src/main/java/org/bankturn/daemon/http/PooledHttpClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/PooledHttpClient.java
@@ -104,7 +104,7 @@
      */
     public Promise<Response> call(
             InetSocketAddress address, HttpHead head, byte[] body, long connectMillis, long timeoutMillis) {
-        Call call = new Call(address, encode(address, head, body));
+        Call call = new Call(address, encode(address, head, body), MAX_RESPONSE_BYTES);
         reactor.delayBackground(timeoutMillis, call::timeOut);
         call.start(takeIdle(address), connectMillis);
         return call.result;
@@ -119,7 +119,21 @@
      * @return the response; fails if it is not complete in time
      */
     public Promise<Response> callIdempotent(InetSocketAddress address, HttpHead head, long timeoutMillis) {
-        Call call = new Call(address, encode(address, head, EMPTY_BODY));
+        return callIdempotent(address, head, timeoutMillis, MAX_RESPONSE_BYTES);
+    }
+
+    /**
+     * Sends an idempotent request without a body, retried once on a new connection if a reused one stays silent.
+     *
+     * @param address the server's address, not null
+     * @param head the request's head without framing fields, not null
+     * @param timeoutMillis the timeout for the complete response
+     * @param maxResponseBytes the size, with heads and framing, above which a response is given up
+     * @return the response; fails if it is not complete in time
+     */
+    public Promise<Response> callIdempotent(
+            InetSocketAddress address, HttpHead head, long timeoutMillis, long maxResponseBytes) {
+        Call call = new Call(address, encode(address, head, EMPTY_BODY), maxResponseBytes);
         reactor.delayBackground(timeoutMillis, call::timeOut);
         TargetConnection idle = takeIdle(address);
         call.start(idle, timeoutMillis);
@@ -169,15 +183,17 @@
     private final class Call implements ResponseListener {
         private final InetSocketAddress address;
         private final byte[] request;
+        private final long maxResponseBytes;
         private final SettablePromise<Response> result = new SettablePromise<>();
         private final ByteArrayOutputStream content = new ByteArrayOutputStream();
         private TargetConnection connection;
         private HttpHead responseHead;
         private long sentMillis;
 
-        Call(InetSocketAddress address, byte[] request) {
+        Call(InetSocketAddress address, byte[] request, long maxResponseBytes) {
             this.address = address;
             this.request = request;
+            this.maxResponseBytes = maxResponseBytes;
         }
 
         /** Sends the request on the given idle connection, or on a new one if it is null. */
@@ -223,7 +239,7 @@
 
         @Override
         public long maxResponseBytes() {
-            return MAX_RESPONSE_BYTES;
+            return maxResponseBytes;
         }
 
         @Override
--- a/daemon/src/test/java/org/bankturn/daemon/group/AddressConflictResolverTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/group/AddressConflictResolverTest.java
@@ -5,7 +5,12 @@
 import com.sun.net.httpserver.HttpServer;
 import io.activej.eventloop.Eventloop;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import org.bankturn.daemon.http.PlainHealthDialect;
 import org.bankturn.daemon.observe.DecisionLog;
 import org.bankturn.daemon.settings.Address;
@@ -15,12 +20,17 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a delayed heartbeat of a crashed target displacing the live target at the same address. */
 @Timeout(30)
 class AddressConflictResolverTest {
     private static final long HEARTBEAT_MILLIS = 1_000;
 
+    /** The bound of an answer and what the sockets of both sides hold. */
+    private static final long MAX_TAKEN_BYTES = 12 << 20;
+
     private final ManualClock clock = ManualClock.startingAt(1_000_000);
     private final Eventloop reactor = Eventloop.create();
     private final AddressConflictResolver resolver = AddressConflictResolver.of(
@@ -61,6 +71,34 @@
         assertThat(ownsAddress("a", address, Optional.empty())).isTrue();
     }
 
+    /** Guards against a health answer without end that fills the memory of a control process. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nName: a\r\n\r\n"})
+    void an_answer_without_end_is_given_up_at_its_bound(String start) throws Exception {
+        AtomicLong taken = new AtomicLong();
+        try (ServerSocket endless = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread sender = new Thread(() -> sendWithoutEnd(endless, start, taken), "endless-target");
+            sender.start();
+            Address address = new Address("127.0.0.1", endless.getLocalPort());
+            assertThat(ownsAddress("a", address, Optional.of("/health"))).isFalse();
+            sender.join();
+        }
+        assertThat(taken).hasPositiveValue().hasValueLessThan(MAX_TAKEN_BYTES);
+    }
+
+    private static void sendWithoutEnd(ServerSocket server, String start, AtomicLong taken) {
+        byte[] part = "x".repeat(64 << 10).getBytes(StandardCharsets.ISO_8859_1);
+        try (Socket socket = server.accept()) {
+            socket.getOutputStream().write(start.getBytes(StandardCharsets.ISO_8859_1));
+            while (taken.get() < 4 * MAX_TAKEN_BYTES) {
+                socket.getOutputStream().write(part);
+                taken.addAndGet(part.length);
+            }
+        } catch (IOException e) {
+            // the resolver has closed the connection
+        }
+    }
+
     private Address serve(String name) throws IOException {
         Address address = FreeAddresses.next();
         server = HttpServer.create(address.toSocketAddress(), 0);
