Weights: pieces that an engine reads back larger than any piece are not kept

What happens: after a restart, the process beside an engine reads all staged pieces back and keeps them until they are compared. A faulty engine could answer each with a 16th of the heap, and 16 such answers fill it.

Cause: the bound of one response, not of what is kept; nothing compared a piece with the size that the layout gives.

pieces_larger_than_those_of_a_version_are_not_kept (FormerStartCheckTest) failed before: all pieces were kept. Now the first one that is too large ends the list like a missing one, with a log line, since no version has such a piece.

--- a/daemon/src/main/java/org/bankturn/daemon/weights/FormerStartCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/weights/FormerStartCheck.java
@@ -127,7 +127,11 @@
             return;
         }
         readBack(layout.model(), piece).whenComplete((bytes, failure) -> {
-            if (failure == null) {
+            if (failure == null && bytes.length > layout.pieceBytes()) {
+                // kept, they could fill the memory, and no version has such a piece
+                logOversized(piece, bytes.length);
+                finishReading(read, layout);
+            } else if (failure == null) {
                 read.add(bytes);
                 readFrom(piece + 1, layout, read);
             } else if (isMissing(failure)) {
@@ -138,6 +142,15 @@
         });
     }
 
+    private void logOversized(int piece, int size) {
+        context.log()
+                .line(DecisionKind.WEIGHTS)
+                .with(DecisionField.EVENT, "staged piece is too large")
+                .with(DecisionField.PIECE, piece)
+                .with(DecisionField.BYTES, size)
+                .write();
+    }
+
     private Promise<byte[]> readBack(String model, int piece) {
         return context.queryEngine(context.dialect().readBack(model, piece)).map(PooledHttpClient.Response::body);
     }
--- a/daemon/src/test/java/org/bankturn/daemon/weights/FormerStartCheckTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/weights/FormerStartCheckTest.java
@@ -102,6 +102,15 @@
         assertThat(check.finding(report(0, 1), NEWEST, true)).contains(FormerStart.none());
     }
 
+    /** Guards against an engine whose read-backs have no end and fill the memory of the process beside it, piece by piece. */
+    @Test
+    void pieces_larger_than_those_of_a_version_are_not_kept() {
+        box.staged.replaceAll((piece, bytes) -> new byte[LAYOUT.pieceBytes() + 1]);
+        readStagedPieces();
+        assertThat(check.pieces()).isEmpty();
+        assertThat(readBacks).hasValue(1);
+    }
+
     private void readStagedPieces() {
         run(() -> {
             check.readStagedPieces(LAYOUT);
