--- a/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/TargetConnection.java
@@ -23,6 +23,7 @@
     /** Exceeds the number of interim responses that any protocol extension sends. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
+    private static final int SWITCHING_PROTOCOLS = 101;
     private static final long DEFAULT_MAX_IDLE_MILLIS = 4_000;
     private static final long IDLE_MARGIN_MILLIS = 700;
 
@@ -39,6 +40,7 @@
     private boolean writing;
     private boolean notReusable;
     private boolean closed;
+    private String malformation;
     private final long openedMillis;
     private long idleSinceMillis;
     private long lastReadMillis;
@@ -108,6 +110,11 @@
         return body == null ? -1 : body.remainingLength();
     }
 
+    /** Returns what is wrong with the bytes that were received, empty if nothing is known to be, not null. */
+    public Optional<String> malformation() {
+        return Optional.ofNullable(malformation);
+    }
+
     /** Returns true if the connection is closed. */
     public boolean isClosed() {
         return closed;
@@ -219,6 +226,7 @@
                 }
             }
         } catch (HttpFormatException e) {
+            malformation = e.getMessage();
             fail(TransportFailure.MALFORMED);
         }
     }
@@ -231,13 +239,13 @@
 
     /** Parses the next head; returns false if it is still incomplete. */
     private boolean parseHead() throws HttpFormatException {
-        HttpHead head = HttpHeadParser.parseNext(received, MAX_HEAD_BYTES);
+        HttpHead head = HttpHeadParser.parseResponse(received, MAX_HEAD_BYTES);
         if (head == null) {
             return false;
         }
         int status = head.status();
-        if (status < 100) {
-            throw new HttpFormatException("invalid status code: " + head.second());
+        if (status == SWITCHING_PROTOCOLS) {
+            throw new HttpFormatException("change of the protocol that was not asked for");
         }
         if (status < 200) {
             interimResponses++;
