Gateway: requests taken before and during a planned stop are cut at its end without an answer

What callers saw: connections closed without an answer at the end of the grace period of a stopped gateway, also for requests that may not be repeated; and connections closed between two requests although the response had not announced it.

Cause: a stop refused new requests after 2.6 s, but took them before, whatever their deadline, and left those under way to their own deadlines. What was left 0.7 s before the end was closed. Requests received in part counted as nothing, or were closed with the rest; a request behind another one on its connection was dropped; a stream that began before the stop promised a further response and closed; the process ended while connections that had just been opened had a request on its way.

Change: every deadline, also the one that is forwarded, is brought forward to 1.1 s before the end of the grace period. A request that has not been sent, a retry included, is refused at once with 503 if its route's usual time does not fit: the mean for those that may be repeated, the mean and four deviations for those that may not, which are refused without a known time. What was sent gets 504, as possibly run; a request that is incomplete gets 503, not run; begun responses go on until the exit. Requests that were received behind another one get answers of their own. A connection is half closed after its last response, so that late input does not reset it, and the process exits only once all are closed. A second stop joins the first.

--- a/core/src/main/java/org/bankturn/routing/RequestProgress.java
+++ b/core/src/main/java/org/bankturn/routing/RequestProgress.java
@@ -22,7 +22,7 @@
     private final Account account;
     private final Service service;
     private final int promptTokens;
-    private final long deadlineMillis;
+    private long deadlineMillis;
     private final Map<String, Integer> triedVersions = new HashMap<>();
 
     /** How often it was sent to each target and not rejected. */
@@ -188,6 +188,11 @@
         callerRetry = true;
     }
 
+    /** Brings its deadline forward, unless there is an earlier one. */
+    public void limitDeadline(long millis) {
+        deadlineMillis = Math.min(deadlineMillis, millis);
+    }
+
     /** Sets the deadline of its wait for a permit, unless there is an earlier one. */
     void limitPermitWait(long millis) {
         permitWaitDeadlineMillis = Math.min(permitWaitDeadlineMillis, millis);
--- a/core/src/main/java/org/bankturn/routing/ShutdownSchedule.java
+++ b/core/src/main/java/org/bankturn/routing/ShutdownSchedule.java
@@ -4,7 +4,8 @@
  * The schedule of a planned gateway shutdown.
  *
  * <p>Load pattern: callers are still routed to a gateway for some seconds after it reports that it is not ready. It
- * accepts them until load balancers have noticed, then ends the requests in progress.
+ * accepts them until load balancers have noticed, then ends the requests in progress. What has no answer near the end of the
+ * grace period gets a final one while there is time to deliver it.
  *
  * <p>ShutdownSchedule has no state.
  */
@@ -15,15 +16,28 @@
     /** The time reserved for the exit of the process. */
     private static final long EXIT_MARGIN_MILLIS = 700;
 
+    /** The time reserved for the delivery of the final answers. */
+    private static final long DELIVERY_MILLIS = 400;
+
     private ShutdownSchedule() {}
 
-    /** Returns true once no new callers are routed to this gateway. */
-    public static boolean isTrafficDrained(long sinceStopMillis) {
-        return sinceStopMillis >= DRAIN_MILLIS;
+    /** Returns true once no new callers are routed to this gateway, or it can answer no further requests. */
+    public static boolean isTrafficDrained(long sinceStopMillis, long gracePeriodMillis) {
+        return sinceStopMillis >= Math.min(DRAIN_MILLIS, answerMillis(gracePeriodMillis));
+    }
+
+    /** Returns the time from the stop until every request must have its final answer. */
+    public static long answerMillis(long gracePeriodMillis) {
+        long exitMillis = exitMillis(gracePeriodMillis);
+        return Math.max(exitMillis - DELIVERY_MILLIS, exitMillis / 2);
     }
 
     /** Returns true once the process must exit regardless of requests in progress. */
     public static boolean mustExit(long sinceStopMillis, long gracePeriodMillis) {
-        return sinceStopMillis >= gracePeriodMillis - EXIT_MARGIN_MILLIS;
+        return sinceStopMillis >= exitMillis(gracePeriodMillis);
+    }
+
+    private static long exitMillis(long gracePeriodMillis) {
+        return Math.max(gracePeriodMillis - EXIT_MARGIN_MILLIS, gracePeriodMillis / 2);
     }
 }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -40,7 +40,7 @@
     private final RequestMetadata metadata;
     private final Route route;
     private final Account account;
-    private final long endMillis;
+    private long endMillis;
     private final RequestProgress progress;
     private final RequestLines lines;
     private final ConcurrentAttempts<Attempt> inFlight = ConcurrentAttempts.none();
@@ -56,6 +56,10 @@
     private RequestFingerprint fingerprint;
     private boolean trial;
     private boolean awaitingTarget;
+
+    /** Whether the shutdown of the gateway leaves less time than the caller and the route do. */
+    private boolean limitedToShutdown;
+
     private Certainty certainty = Certainty.NOT_AWAITED;
 
     /** Whether the next attempt waits for checks of targets that the request may have crashed. */
@@ -106,10 +110,25 @@
     private void startForwarding() {
         gateway.requestStarted(this);
         gateway.policy().requestArrived(progress);
-        gateway.reactor().delayBackground(Math.max(1, endMillis - now()), this::onTimeout);
+        scheduleTimeout();
+        limitToShutdown();
         sendToNext();
     }
 
+    private void scheduleTimeout() {
+        gateway.reactor().delayBackground(Math.max(1, endMillis - now()), this::onTimeout);
+    }
+
+    /** Brings the deadline forward to the time that the shutdown of the gateway leaves, if there is one. */
+    void limitToShutdown() {
+        if (gateway.finalAnswerMillis() < endMillis) {
+            limitedToShutdown = true;
+            endMillis = gateway.finalAnswerMillis();
+            progress.limitDeadline(endMillis);
+            scheduleTimeout();
+        }
+    }
+
     private long now() {
         return gateway.clock().millis();
     }
@@ -121,6 +140,10 @@
         if (exchange.isFinished() || !inFlight.needsFurther() || awaitsCertainty()) {
             return;
         }
+        if (isTooLateToSend()) {
+            giveUp(FailureCause.SHUTDOWN, "shutting down before it could be answered");
+            return;
+        }
         NextStep step = gateway.policy().next(progress);
         gateway.requestPermits();
         if (step instanceof NextStep.PollLoad ask) {
@@ -136,6 +159,16 @@
         }
     }
 
+    /** Returns true if it certainly has not run and would probably have no response before the end of the shutdown. */
+    private boolean isTooLateToSend() {
+        if (!limitedToShutdown || progress.mayHaveRun() || exchange.hasStartedResponse() || !inFlight.isEmpty()) {
+            return false;
+        }
+        long expected = gateway.responseTimes()
+                .expectedMillis(route.name(), route.kind().isRetryable());
+        return expected > remainingMillis();
+    }
+
     /** Returns true if the request waits until it is known whether it must be stopped; that takes a short time at most. */
     private boolean awaitsCertainty() {
         if (certainty == Certainty.NOT_AWAITED) {
@@ -297,6 +330,7 @@
             gateway.crashDetector().onCompleted(this, attempt);
         }
         recordEnd(RequestOutcome.ANSWERED);
+        gateway.responseTimes().record(route.name(), heldMillis());
         if (gateway.shouldLogAnswer() || attempt.endedAtClose()) {
             lines.beginOutcome(DecisionKind.ANSWERED, status, "answered by " + attempt.targetId(), attempt)
                     .with(DecisionField.ENDED_AT_CLOSE, attempt.endedAtClose())
@@ -339,9 +373,16 @@
     }
 
     private void onTimeout() {
-        if (!exchange.isFinished()) {
+        if (exchange.isFinished()) {
+            return;
+        }
+        if (!limitedToShutdown) {
+            gateway.responseTimes().record(route.name(), heldMillis());
             giveUp(FailureCause.DEADLINE, "time is up");
+        } else if (!exchange.hasStartedResponse()) {
+            giveUp(FailureCause.SHUTDOWN, "the time to shut down is up");
         }
+        // a response that has begun goes on until the process exits
     }
 
     private void onCallerDisconnected(DisconnectCause disconnect) {
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -43,6 +43,7 @@
 import org.bankturn.routing.NextStep;
 import org.bankturn.routing.PlacementSettings;
 import org.bankturn.routing.RequestPolicy;
+import org.bankturn.routing.ResponseTimes;
 import org.bankturn.routing.RetryAfter;
 import org.bankturn.routing.ShutdownSchedule;
 import org.bankturn.routing.SlowStarts;
@@ -87,10 +88,12 @@
     private final CrashDetector crashDetector;
     private final CompletenessCheck completenessCheck;
     private final Set<ForwardedRequest> inFlight = new LinkedHashSet<>();
+    private final ResponseTimes responseTimes = ResponseTimes.none();
     private final long startedMillis;
     private PublishedState published = PublishedState.EMPTY;
-    private boolean stopping;
+    private SettablePromise<Void> stopped;
     private boolean outOfRotation;
+    private long finalAnswerMillis = Long.MAX_VALUE;
     private long answeredCount;
 
     /**
@@ -202,6 +205,7 @@
             policy.versionAnnounced(named.model(), named.version(), due);
         }
         reportEvacuations(newer);
+        forgetRemovedRoutes(newer.configuration());
         published = newer;
         policy.update(newer.configuration(), publishedGatewayCount());
         updateSlowStarts(newer);
@@ -213,6 +217,12 @@
         crashDetector.update(newer);
     }
 
+    private void forgetRemovedRoutes(ServingConfiguration newer) {
+        if (newer != null && newer != published.configuration()) {
+            responseTimes.retain(newer.routes().stream().map(Route::name).collect(Collectors.toSet()));
+        }
+    }
+
     private void reportEvacuations(PublishedState newer) {
         Set<String> before = published.evacuatedHalls();
         Set<String> now = newer.evacuatedHalls();
@@ -291,23 +301,35 @@
         return sightings.map(TargetSighting::address).collect(Collectors.toSet());
     }
 
-    /** Shuts down gracefully; the promise completes when no request is in flight or the timeout expires. */
+    /**
+     * Shuts down gracefully; the promise completes when every caller has its answer or the timeout expires. Further calls
+     * return the same promise.
+     */
     public Promise<Void> stop() {
-        stopping = true;
-        callers.drain();
-        SettablePromise<Void> stopped = new SettablePromise<>();
-        checkStopComplete(clock.millis(), stopped);
+        if (stopped == null) {
+            stopped = new SettablePromise<>();
+            long now = clock.millis();
+            finalAnswerMillis = now + ShutdownSchedule.answerMillis(settings.stopTimeoutMillis());
+            callers.drain();
+            List.copyOf(inFlight).forEach(ForwardedRequest::limitToShutdown);
+            checkStopComplete(now);
+        }
         return stopped;
     }
 
-    private void checkStopComplete(long since, SettablePromise<Void> stopped) {
-        long waited = clock.millis() - since;
-        boolean removedFromRotation = ShutdownSchedule.isTrafficDrained(waited);
-        if (removedFromRotation) {
+    private void checkStopComplete(long since) {
+        long now = clock.millis();
+        long waited = now - since;
+        if (ShutdownSchedule.isTrafficDrained(waited, settings.stopTimeoutMillis())) {
             outOfRotation = true;
+            callers.refuseBodies();
             callers.closeIdle();
         }
-        boolean done = removedFromRotation && callers.activeRequests() == 0;
+        if (now >= finalAnswerMillis) {
+            callers.rejectIncomplete();
+        }
+        // a connection that was opened just now has a request on its way
+        boolean done = outOfRotation && callers.isUnconnected();
         if (done || ShutdownSchedule.mustExit(waited, settings.stopTimeoutMillis())) {
             log.line(DecisionKind.STOP)
                     .with(DecisionField.WAITED_MS, waited)
@@ -318,7 +340,7 @@
             stopped.set(null);
             return;
         }
-        reactor.delayBackground(STOP_CHECK_MILLIS, () -> checkStopComplete(since, stopped));
+        reactor.delayBackground(STOP_CHECK_MILLIS, () -> checkStopComplete(since));
     }
 
     private ServerLimits callerLimits() {
@@ -332,7 +354,7 @@
     }
 
     private void answerReadiness(ServerExchange exchange) {
-        boolean ready = !stopping && published.configuration() != null;
+        boolean ready = stopped == null && published.configuration() != null;
         exchange.respond(HttpHead.response(ready ? 200 : 503, List.of()), EMPTY_BODY);
     }
 
@@ -406,6 +428,16 @@
 
     // ---- used by forwarded requests
 
+    /** Returns when every request must have its final answer, far in the future unless this gateway shuts down. */
+    long finalAnswerMillis() {
+        return finalAnswerMillis;
+    }
+
+    /** Returns the usual times of responses by route, not null. */
+    ResponseTimes responseTimes() {
+        return responseTimes;
+    }
+
     RequestDialect dialect() {
         return dialect;
     }
--- a/daemon/src/main/java/org/bankturn/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/HttpListener.java
@@ -31,6 +31,7 @@
     private boolean sendQueueCheckPosted;
     private long writes;
     private boolean draining;
+    private boolean refusingBodies;
 
     /**
      * Creates a listener; {@link #listen} starts it.
@@ -115,6 +116,21 @@
         draining = true;
     }
 
+    /** Rejects requests whose clients wait for a word before they send the body; no further requests are handled. */
+    public void refuseBodies() {
+        refusingBodies = true;
+    }
+
+    /** Rejects the requests that are not received completely, as not run. */
+    public void rejectIncomplete() {
+        Set.copyOf(connections).forEach(ServerConnection::rejectIfIncomplete);
+    }
+
+    /** Returns true if no connection is open. */
+    public boolean isUnconnected() {
+        return connections.isEmpty();
+    }
+
     /** Closes idle connections. */
     public void closeIdle() {
         Set.copyOf(connections).forEach(ServerConnection::closeIfIdle);
@@ -135,6 +151,10 @@
         return draining;
     }
 
+    boolean isRefusingBodies() {
+        return refusingBodies;
+    }
+
     /** Returns the size of the output that clients have not read, in bytes; may be called on any thread. */
     public long queuedOutputBytes() {
         return sendQueues.queuedBytes();
--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -23,12 +23,15 @@
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final int MAX_PIPELINED_BYTES = 64 << 10;
 
-    /** How long the rest of a rejected request is read and discarded. */
+    /** How long input is read and discarded after the last response of a connection. */
     private static final long MAX_DISCARD_MILLIS = 1_000;
 
     /** Sent with a request that there is no memory for; bodies of others are passed on within this time. */
     private static final HttpField RETRY_AFTER = new HttpField("Retry-After", "0.5");
 
+    /** Sent with a request that another process can serve at once. */
+    private static final HttpField RETRY_ELSEWHERE = new HttpField("Retry-After", "0.3");
+
     /** The maximum size of a write; each one has the idle timeout to complete. */
     private static final int MAX_WRITE_BYTES = 64 << 10;
 
@@ -54,8 +57,8 @@
     private long idleSinceMillis;
     private long requestStartMillis;
 
-    /** When a request was rejected whose rest is discarded, 0 if none was. */
-    private long rejectedMillis;
+    /** Since when input is discarded, because no further request will be answered; 0 if it is not. */
+    private long discardingSinceMillis;
 
     /** The start of the current write, which follows the last progress of the client at once. */
     private long writeStartMillis;
@@ -89,23 +92,43 @@
     }
 
     boolean isBusy() {
-        return exchange != null || head != null || sending;
+        return exchange != null || head != null || received.size() > 0 || sending;
     }
 
     boolean isDraining() {
         return listener.isDraining();
     }
 
+    /** Returns true if a part of a further request was received. */
+    boolean hasFurtherRequest() {
+        return received.size() > 0;
+    }
+
+    /** Rejects the request that is being received, as not run, because there is no time left to receive it. */
+    void rejectIfIncomplete() {
+        boolean incomplete = exchange == null && (head != null || received.size() > 0);
+        if (incomplete && !closed && !closeWhenSent) {
+            rejectForShutdown();
+        }
+    }
+
+    private void rejectForShutdown() {
+        if (head != null) {
+            interruptions.requestIncomplete(head, bodyBytes == null ? 0 : bodyBytes.size(), DisconnectCause.SHUTDOWN);
+        }
+        respondAndDiscard(503, RETRY_ELSEWHERE);
+    }
+
     /** Closes the connection if it has been idle long enough that no request is likely to be in transit. */
     void closeIfIdle() {
         boolean idle = clock.millis() - idleSinceMillis >= MIN_IDLE_MILLIS;
-        if (idle && !isBusy() && received.size() == 0) {
+        if (idle && !isBusy() && discardingSinceMillis == 0) {
             close(DisconnectCause.IDLE);
         }
     }
 
     void closeIfTimedOut(long now) {
-        if (rejectedMillis > 0 && now - rejectedMillis > MAX_DISCARD_MILLIS) {
+        if (discardingSinceMillis > 0 && now - discardingSinceMillis > MAX_DISCARD_MILLIS) {
             close(DisconnectCause.IDLE);
             return;
         }
@@ -204,7 +227,7 @@
     }
 
     private void parseRequest() {
-        if (rejectedMillis > 0) {
+        if (discardingSinceMillis > 0) {
             received.skip(received.size());
         }
         if (exchange != null || closed || closeWhenSent) {
@@ -246,6 +269,10 @@
         }
         bodyBytes = new ByteArrayOutputStream((int) Math.max(32, body.remainingLength()));
         if (head.fieldContains("expect", "100-continue")) {
+            if (listener.isRefusingBodies()) {
+                rejectForShutdown();
+                return false;
+            }
             send(CONTINUE);
         }
         return true;
@@ -274,12 +301,16 @@
 
     private void reject(int status, HttpField... further) {
         interruptions.requestRejected(head, bodyBytes == null ? 0 : bodyBytes.size(), status);
+        respondAndDiscard(status, further);
+    }
+
+    private void respondAndDiscard(int status, HttpField... further) {
         head = null;
         bodyBytes = null;
         bodyMemory.release();
         received.skip(received.size());
         closeWhenSent = true;
-        rejectedMillis = clock.millis();
+        discardingSinceMillis = clock.millis();
         List<HttpField> fields = new ArrayList<>(List.of(further));
         fields.add(new HttpField("Content-Length", "0"));
         fields.add(new HttpField("Connection", "close"));
@@ -311,6 +342,12 @@
         idleSinceMillis = clock.millis();
         requestStartMillis = idleSinceMillis;
         closeWhenSent = !keepAlive;
+        if (closeWhenSent && listener.isDraining()) {
+            // clients that have not seen the end of the connection yet may still send
+            discardingSinceMillis = idleSinceMillis;
+            received.skip(received.size());
+            readMore();
+        }
         flush();
         if (keepAlive && !closed) {
             parseRequest();
@@ -323,7 +360,7 @@
             return;
         }
         if (sendQueue.isEmpty()) {
-            if (closeWhenSent && rejectedMillis > 0) {
+            if (closeWhenSent && discardingSinceMillis > 0) {
                 // closing with unread input would reset the connection, and the client might not receive the response
                 Promise<Void> unused = socket.write(null);
             } else if (closeWhenSent) {
--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerExchange.java
@@ -115,7 +115,8 @@
         }
         finished = true;
         connection.send(LAST_CHUNK);
-        connection.finish(this, keepAlive && !connection.isDraining());
+        // a client that was promised a further response may have sent the request already
+        connection.finish(this, keepAlive);
     }
 
     /** Closes the connection without completing the response. */
@@ -135,7 +136,8 @@
     }
 
     private boolean shouldKeepAlive() {
-        return !connection.isDraining()
+        // pipelined requests get answers of their own
+        return (!connection.isDraining() || connection.hasFurtherRequest())
                 && !head.fieldContains("connection", "close")
                 && !head.third().equals("HTTP/1.0");
     }
