Control group: calls that arrive during a planned stop are cut without an answer

What operators and targets saw: a change or a heartbeat that a stopping control process took got no answer; its connection was closed.

Cause: the stop handed leadership over and stopped the member at once. The listeners went on taking calls, whose futures the stopped member never completes, until the process ended.

Then new ones are refused (a forwarded one as not taken), the others get their answers, at the latest as unavailable with an unknown outcome while there is time to deliver it, and only then the member stops.

--- a/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
+++ b/daemon/src/main/java/org/bankturn/daemon/group/GroupNode.java
@@ -85,6 +85,7 @@
     private final TargetCallHandler targetCalls;
     private final EvacuationOrders evacuations;
     private final EvacuationReporter evacuationReporter;
+    private final GroupShutdown shutdown;
 
     /**
      * Returns a control process that is not started yet, not null.
@@ -156,6 +157,7 @@
                         },
                         log),
                 clock);
+        this.shutdown = new GroupShutdown(reactor, clock, listener, member, log);
         this.reads = DocumentReads.of(reactor, clients, member);
         this.targetWatch = TargetLivenessMonitor.of(reactor, clients, member, log, clock, settings.heartbeatMillis());
         AddressConflictResolver addresses =
@@ -173,6 +175,14 @@
         targetWatch.start();
     }
 
+    /**
+     * Transfers leadership and refuses calls that come late; the promise completes when every call has its answer or the time
+     * is up. Call on the reactor's thread, before {@link #stop()}.
+     */
+    public Promise<Void> drain(long gracePeriodMillis) {
+        return shutdown.start(gracePeriodMillis);
+    }
+
     /** Transfers leadership and stops the member. Do not call on the reactor's thread. */
     public void stop() {
         member.stop();
@@ -254,14 +264,26 @@
 
     private void handle(ServerExchange exchange) {
         ControlCall call = ownCall(exchange.head()).orElseGet(() -> dialect.read(exchange.head(), exchange.body()));
+        if (shutdown.isRefusing()) {
+            answer(call, new ControlAnswer.Unavailable("shutting down"), exchange);
+            return;
+        }
+        shutdown.callStarted(
+                exchange,
+                () -> answer(call, new ControlAnswer.Unavailable("shutting down, the outcome is unknown"), exchange));
         dispatch(call, exchange).whenComplete((answer, failure) -> {
             ControlAnswer sent =
                     failure == null ? answer : new ControlAnswer.Unavailable(String.valueOf(failure.getMessage()));
-            record(call, sent, clock.millis() - exchange.receivedMillis());
-            exchange.respond(dialect.head(sent), dialect.body(sent));
+            answer(call, sent, exchange);
         });
     }
 
+    private void answer(ControlCall call, ControlAnswer answer, ServerExchange exchange) {
+        shutdown.callEnded(exchange);
+        record(call, answer, clock.millis() - exchange.receivedMillis());
+        exchange.respond(dialect.head(answer), dialect.body(answer));
+    }
+
     /** Parses the calls that are served in addition to those of the platform. */
     private static Optional<ControlCall> ownCall(HttpHead head) {
         return SuspectCalls.read(head).or(() -> EvacuationCalls.read(head)).or(() -> MemberListing.read(head));
@@ -388,6 +410,21 @@
             member.receive(agree.message());
             return Promise.of(new NodeReply.Acknowledged());
         }
+        if (request instanceof NodeRequest.WatchPublication watch) {
+            return watch(watch);
+        }
+        return shutdown.isRefusing() ? refuse(request) : shutdown.track(serve(request));
+    }
+
+    /** Replies to a request that was not taken, since the member is about to stop. */
+    private static Promise<NodeReply> refuse(NodeRequest request) {
+        return Promise.of(
+                request instanceof NodeRequest.SubmitPublication
+                        ? new NodeReply.PublicationOutcome(Outcome.NOT_LEADER)
+                        : new NodeReply.Failed("shutting down"));
+    }
+
+    private Promise<NodeReply> serve(NodeRequest request) {
         if (request instanceof NodeRequest.SubmitPublication submitted) {
             return ask(member.submit(submitted.command())).map(NodeReply.PublicationOutcome::new);
         }
@@ -397,9 +434,6 @@
         if (request instanceof NodeRequest.ReadDocument read) {
             return reads.confirmAsLeader(read.haveVersion()).map(document -> document);
         }
-        if (request instanceof NodeRequest.WatchPublication watch) {
-            return watch(watch);
-        }
         if (request instanceof NodeRequest.Announce announced) {
             return targetCalls.heartbeat(announced.sighting()).map(GroupNode::replyTo);
         }
--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -93,14 +93,21 @@
     /** Stops gracefully; returns when no request is in progress, or after the stop timeout. */
     public void stop() {
         log.line(DecisionKind.STOP).with(DecisionField.EVENT, "planned stop").write();
-        if (gateway != null) {
-            reactor.submit(gateway::stop).join();
-        }
+        reactor.submit(this::drain).join();
         if (group != null) {
             group.stop();
         }
     }
 
+    private Promise<Void> drain() {
+        if (gateway != null) {
+            return gateway.stop();
+        }
+        return group == null
+                ? Promise.complete()
+                : group.drain(settings.bounds().stopTimeoutMillis());
+    }
+
     /** Reloads the settings without waiting for the next check. */
     public void reload() {
         reactor.execute(this::reloadSettings);
--- a/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
@@ -42,14 +42,16 @@
     @TempDir
     private Path folder;
 
-    private final Address control = FreeAddresses.next();
+    final Address control = FreeAddresses.next();
     private final Address controlNode = FreeAddresses.next();
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private final Map<Address, ServingProcess> gateways = new ConcurrentHashMap<>();
 
+    private ServingProcess controlProcess;
+
     @BeforeEach
     void startControl() throws IOException {
-        start(ProcessRole.CONTROL, control);
+        controlProcess = start(ProcessRole.CONTROL, control);
     }
 
     @AfterEach
@@ -91,6 +93,11 @@
         return callers;
     }
 
+    /** Stops the control process in an orderly way; its connections stay, as those of a process that is about to exit. */
+    void stopControl() {
+        controlProcess.stop();
+    }
+
     /** Stops a gateway in an orderly way. */
     void stopGateway(Address callers) {
         gateways.remove(callers).stop();
