Processes: a signal soon after the start of a process ends it without a planned stop

What callers saw: connections reset by a process that was stopped as soon as it listened, with the request on them unanswered.

--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -49,6 +49,8 @@
     private final Eventloop reactor;
     private volatile ServingSettings settings;
     private long settingsStamp;
+    private volatile boolean isReactorStarted;
+    private volatile boolean hasStartFailed;
     private Gateway gateway;
     private GroupNode group;
 
@@ -74,7 +76,7 @@
         settingsStamp = source.modificationStamp();
         reactor.keepAlive(true);
         new Thread(reactor, "serving").start();
-        return reactor.submit(() -> {
+        CompletableFuture<Void> started = reactor.submit(() -> {
             startRole();
             if (settings.metricsAddress() != null) {
                 MetricsServer.of(reactor, clock, settings.metricsAddress(), metrics)
@@ -88,11 +90,20 @@
                     .write();
             return Promise.complete();
         });
+        // a stop during the start waits for it
+        isReactorStarted = true;
+        return started.whenComplete((ignored, failure) -> hasStartFailed = failure != null);
     }
 
-    /** Stops gracefully; returns when no request is in progress, or after the stop timeout. */
+    /**
+     * Stops gracefully; returns when no request is in progress, or after the stop timeout. It may be called while the process
+     * starts.
+     */
     public void stop() {
         log.line(DecisionKind.STOP).with(DecisionField.EVENT, "planned stop").write();
+        if (!isReactorStarted || hasStartFailed) {
+            return;
+        }
         reactor.submit(this::drain).join();
         if (group != null) {
             group.stop();
--- a/daemon/src/test/java/org/bankturn/daemon/serving/LateCallsInPlannedStopTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/LateCallsInPlannedStopTest.java
@@ -9,9 +9,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import org.bankturn.daemon.gateway.ScriptedTarget;
+import org.bankturn.daemon.settings.Address;
+import org.bankturn.daemon.settings.FreeAddresses;
+import org.bankturn.daemon.settings.ProcessRole;
 import org.junit.jupiter.api.Test;
 
 /** Guards against calls that a control process takes during its planned stop and never answers. */
@@ -46,6 +50,15 @@
         assertThat(answers).contains("200").contains("503");
     }
 
+    @Test
+    void a_gateway_that_is_stopped_while_it_starts_ends_in_time() throws Exception {
+        Address callers = FreeAddresses.next();
+        ServingProcess process = create(ProcessRole.ENTRY, callers);
+        CompletableFuture<Void> started = process.start();
+        process.stop();
+        started.join();
+    }
+
     /** Sends heartbeats until one that was sent after the stop is answered. */
     private void sendHeartbeats(String id) {
         boolean last = false;
--- a/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
@@ -104,6 +104,13 @@
     }
 
     private ServingProcess start(ProcessRole role, Address callAddress) throws IOException {
+        ServingProcess process = create(role, callAddress);
+        process.start().join();
+        return process;
+    }
+
+    /** Returns a process that is not started, not null. */
+    ServingProcess create(ProcessRole role, Address callAddress) {
         boolean isControl = role == ProcessRole.CONTROL;
         ServingSettings settings = new ServingSettings(
                 "test-" + callAddress.port(),
@@ -127,9 +134,7 @@
                 new PlainControlDialect(),
                 new PlainHealthDialect(),
                 new PlainWeightsDialect());
-        ServingProcess process = ServingProcess.of(settings, new UnchangedSettings(settings), dialects);
-        process.start().join();
-        return process;
+        return ServingProcess.of(settings, new UnchangedSettings(settings), dialects);
     }
 
     private record UnchangedSettings(ServingSettings settings) implements SettingsSource {
