HTTP listener: the last response of a connection is cut in a planned stop if its client reads it slowly

What callers would have seen: a response cut 1 s after it was queued, in a planned stop.

Change: the time counts from the last write, and only once all is written. A client that does not read at all is closed after the idle timeout, as before.

HttpListenerTest.a_client_that_reads_slowly_during_a_planned_stop_receives_its_whole_response fails with the time counted from the response, passes now.

--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerConnection.java
@@ -128,7 +128,9 @@
     }
 
     void closeIfTimedOut(long now) {
-        if (discardingSinceMillis > 0 && now - discardingSinceMillis > MAX_DISCARD_MILLIS) {
+        // the client may still be reading the last response
+        long lastSentMillis = Math.max(discardingSinceMillis, writeStartMillis);
+        if (discardingSinceMillis > 0 && !sending && now - lastSentMillis > MAX_DISCARD_MILLIS) {
             close(DisconnectCause.IDLE);
             return;
         }
--- a/daemon/src/test/java/org/bankturn/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/HttpListenerTest.java
@@ -89,6 +89,24 @@
         }
     }
 
+    /** Guards against the last response of a connection being cut because its client does not close it at once. */
+    @Test
+    void a_client_that_reads_slowly_during_a_planned_stop_receives_its_whole_response() throws Exception {
+        listen(exchange -> {
+            listener.drain();
+            exchange.respond(HttpHead.response(200, List.of()), new byte[LARGER_THAN_SOCKET_BUFFERS]);
+        });
+        try (Socket slow = sendRequest()) {
+            InputStream input = slow.getInputStream();
+            for (int part = 0; part < SLOW_READS; part++) {
+                int read = input.readNBytes(LARGER_THAN_SOCKET_BUFFERS / SLOW_READS).length;
+                assertThat(read).isEqualTo(LARGER_THAN_SOCKET_BUFFERS / SLOW_READS);
+                clock.advance(ServerLimits.CONTROL.idleTimeoutMillis() * 3 / 4);
+                Thread.sleep(LONGER_THAN_SWEEP_MILLIS);
+            }
+        }
+    }
+
     @Test
     void a_client_that_stops_reading_a_stream_is_told_apart_from_one_that_left() throws Exception {
         CountDownLatch started = listenWithStream(new byte[LARGER_THAN_SOCKET_BUFFERS]);
