--- a/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
+++ b/daemon/src/main/java/org/bankturn/daemon/serving/ServingProcess.java
@@ -50,6 +50,8 @@
     private final Eventloop reactor;
     private volatile ServingSettings settings;
     private long settingsStamp;
+    private volatile boolean isReactorStarted;
+    private volatile boolean hasStartFailed;
     private Gateway gateway;
     private GroupNode group;
 
@@ -75,7 +77,7 @@
         settingsStamp = source.modificationStamp();
         reactor.keepAlive(true);
         new Thread(reactor, "serving").start();
-        return reactor.submit(() -> {
+        CompletableFuture<Void> started = reactor.submit(() -> {
             startRole();
             if (settings.metricsAddress() != null) {
                 MetricsServer.of(reactor, clock, settings.metricsAddress(), metrics)
@@ -89,19 +91,35 @@
                     .write();
             return Promise.complete();
         });
+        // a stop during the start waits for it
+        isReactorStarted = true;
+        return started.whenComplete((ignored, failure) -> hasStartFailed = failure != null);
     }
 
-    /** Stops gracefully; returns when no request is in progress, or after the stop timeout. */
+    /**
+     * Stops gracefully; returns when no request is in progress, or after the stop timeout. It may be called while the process
+     * starts.
+     */
     public void stop() {
         log.line(DecisionKind.STOP).with(DecisionField.EVENT, "planned stop").write();
-        if (gateway != null) {
-            reactor.submit(gateway::stop).join();
+        if (!isReactorStarted || hasStartFailed) {
+            return;
         }
+        reactor.submit(this::drain).join();
         if (group != null) {
             group.stop();
         }
     }
 
+    private Promise<Void> drain() {
+        if (gateway != null) {
+            return gateway.stop();
+        }
+        return group == null
+                ? Promise.complete()
+                : group.drain(settings.bounds().stopTimeoutMillis());
+    }
+
     /** Reloads the settings without waiting for the next check. */
     public void reload() {
         reactor.execute(this::reloadSettings);
--- a/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
+++ b/daemon/src/test/java/org/bankturn/daemon/serving/ServingFixture.java
@@ -42,14 +42,16 @@
     @TempDir
     private Path folder;
 
-    private final Address control = FreeAddresses.next();
+    final Address control = FreeAddresses.next();
     private final Address controlNode = FreeAddresses.next();
     private final List<ScriptedTarget> targets = new ArrayList<>();
     private final Map<Address, ServingProcess> gateways = new ConcurrentHashMap<>();
 
+    private ServingProcess controlProcess;
+
     @BeforeEach
     void startControl() throws IOException {
-        start(ProcessRole.CONTROL, control);
+        controlProcess = start(ProcessRole.CONTROL, control);
     }
 
     @AfterEach
@@ -91,12 +93,24 @@
         return callers;
     }
 
+    /** Stops the control process in an orderly way; its connections stay, as those of a process that is about to exit. */
+    void stopControl() {
+        controlProcess.stop();
+    }
+
     /** Stops a gateway in an orderly way. */
     void stopGateway(Address callers) {
         gateways.remove(callers).stop();
     }
 
     private ServingProcess start(ProcessRole role, Address callAddress) throws IOException {
+        ServingProcess process = create(role, callAddress);
+        process.start().join();
+        return process;
+    }
+
+    /** Returns a process that is not started, not null. */
+    ServingProcess create(ProcessRole role, Address callAddress) {
         boolean isControl = role == ProcessRole.CONTROL;
         ServingSettings settings = new ServingSettings(
                 "test-" + callAddress.port(),
@@ -120,9 +134,7 @@
                 new PlainControlDialect(),
                 new PlainHealthDialect(),
                 new PlainWeightsDialect());
-        ServingProcess process = ServingProcess.of(settings, new UnchangedSettings(settings), dialects);
-        process.start().join();
-        return process;
+        return ServingProcess.of(settings, new UnchangedSettings(settings), dialects);
     }
 
     private record UnchangedSettings(ServingSettings settings) implements SettingsSource {
