Gateway: a late second response is never taken for another request's

Cause: only the request id tells a late second copy from the response that is due, and a response without an id was taken for it. A health answer has none, and the connection of a finished check went to the pool, from which the next request took it. The same held for rejections and failures without an id, and for a rejection with an id whose request is sent again.

Change: a connection of a check is closed after it. A connection of a request is used again only after an answer with its id, so that no copy that the id does not tell apart can come on a connection in use. On such a connection a success without an id is not accepted. Rejections, and responses of targets that know no ids, may lack it on others. New: bankturn_foreign_responses_total and the line foreign. Targets that send no ids, and callers that send none, get a new connection for each request.

Open: PooledHttpClient (engines, origin, address conflicts) uses connections again whose responses have no id.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -53,6 +53,7 @@
     private StallDetector stallDetector;
     private HttpHead responseHead;
     private ResponseMetadata response;
+    private ResponseMatch match;
     private boolean promptPending = true;
     private boolean stallReported;
     private boolean finished;
@@ -186,7 +187,9 @@
     @Override
     public boolean onHead(HttpHead received) {
         ResponseMetadata parsed = gateway.dialect().parseResponse(received);
-        if (parsed.requestId() != null && !parsed.requestId().equals(metadata.id())) {
+        match = ResponseMatch.of(parsed, metadata.id(), connection.hasReceivedResponse());
+        if (!match.isAccepted()) {
+            gateway.recordForeignResponse(match, metadata.id(), targetId(), parsed.status());
             return false;
         }
         responseHead = received;
@@ -521,10 +524,12 @@
             return;
         }
         stallDetector.stop();
-        if (ending.isResponseComplete()) {
+        if (ending.allowsReuse() && match.allowsReuse()) {
             gateway.connections().release(targetId(), connection);
         } else {
             connection.close();
+        }
+        if (!ending.isResponseComplete()) {
             discardResponse();
         }
     }
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/AttemptEnding.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/AttemptEnding.java
@@ -51,11 +51,19 @@
         };
     }
 
-    /** Returns true if the response was received completely, so that its connection can be used again. */
+    /** Returns true if the response was received completely. */
     boolean isResponseComplete() {
         return responseComplete;
     }
 
+    /**
+     * Returns true if the connection can be used again. After a rejection or a failure the request may be sent again under
+     * its id, and a late copy of the first response could be taken for the second one.
+     */
+    boolean allowsReuse() {
+        return this == ANSWERED;
+    }
+
     /** Returns what the ending tells about the run of the request at its target, not null. */
     RunEnd runEnd() {
         return runEnd;
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Gateway.java
@@ -478,6 +478,17 @@
                 .write();
     }
 
+    /** Records a response that was not accepted for the request that its connection carried. */
+    void recordForeignResponse(ResponseMatch match, String request, String target, int status) {
+        metrics.foreignResponse(match.label());
+        log.line(DecisionKind.FOREIGN)
+                .with(DecisionField.REQUEST, request)
+                .with(DecisionField.TARGET, target)
+                .with(DecisionField.STATUS, status)
+                .with(DecisionField.REASON, match.label())
+                .write();
+    }
+
     /** Registers a request in flight. */
     void requestStarted(ForwardedRequest request) {
         inFlight.add(request);
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/IncarnationCheck.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/IncarnationCheck.java
@@ -20,6 +20,9 @@
  * <p>That an address accepts connections does not show that the target lives: the kernel accepts them for a process that
  * is being killed or hangs, and a successor may listen there by then. Only an answer that names the incarnation does.
  *
+ * <p>Health answers carry no request id, so that a late second copy of one could be taken for the response to a later
+ * request on its connection. A connection of a check is therefore closed after the check.
+ *
  * <p>IncarnationCheck is confined to its reactor's thread.
  */
 final class IncarnationCheck implements ResponseListener {
@@ -40,7 +43,6 @@
     private final SettablePromise<Void> contact = new SettablePromise<>();
     private final SettablePromise<Result> result = new SettablePromise<>();
     private TargetConnection connection;
-    private CheckOutcome outcome;
     private long retryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
     private long backOffMillis;
     private int requests;
@@ -51,7 +53,7 @@
      * @param reactor the event loop, not null
      * @param clock the clock, not null
      * @param dialect the format of health requests, not null
-     * @param connections the pool that receives the connections of finished checks, not null
+     * @param connections the pool that receives connections which nothing was sent on, not null
      */
     record Dependencies(Eventloop reactor, Clock clock, HealthDialect dialect, TargetConnectionPool connections) {}
 
@@ -147,7 +149,7 @@
     private void onConnected(TargetConnection opened, Exception failure) {
         if (result.isComplete()) {
             if (opened != null) {
-                dependencies.connections().release(target.id(), opened);
+                opened.close();
             }
             return;
         }
@@ -163,7 +165,7 @@
     private void ask(TargetConnection opened) {
         contact.trySet(null);
         if (healthPath == null) {
-            dependencies.connections().release(target.id(), opened);
+            opened.close();
             finish(CheckOutcome.UNDECIDED, Optional.empty());
             return;
         }
@@ -217,15 +219,10 @@
 
     @Override
     public void onComplete() {
-        TargetConnection used = connection;
+        connection.close();
         connection = null;
         if (!result.isComplete()) {
-            dependencies.connections().release(target.id(), used);
             retry();
-        } else if (outcome.showsLife()) {
-            dependencies.connections().release(target.id(), used);
-        } else {
-            used.close();
         }
     }
 
@@ -247,7 +244,6 @@
     }
 
     private void finish(CheckOutcome found, Optional<String> sender) {
-        outcome = found;
         result.set(new Result(found, sender, requests));
         contact.trySet(null);
     }
--- a/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/DecisionKind.java
@@ -34,6 +34,8 @@
     RETRIED,
     /** A stream was resumed at another target. */
     RESUMED,
+    /** A response was not accepted for the request that its connection carried. */
+    FOREIGN,
     /** A response that only the end of its connection delimits was taken as complete or as cut. */
     RESPONSE_END,
     /** A caller disconnected before its response was complete. */
--- a/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
+++ b/daemon/src/main/java/org/bankturn/daemon/observe/ServingMetrics.java
@@ -98,6 +98,7 @@
     private final Counter suspects;
     private final Counter targetEnds;
     private final Counter oversized;
+    private final Counter foreignResponses;
     private final Counter unreadablePromptParts;
     private final Counter closeDelimitedResponses;
     private final Counter incarnationChecks;
@@ -156,6 +157,10 @@
                 "held_back", "Requests that were not sent to the target chosen for them, by its wish.", "reason");
         oversized =
                 counter("oversized_messages", "Messages given up at a bound of what is buffered.", "message", "bound");
+        foreignResponses = counter(
+                "foreign_responses",
+                "Responses not accepted for the request that their connection carried, by what showed it.",
+                "reason");
         targetEnds = counter("target_ends", "Targets found to have ended, by what showed it.", "evidence");
         suspects = counter("suspects", "Requests under which targets ended, by what became of them.", "event");
         unreadablePromptParts = counter("unreadable_prompt_parts", "Parts of prompts that could not be read.");
@@ -285,6 +290,11 @@
         oversized.labelValues(message, bound).inc();
     }
 
+    /** Counts a response that was not accepted for the request that its connection carried. */
+    public void foreignResponse(String reason) {
+        foreignResponses.labelValues(reason).inc();
+    }
+
     /** Records the time to the first event of a stream. */
     public void firstEvent(String service, long millis) {
         firstEventSeconds.labelValues(service).observe((double) millis / MILLIS_PER_SECOND);
