Gateway: the bodies of requests that have ended are let go at their end

What callers saw: in a burst of bodies of 1 MiB an entry process ended with OutOfMemoryError, and every request under way lost its connection without an answer (LOST).

Cause: the timer at the deadline was not cancelled, and held the ended request with its body and its response until then, for which the reservation of memory had ended. Checks for silence, and timeouts of PooledHttpClient with request and response, did the same; the tail of a completed request held its body for its fingerprint.

Change: whoever ends a request, its end computes the fingerprint if it was sent and lets the body go; an attempt lets its response go once it is forwarded. The timers are cancelled at the end.

--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -363,11 +363,13 @@
         } else if (response.status() >= SERVER_ERROR) {
             targetFailed("status " + response.status());
             request.onFailureResponse(this);
+            discardResponse();
         } else if (isStreamed()) {
             endStream();
         } else {
             target.responseReceived(now() - startedMillis);
             forwardResponse();
+            discardResponse();
         }
     }
 
@@ -534,7 +536,7 @@
         }
     }
 
-    /** Frees the memory of a response that is not used, since the request may refer to this attempt during a further one. */
+    /** Frees the memory of a response that is not used any more; the request may refer to this attempt for longer. */
     private void discardResponse() {
         if (buffer != null) {
             buffer.clear();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -1,6 +1,7 @@
 package org.bankturn.daemon.gateway;
 
 import io.activej.promise.Promise;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.Optional;
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.daemon.http.DisconnectCause;
@@ -55,7 +56,13 @@
     private int eventsForwarded;
     private RequestFingerprint fingerprint;
     private boolean trial;
-    private boolean awaitingTarget;
+
+    /** Gives the request up at its deadline, null before it is forwarded. */
+    private ScheduledRunnable timeout;
+
+    /** Looks for a target again, null if none is awaited. */
+    private ScheduledRunnable targetWait;
+
     private Certainty certainty = Certainty.NOT_AWAITED;
 
     /** Whether the next attempt waits for checks of targets that the request may have crashed. */
@@ -106,7 +113,7 @@
     private void startForwarding() {
         gateway.requestStarted(this);
         gateway.policy().requestArrived(progress);
-        gateway.reactor().delayBackground(Math.max(1, endMillis - now()), this::onTimeout);
+        timeout = gateway.reactor().delayBackground(Math.max(1, endMillis - now()), this::onTimeout);
         sendToNext();
     }
 
@@ -166,12 +173,11 @@
     }
 
     private void awaitTarget(long millis) {
-        if (awaitingTarget) {
+        if (targetWait != null) {
             return;
         }
-        awaitingTarget = true;
-        gateway.reactor().delayBackground(millis, () -> {
-            awaitingTarget = false;
+        targetWait = gateway.reactor().delayBackground(millis, () -> {
+            targetWait = null;
             sendToNext();
         });
     }
@@ -323,6 +329,24 @@
         }
         gateway.requestFinished(this);
         gateway.metrics().requestEnded(service().name(), outcome, heldMillis());
+        releaseMemory();
+    }
+
+    /**
+     * Frees the memory of the request. Timers, checks of targets and lists of sent requests may refer to it for a while;
+     * of the body they need the fingerprint only.
+     */
+    private void releaseMemory() {
+        if (timeout != null) {
+            timeout.cancel();
+        }
+        if (targetWait != null) {
+            targetWait.cancel();
+        }
+        if (progress.sends() > 0) {
+            fingerprint();
+        }
+        exchange.discardBody();
     }
 
     /** Returns how long this gateway has held the request, in milliseconds. */
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/RequestLines.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/RequestLines.java
@@ -57,7 +57,7 @@
         }
         line.with(DecisionField.PROMPT_TOKENS, request.metadata().promptTokens())
                 .with(DecisionField.PROMPT_PARTS, request.metadata().promptParts())
-                .with(DecisionField.BODY_BYTES, request.exchange().body().length)
+                .with(DecisionField.BODY_BYTES, request.exchange().bodyLength())
                 .with(DecisionField.EVENTS, eventsForwarded)
                 .with(DecisionField.DEADLINE_MS, request.timeoutMillis())
                 .with(DecisionField.REMAINING_MS, request.remainingMillis());
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/StallDetector.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/StallDetector.java
@@ -1,5 +1,6 @@
 package org.bankturn.daemon.gateway;
 
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.Optional;
 import org.bankturn.crash.SentRequest;
 import org.bankturn.daemon.http.TargetConnection;
@@ -36,6 +37,7 @@
     private boolean keptRecorded;
     private boolean blamesTarget;
     private boolean stopped;
+    private ScheduledRunnable nextCheck;
 
     /**
      * Starts monitoring a request.
@@ -106,11 +108,12 @@
     /** Stops monitoring the request. */
     void stop() {
         stopped = true;
+        nextCheck.cancel();
         gateway.connectionTrust().requestEnded(wait);
     }
 
     private void scheduleCheck(long millis) {
-        gateway.reactor().delayBackground(Math.max(1, millis), this::check);
+        nextCheck = gateway.reactor().delayBackground(Math.max(1, millis), this::check);
     }
 
     private void check() {
--- a/daemon/src/main/java/org/bankturn/daemon/http/PooledHttpClient.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/PooledHttpClient.java
@@ -3,6 +3,7 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -105,7 +106,7 @@
     public Promise<Response> call(
             InetSocketAddress address, HttpHead head, byte[] body, long connectMillis, long timeoutMillis) {
         Call call = new Call(address, encode(address, head, body));
-        reactor.delayBackground(timeoutMillis, call::timeOut);
+        call.cancelAtEnd(reactor.delayBackground(timeoutMillis, call::timeOut));
         call.start(takeIdle(address), connectMillis);
         return call.result;
     }
@@ -120,11 +121,11 @@
      */
     public Promise<Response> callIdempotent(InetSocketAddress address, HttpHead head, long timeoutMillis) {
         Call call = new Call(address, encode(address, head, EMPTY_BODY));
-        reactor.delayBackground(timeoutMillis, call::timeOut);
+        call.cancelAtEnd(reactor.delayBackground(timeoutMillis, call::timeOut));
         TargetConnection idle = takeIdle(address);
         call.start(idle, timeoutMillis);
         if (idle != null) {
-            reactor.delayBackground(SILENCE_TIMEOUT_MILLIS, () -> call.retryIfSilent(timeoutMillis));
+            call.cancelAtEnd(reactor.delayBackground(SILENCE_TIMEOUT_MILLIS, () -> call.retryIfSilent(timeoutMillis)));
         }
         return call.result;
     }
@@ -180,6 +181,11 @@
             this.request = request;
         }
 
+        /** Cancels a timer at the end of the call, whose messages it would hold until it is due. */
+        void cancelAtEnd(ScheduledRunnable timer) {
+            result.whenComplete(timer::cancel);
+        }
+
         /** Sends the request on the given idle connection, or on a new one if it is null. */
         void start(TargetConnection idle, long connectMillis) {
             Promise<TargetConnection> connected =
--- a/daemon/src/main/java/org/bankturn/daemon/http/ServerExchange.java
+++ b/daemon/src/main/java/org/bankturn/daemon/http/ServerExchange.java
@@ -16,11 +16,13 @@
 public final class ServerExchange {
     private static final Set<String> FRAMING_FIELDS = Set.of("content-length", "transfer-encoding", "connection");
     private static final byte[] LAST_CHUNK = "0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
+    private static final byte[] EMPTY_BODY = new byte[0];
     private static final byte[] LINE_END = {'\r', '\n'};
 
     private final ServerConnection connection;
     private final HttpHead head;
-    private final byte[] body;
+    private final int bodyLength;
+    private byte[] body;
     private final long receivedMillis;
     private Consumer<DisconnectCause> disconnectAction = cause -> {};
     private boolean started;
@@ -31,6 +33,7 @@
         this.connection = connection;
         this.head = head;
         this.body = body;
+        this.bodyLength = body.length;
         this.receivedMillis = receivedMillis;
     }
 
@@ -39,11 +42,21 @@
         return head;
     }
 
-    /** Returns the request's body, not null. */
+    /** Returns the request's body, empty once it was discarded, not null. */
     public byte[] body() {
         return body;
     }
 
+    /** Returns the size of the request's body, in bytes, also once it was discarded. */
+    public int bodyLength() {
+        return bodyLength;
+    }
+
+    /** Discards the request's body, so that what still refers to an ended request holds little memory. */
+    public void discardBody() {
+        body = EMPTY_BODY;
+    }
+
     /** Returns the time at which the request was completely received, in milliseconds. */
     public long receivedMillis() {
         return receivedMillis;
--- a/daemon/src/test/java/org/bankturn/daemon/http/PooledHttpClientTest.java
+++ b/daemon/src/test/java/org/bankturn/daemon/http/PooledHttpClientTest.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.lang.ref.WeakReference;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -23,6 +24,9 @@
 class PooledHttpClientTest {
     private static final int READ_TIMEOUT_MILLIS = 10_000;
 
+    /** The thread of the client may hold a response for a moment after it was delivered. */
+    private static final int MAX_COLLECTIONS = 50;
+
     /** Idle connections kept open would use up the connection limit of the server. */
     @Test
     void an_idle_connection_is_closed() throws Exception {
@@ -35,6 +39,44 @@
         assertThat(isClosedWhenIdle(ManualClock.startingAt(1_000_000))).isTrue();
     }
 
+    /** Guards against the messages of calls that have ended being held until their timeouts. */
+    @Test
+    void the_response_of_a_call_that_ended_is_not_held_until_its_timeout() throws Exception {
+        Eventloop reactor =
+                Eventloop.builder().withThreadName("http-client-test").build();
+        reactor.keepAlive(true);
+        new Thread(reactor, "http-client-test").start();
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            PooledHttpClient client = PooledHttpClient.on(reactor, Clock.system());
+            WeakReference<PooledHttpClient.Response> response = answeredCall(server, reactor, client);
+            for (int collection = 0; response.get() != null && collection < MAX_COLLECTIONS; collection++) {
+                System.gc();
+            }
+            assertThat(response.get()).isNull();
+        } finally {
+            reactor.keepAlive(false);
+            reactor.breakEventloop();
+        }
+    }
+
+    /** Makes a call whose timeout exceeds that of the test, and returns its response. */
+    private static WeakReference<PooledHttpClient.Response> answeredCall(
+            ServerSocket server, Eventloop reactor, PooledHttpClient client) throws Exception {
+        CompletableFuture<PooledHttpClient.Response> response = reactor.submit(() -> client.call(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()),
+                HttpHead.request("GET", "/x", List.of()),
+                new byte[0],
+                600_000));
+        try (Socket socket = server.accept()) {
+            BufferedReader input =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            String unused = readHead(input);
+            socket.getOutputStream()
+                    .write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.ISO_8859_1));
+            return new WeakReference<>(response.join());
+        }
+    }
+
     /** Servers reject requests that name no host with 400. */
     @Test
     void a_call_names_the_host_unless_its_head_does() throws Exception {
