--- a/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/Attempt.java
@@ -53,6 +53,7 @@
     private StallDetector stallDetector;
     private HttpHead responseHead;
     private ResponseMetadata response;
+    private ResponseMatch match;
     private boolean promptPending = true;
     private boolean stallReported;
     private boolean finished;
@@ -186,7 +187,9 @@
     @Override
     public boolean onHead(HttpHead received) {
         ResponseMetadata parsed = gateway.dialect().parseResponse(received);
-        if (parsed.requestId() != null && !parsed.requestId().equals(metadata.id())) {
+        match = ResponseMatch.of(parsed, metadata.id(), connection.hasReceivedResponse());
+        if (!match.isAccepted()) {
+            gateway.recordForeignResponse(match, metadata.id(), targetId(), parsed.status());
             return false;
         }
         responseHead = received;
@@ -360,11 +363,13 @@
         } else if (response.status() >= SERVER_ERROR) {
             targetFailed("status " + response.status());
             request.onFailureResponse(this);
+            discardResponse();
         } else if (isStreamed()) {
             endStream();
         } else {
             target.responseReceived(now() - startedMillis);
             forwardResponse();
+            discardResponse();
         }
     }
 
@@ -527,15 +532,17 @@
             return;
         }
         stallDetector.stop();
-        if (ending.isResponseComplete()) {
+        if (ending.allowsReuse() && match.allowsReuse()) {
             gateway.connections().release(targetId(), connection);
         } else {
             connection.close();
+        }
+        if (!ending.isResponseComplete()) {
             discardResponse();
         }
     }
 
-    /** Frees the memory of a response that is not used, since the request may refer to this attempt during a further one. */
+    /** Frees the memory of a response that is not used any more; the request may refer to this attempt for longer. */
     private void discardResponse() {
         if (buffer != null) {
             buffer.clear();
--- a/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
+++ b/daemon/src/main/java/org/bankturn/daemon/gateway/ForwardedRequest.java
@@ -1,6 +1,7 @@
 package org.bankturn.daemon.gateway;
 
 import io.activej.promise.Promise;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.Optional;
 import org.bankturn.crash.RequestFingerprint;
 import org.bankturn.daemon.http.DisconnectCause;
@@ -55,11 +56,16 @@
     private int eventsForwarded;
     private RequestFingerprint fingerprint;
     private boolean trial;
-    private boolean awaitingTarget;
 
     /** Whether the shutdown of the gateway leaves less time than the caller and the route do. */
     private boolean limitedToShutdown;
 
+    /** Gives the request up at its deadline, null before it is forwarded. */
+    private ScheduledRunnable timeout;
+
+    /** Looks for a target again, null if none is awaited. */
+    private ScheduledRunnable targetWait;
+
     private Certainty certainty = Certainty.NOT_AWAITED;
 
     /** Whether the next attempt waits for checks of targets that the request may have crashed. */
@@ -116,7 +122,10 @@
     }
 
     private void scheduleTimeout() {
-        gateway.reactor().delayBackground(Math.max(1, endMillis - now()), this::onTimeout);
+        if (timeout != null) {
+            timeout.cancel();
+        }
+        timeout = gateway.reactor().delayBackground(Math.max(1, endMillis - now()), this::onTimeout);
     }
 
     /** Brings the deadline forward to the time that the shutdown of the gateway leaves, if there is one. */
@@ -199,12 +208,11 @@
     }
 
     private void awaitTarget(long millis) {
-        if (awaitingTarget) {
+        if (targetWait != null) {
             return;
         }
-        awaitingTarget = true;
-        gateway.reactor().delayBackground(millis, () -> {
-            awaitingTarget = false;
+        targetWait = gateway.reactor().delayBackground(millis, () -> {
+            targetWait = null;
             sendToNext();
         });
     }
@@ -357,6 +365,24 @@
         }
         gateway.requestFinished(this);
         gateway.metrics().requestEnded(service().name(), outcome, heldMillis());
+        releaseMemory();
+    }
+
+    /**
+     * Frees the memory of the request. Timers, checks of targets and lists of sent requests may refer to it for a while;
+     * of the body they need the fingerprint only.
+     */
+    private void releaseMemory() {
+        if (timeout != null) {
+            timeout.cancel();
+        }
+        if (targetWait != null) {
+            targetWait.cancel();
+        }
+        if (progress.sends() > 0) {
+            fingerprint();
+        }
+        exchange.discardBody();
     }
 
     /** Returns how long this gateway has held the request, in milliseconds. */
