--- a/core/src/main/java/org/bankturn/agreement/FollowerProgress.java
+++ b/core/src/main/java/org/bankturn/agreement/FollowerProgress.java
@@ -16,6 +16,7 @@
     private boolean hasResponded;
     private long firstUnderWay = NONE;
     private long presumedLostMillis;
+    private long sentSnapshotIndex = NONE;
     private long snapshotResendMillis = Long.MIN_VALUE;
 
     FollowerProgress(long nextIndex, long lastContactMillis) {
@@ -74,12 +75,19 @@
         this.presumedLostMillis = presumedLostMillis;
     }
 
-    /** Returns true if a snapshot may be sent, or sent again. */
+    /** Returns true if a snapshot may be sent, because the last one was acknowledged or is presumed lost. */
     boolean maySendSnapshot(long nowMillis) {
-        return nowMillis >= snapshotResendMillis;
+        return matchIndex >= sentSnapshotIndex || nowMillis >= snapshotResendMillis;
     }
 
-    void recordSnapshotSent(long resendMillis) {
+    /**
+     * Records that a snapshot was sent.
+     *
+     * @param index the last index of the snapshot
+     * @param resendMillis the time from which the snapshot counts as lost
+     */
+    void recordSnapshotSent(long index, long resendMillis) {
+        sentSnapshotIndex = index;
         snapshotResendMillis = resendMillis;
     }
 
--- a/core/src/main/java/org/bankturn/agreement/LogReplicator.java
+++ b/core/src/main/java/org/bankturn/agreement/LogReplicator.java
@@ -120,6 +120,7 @@
         if (follower.maySendSnapshot(now)) {
             Snapshot snapshot = log.snapshot();
             follower.recordSnapshotSent(
+                    snapshot.index(),
                     now + settings.electionTimeoutMillis() + settings.transferMillis(snapshot.state().length));
             outbox.send(to, new SnapshotRequest(self, term, snapshot));
         }
--- a/core/src/test/java/org/bankturn/agreement/LogReplicatorTest.java
+++ b/core/src/test/java/org/bankturn/agreement/LogReplicatorTest.java
@@ -7,6 +7,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.bankturn.agreement.RaftMessage.AppendReply;
 import org.bankturn.agreement.RaftMessage.AppendRequest;
+import org.bankturn.agreement.RaftMessage.SnapshotRequest;
 import org.bankturn.agreement.RaftMessage.VoteReply;
 import org.bankturn.time.ManualClock;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,6 +22,7 @@
     private static final Member BEHIND = new Member("c", 1, "c");
     private static final int SMALL_BYTES = 10;
     private static final int LARGE_BYTES = 30_000;
+    private static final int SNAPSHOT_BYTES = 4_000_000;
 
     private final ManualClock clock = ManualClock.startingAt(0);
     private final RaftNode leader = RaftNode.recover(
@@ -116,6 +118,37 @@
         assertThat(indexes).hasSize(10).doesNotHaveDuplicates();
     }
 
+    /** Guards against a member that waits for a lost snapshot although it has acknowledged the snapshot. */
+    @Test
+    void next_snapshot_is_sent_at_once_when_the_log_was_compacted_while_the_last_one_was_under_way() {
+        compactAll();
+        leader.receive(new AppendReply(BEHIND, leader.term(), false, 0));
+        assertThat(snapshotsToBehind()).hasSize(1);
+        long first = leader.snapshot().index();
+        compactAll();
+        leader.receive(new AppendReply(BEHIND, leader.term(), true, 0));
+        assertThat(snapshotsToBehind()).isEmpty();
+        leader.receive(new AppendReply(BEHIND, leader.term(), true, first));
+        assertThat(snapshotsToBehind()).singleElement().satisfies(snapshot -> assertThat(snapshot.index())
+                .isGreaterThan(first));
+    }
+
+    private void compactAll() {
+        proposeAll(3, SMALL_BYTES);
+        leader.receive(new AppendReply(FOLLOWER, leader.term(), true, leader.lastIndex()));
+        leader.ready();
+        leader.compact(leader.commitIndex(), new byte[SNAPSHOT_BYTES]);
+    }
+
+    private List<Snapshot> snapshotsToBehind() {
+        return leader.ready().messages().stream()
+                .filter(outbound -> outbound.to().equals(BEHIND))
+                .map(Ready.Outbound::message)
+                .filter(SnapshotRequest.class::isInstance)
+                .map(message -> ((SnapshotRequest) message).snapshot())
+                .toList();
+    }
+
     private void proposeAll(int count, int bytes) {
         for (int entry = 0; entry < count; entry++) {
             leader.propose(new byte[bytes]);
