Control group: a box without the log is added to an odd number of members only if the others that respond are a majority with it

The latest change of the membership may have removed a box long ago, because it was silent. If it returned empty while another member was away, it was added without the log to a group of three of which two responded; if it went again, the group had no majority, although two of the three that it had before were there. A member that returns with its disk, or a late request of it, counted as a replacement, too.

The box still completes a replacement without the log while the others that respond are a majority of the next membership, as in the group of six that the rule was made for. ReturningBoxTest and two new tests of MembershipChanges fail before; the existing test now records that the other members respond, its assertions are as before.

--- a/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -77,10 +77,15 @@
      * the learner.
      *
      * @param previousMembers the membership before its latest change, not null
+     * @param peers the members without this leader, not null
      * @return the new membership, empty if there is no learner, or if it must respond or catch up first
      */
     Optional<List<Member>> nextAdmission(
-            List<Member> members, List<Member> previousMembers, long commitIndex, long nowMillis) {
+            List<Member> members,
+            List<Member> previousMembers,
+            List<Member> peers,
+            long commitIndex,
+            long nowMillis) {
         if (learner == null || members.contains(learner) || !progress.hasResponded(learner)) {
             return Optional.empty();
         }
@@ -89,9 +94,7 @@
             report(MembershipEvent.Kind.REPLACED, former.get(), members, nowMillis);
             return Optional.of(without(members, former.get()));
         }
-        boolean raisesMajority =
-                members.size() % 2 == 1 && memberOfLearnersBox(previousMembers).isEmpty();
-        if (raisesMajority && progress.matchIndex(learner) < commitIndex) {
+        if (needsLog(members, previousMembers, peers, nowMillis) && progress.matchIndex(learner) < commitIndex) {
             reportDeferral(members, nowMillis);
             return Optional.empty();
         }
@@ -146,6 +149,20 @@
                 progress.matchIndex(member)));
     }
 
+    /**
+     * Returns true if the learner would raise the majority, unless it completes a replacement and the others that respond
+     * are a majority of the next membership without it.
+     */
+    private boolean needsLog(List<Member> members, List<Member> previousMembers, List<Member> peers, long nowMillis) {
+        boolean raisesMajority = members.size() % 2 == 1;
+        boolean replaces = memberOfLearnersBox(previousMembers)
+                .filter(former -> !former.equals(learner))
+                .isPresent();
+        int responsive = members.size() - silentMembers(peers, nowMillis).size();
+        boolean majorityWithout = 2 * responsive > members.size() + 1;
+        return raisesMajority && !(replaces && majorityWithout);
+    }
+
     private Optional<Member> memberOfLearnersBox(List<Member> members) {
         return members.stream()
                 .filter(member -> member.box().equals(learner.box()))
--- a/core/src/main/java/org/bankturn/agreement/RaftNode.java
+++ b/core/src/main/java/org/bankturn/agreement/RaftNode.java
@@ -610,7 +610,7 @@
             return;
         }
         membershipChanges
-                .nextAdmission(members(), log.membersBeforeLatestChange(), commitIndex, now)
+                .nextAdmission(members(), log.membersBeforeLatestChange(), peers(), commitIndex, now)
                 .or(() -> membershipChanges.nextRemoval(members(), peers(), now))
                 .ifPresent(members -> appendAsLeader(new byte[0], members));
     }
--- a/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
+++ b/core/src/test/java/org/bankturn/agreement/MembershipChangesTest.java
@@ -117,16 +117,44 @@
     void box_whose_former_member_was_just_removed_is_added_to_an_odd_number_of_members_without_the_log() {
         Member rejoined = new Member("c", 2, "c");
         List<Member> before = List.of(self, responsive, silent, member("e"));
+        before.forEach(peer -> progress.track(peer, 1, NOW));
         addResponsiveLearner(rejoined);
         List<Member> without = admission(before, MISSING_INDEX).orElseThrow();
         assertThat(without).containsExactly(self, responsive, member("e"));
-        assertThat(changes.nextAdmission(without, before, MISSING_INDEX, NOW))
-                .contains(List.of(self, responsive, member("e"), rejoined));
-        assertThat(changes.nextAdmission(without, without, MISSING_INDEX, NOW)).isEmpty();
+        assertThat(admissionAfter(before, without)).contains(List.of(self, responsive, member("e"), rejoined));
+        assertThat(admissionAfter(without, without)).isEmpty();
+    }
+
+    /** Guards against an empty box, removed long ago, that a group needs for its majority while another member is away. */
+    @Test
+    void box_whose_former_member_was_removed_needs_the_log_if_the_others_that_respond_are_no_majority_with_it() {
+        Member rejoined = new Member("c", 2, "c");
+        List<Member> before = List.of(self, responsive, silent, member("e"));
+        before.forEach(peer -> progress.track(peer, 1, NOW));
+        progress.track(member("e"), 1, STALE);
+        addResponsiveLearner(rejoined);
+        assertThat(admissionAfter(before, without(before, silent))).isEmpty();
+    }
+
+    /** Guards against a member that returns with its disk, or a late request of its start, and counts as a replacement. */
+    @Test
+    void removed_member_that_returns_needs_the_log_to_raise_the_majority() {
+        List<Member> before = List.of(self, responsive, silent, member("e"));
+        before.forEach(peer -> progress.track(peer, 1, NOW));
+        addResponsiveLearner(silent);
+        assertThat(admissionAfter(before, without(before, silent))).isEmpty();
+    }
+
+    private Optional<List<Member>> admissionAfter(List<Member> before, List<Member> members) {
+        return changes.nextAdmission(members, before, without(members, self), MISSING_INDEX, NOW);
+    }
+
+    private static List<Member> without(List<Member> members, Member removed) {
+        return members.stream().filter(member -> !member.equals(removed)).toList();
     }
 
     private Optional<List<Member>> admission(List<Member> members, long commitIndex) {
-        return changes.nextAdmission(members, members, commitIndex, NOW);
+        return changes.nextAdmission(members, members, without(members, self), commitIndex, NOW);
     }
 
     private void addResponsiveLearner(Member member) {
