--- a/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
+++ b/core/src/main/java/org/bankturn/agreement/MembershipChanges.java
@@ -81,11 +81,7 @@
      * @return the new membership, empty if there is no learner, or if it must respond or catch up first
      */
     Optional<List<Member>> nextAdmission(
-            List<Member> members,
-            List<Member> previousMembers,
-            List<Member> peers,
-            long commitIndex,
-            long nowMillis) {
+            List<Member> members, List<Member> previousMembers, List<Member> peers, long commitIndex, long nowMillis) {
         if (learner == null || members.contains(learner) || !progress.hasResponded(learner)) {
             return Optional.empty();
         }
--- a/core/src/test/java/org/bankturn/agreement/LogReplicatorTest.java
+++ b/core/src/test/java/org/bankturn/agreement/LogReplicatorTest.java
@@ -129,8 +129,9 @@
         leader.receive(new AppendReply(BEHIND, leader.term(), true, 0));
         assertThat(snapshotsToBehind()).isEmpty();
         leader.receive(new AppendReply(BEHIND, leader.term(), true, first));
-        assertThat(snapshotsToBehind()).singleElement().satisfies(snapshot -> assertThat(snapshot.index())
-                .isGreaterThan(first));
+        assertThat(snapshotsToBehind())
+                .singleElement()
+                .satisfies(snapshot -> assertThat(snapshot.index()).isGreaterThan(first));
     }
 
     private void compactAll() {
